--- /dev/null
+++ b/pkg/fold/batch.go
@@ -0,0 +1,57 @@
+package fold
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/beryllanding/beryllanding/pkg/logsvc"
+)
+
+// Batch is the content of one log record: the items that one writer grouped
+// into one append.
+type Batch struct {
+	// Writer is unique to the writer's incarnation. It is never used again
+	// after a restart.
+	Writer string `json:"writer"`
+	// Seq counts the writer's batches in this stream from 1. A batch appended
+	// twice has the same Seq twice, and only its first copy is folded.
+	Seq   uint64 `json:"seq"`
+	Items []Item `json:"items"`
+}
+
+// Item is one proposal in a batch. Its effect is decided by the fold.
+type Item struct {
+	Kind string          `json:"kind"`
+	Body json.RawMessage `json:"body"`
+}
+
+// NewItem encodes body as an item of the given kind. It panics where body
+// cannot be encoded, which only a programming error can cause.
+func NewItem(kind string, body any) Item {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		panic(fmt.Sprintf("fold: item %q cannot be encoded: %v", kind, err))
+	}
+	return Item{Kind: kind, Body: raw}
+}
+
+// Position is where an item stands in its stream.
+type Position struct {
+	Offset logsvc.Offset `json:"offset"`
+	// Index counts the items of the record from 0.
+	Index int `json:"index"`
+	// Writer is the writer of the batch that holds the item.
+	Writer string `json:"writer"`
+}
+
+// Machine is a deterministic state machine driven by the items of one stream.
+// Two machines that applied the same items hold the same state.
+type Machine interface {
+	// Apply folds one item. An item that is malformed, unknown or not allowed
+	// at its position has no effect; it never fails.
+	Apply(at Position, item Item)
+	// Snapshot encodes the state. Equal states encode to equal bytes.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state by a snapshot. On error the state is unchanged.
+	Restore(snapshot []byte) error
+}
