--- /dev/null
+++ b/internal/stand/instd/instd.go
@@ -0,0 +1,139 @@
+// Package instd is a stand-in for the platform's instance list, for tests. It
+// keeps the list in memory and has switches for the service's failures.
+package instd
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/beryllanding/beryllanding/internal/stand/toggle"
+	"github.com/beryllanding/beryllanding/pkg/insts"
+)
+
+const (
+	// DefaultTTL is how long an instance that is not announced stays listed.
+	DefaultTTL = 10 * time.Second
+	// maxLag bounds the lag, and with it the history that is kept.
+	maxLag = time.Minute
+)
+
+// Switches are the failures of the instance list. The zero value has none.
+type Switches struct {
+	// Outage refuses every call.
+	Outage bool `json:"outage"`
+	// Silent accepts calls and never answers them. They have no effect.
+	Silent bool `json:"silent"`
+	// LagMS answers the list as it was so many milliseconds ago, up to a
+	// minute.
+	LagMS int `json:"lag-ms"`
+	// TTLMS is how long an instance that is not announced stays listed, in
+	// milliseconds; 0 stands for DefaultTTL.
+	TTLMS int `json:"ttl-ms"`
+}
+
+func (s Switches) lag() time.Duration {
+	return min(time.Duration(s.LagMS)*time.Millisecond, maxLag)
+}
+
+func (s Switches) ttl() time.Duration {
+	if s.TTLMS == 0 {
+		return DefaultTTL
+	}
+	return time.Duration(s.TTLMS) * time.Millisecond
+}
+
+// List is the instance list in memory. The zero value is empty and without
+// failures. It is safe for concurrent use.
+type List struct {
+	// Switches may be changed at any time.
+	Switches toggle.Box[Switches]
+
+	mu sync.Mutex
+	// events holds each name's announcements and withdrawals, oldest first.
+	events map[string][]event
+}
+
+// event is an announcement, or a withdrawal where inst is nil.
+type event struct {
+	at   time.Time
+	inst *insts.Instance
+}
+
+// New returns a list with the given switches.
+func New(s Switches) *List {
+	l := &List{}
+	l.Switches.Set(s)
+	return l
+}
+
+// Announce lists the instance, or keeps it listed.
+func (l *List) Announce(inst insts.Instance) error {
+	if l.Switches.Get().Outage {
+		return insts.ErrUnavailable
+	}
+	if err := inst.Check(); err != nil {
+		return err
+	}
+	l.record(inst.Name, &inst)
+	return nil
+}
+
+// Withdraw takes the named instance off the list.
+func (l *List) Withdraw(name string) error {
+	if l.Switches.Get().Outage {
+		return insts.ErrUnavailable
+	}
+	l.record(name, nil)
+	return nil
+}
+
+// Instances returns the list as it was before the lag, ordered by name.
+func (l *List) Instances() ([]insts.Instance, error) {
+	sw := l.Switches.Get()
+	if sw.Outage {
+		return nil, fmt.Errorf("%w: outage", insts.ErrUnavailable)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	asOf := time.Now().Add(-sw.lag())
+	list := []insts.Instance{}
+	for _, events := range l.events {
+		if inst := listed(events, asOf, sw.ttl()); inst != nil {
+			list = append(list, *inst)
+		}
+	}
+	slices.SortFunc(list, func(a, b insts.Instance) int { return cmp.Compare(a.Name, b.Name) })
+	return list, nil
+}
+
+// listed returns the instance that a name's events show at a time, if any.
+func listed(events []event, asOf time.Time, ttl time.Duration) *insts.Instance {
+	for _, e := range slices.Backward(events) {
+		if e.at.After(asOf) {
+			continue
+		}
+		if asOf.Sub(e.at) >= ttl {
+			return nil
+		}
+		return e.inst
+	}
+	return nil
+}
+
+// record adds an event and drops those too old for any lag.
+func (l *List) record(name string, inst *insts.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.events == nil {
+		l.events = make(map[string][]event)
+	}
+	now := time.Now()
+	events := append(l.events[name], event{at: now, inst: inst})
+	for len(events) > 1 && now.Sub(events[1].at) > maxLag {
+		events = events[1:]
+	}
+	l.events[name] = events
+}
--- /dev/null
+++ b/internal/stand/logd/store.go
@@ -0,0 +1,168 @@
+// Package logd is a stand-in for the platform's log service, for tests. It
+// keeps its streams in memory and has switches for the service's failures.
+package logd
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/beryllanding/beryllanding/internal/stand/toggle"
+	"github.com/beryllanding/beryllanding/pkg/logsvc"
+)
+
+// Store is the log service in memory. The zero value is an empty service
+// without failures. It implements logsvc.Service.
+type Store struct {
+	// Switches may be changed at any time.
+	Switches toggle.Box[Switches]
+
+	mu      sync.Mutex
+	streams map[string]*stream
+	limiter *rate.Limiter
+	// appends counts the appends that were accepted.
+	appends int
+}
+
+// New returns a store with the given switches.
+func New(s Switches) *Store {
+	st := &Store{}
+	st.Switches.Set(s)
+	return st
+}
+
+// Append adds one record. See logsvc.Service.
+func (s *Store) Append(ctx context.Context, name string, data []byte) (logsvc.Offset, error) {
+	sw := s.Switches.Get()
+	if err := s.admit(ctx, sw, len(data)); err != nil {
+		return 0, err
+	}
+	at, n := s.accept(name, data, sw)
+	if !pause(ctx, millis(sw.SlowMS)) {
+		return 0, fmt.Errorf("%w: %w", logsvc.ErrOutcomeUnknown, ctx.Err())
+	}
+	if nth(n, sw.LoseEvery) {
+		return 0, fmt.Errorf("%w: the answer was lost", logsvc.ErrOutcomeUnknown)
+	}
+	return at, nil
+}
+
+// admit refuses an append before it takes effect.
+func (s *Store) admit(ctx context.Context, sw Switches, size int) error {
+	if sw.Outage {
+		return logsvc.ErrUnavailable
+	}
+	if sw.Silent {
+		<-ctx.Done()
+		return fmt.Errorf("%w: %w", logsvc.ErrOutcomeUnknown, ctx.Err())
+	}
+	if size > logsvc.MaxRecord {
+		return fmt.Errorf("%w: %d bytes, at most %d", logsvc.ErrTooLarge, size, logsvc.MaxRecord)
+	}
+	if !s.allow(sw.AppendsPerSecond) {
+		return logsvc.ErrRateLimited
+	}
+	return nil
+}
+
+// allow applies the rate limit, with a burst of a tenth of a second.
+func (s *Store) allow(perSecond float64) bool {
+	if perSecond <= 0 {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limiter == nil || s.limiter.Limit() != rate.Limit(perSecond) {
+		s.limiter = rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond/10)))
+	}
+	return s.limiter.AllowN(time.Now(), 1)
+}
+
+// accept stores the record, and its duplicate where one is due. It returns the
+// offset and the number of the append.
+func (s *Store) accept(name string, data []byte, sw Switches) (logsvc.Offset, int) {
+	s.mu.Lock()
+	s.appends++
+	n := s.appends
+	s.mu.Unlock()
+	st := s.stream(name)
+	at := st.append(data, sw)
+	if nth(n, sw.DuplicateEvery) {
+		if sw.DuplicateAfterMS == 0 {
+			st.append(data, sw)
+		} else {
+			time.AfterFunc(millis(sw.DuplicateAfterMS), func() { st.append(data, sw) })
+		}
+	}
+	return at, n
+}
+
+// Read returns records from the given offset on. See logsvc.Service.
+func (s *Store) Read(ctx context.Context, name string, from logsvc.Offset, limit int, wait time.Duration) (logsvc.Page, error) {
+	sw := s.Switches.Get()
+	if sw.Silent {
+		<-ctx.Done()
+		return logsvc.Page{}, ctx.Err()
+	}
+	if !pause(ctx, millis(sw.SlowMS)) {
+		return logsvc.Page{}, ctx.Err()
+	}
+	st := s.stream(name)
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		sw, changed := s.Switches.Get(), s.Switches.Changed()
+		if sw.Outage {
+			return logsvc.Page{}, logsvc.ErrUnavailable
+		}
+		page, more := st.page(from, limit, sw)
+		if len(page.Records) > 0 || wait <= 0 {
+			return page, nil
+		}
+		select {
+		case <-more:
+		case <-changed:
+		case <-timeout.C:
+			wait = 0
+		case <-ctx.Done():
+			return logsvc.Page{}, ctx.Err()
+		}
+	}
+}
+
+// stream returns the named stream and makes it where it is new.
+func (s *Store) stream(name string) *stream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.streams == nil {
+		s.streams = make(map[string]*stream)
+	}
+	if s.streams[name] == nil {
+		s.streams[name] = &stream{}
+	}
+	return s.streams[name]
+}
+
+// nth reports whether event n, counted from 1, is hit by a switch that picks
+// every k-th.
+func nth(n, k int) bool { return k > 0 && n%k == 0 }
+
+func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// pause waits for d and is false where the context ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/pkg/logsvc/logsvc.go
+++ b/pkg/logsvc/logsvc.go
@@ -56,6 +56,10 @@
 // MaxRecord is the largest record, in bytes, that the service accepts.
 const MaxRecord = 256 << 10
 
+// MaxPage bounds the bytes of the records in one page. A page may pass it by
+// its first record only.
+const MaxPage = 1 << 20
+
 // Service is the log service as this system uses it. Implementations are safe
 // for concurrent use.
 type Service interface {
--- /dev/null
+++ b/pkg/logsvc/page.go
@@ -0,0 +1,54 @@
+package logsvc
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// ErrMalformed reports an answer that breaks the protocol.
+var ErrMalformed = errors.New("answer of the log service is malformed")
+
+// decodePage decodes the answer to a read and checks it.
+func decodePage(body io.Reader, from Offset, limit int) (Page, error) {
+	raw, err := io.ReadAll(io.LimitReader(body, maxAnswer+1))
+	if err != nil {
+		return Page{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	if len(raw) > maxAnswer {
+		return Page{}, fmt.Errorf("%w: page is longer than %d bytes", ErrMalformed, maxAnswer)
+	}
+	var page Page
+	if err := json.Unmarshal(raw, &page); err != nil {
+		return Page{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if err := page.check(from, limit); err != nil {
+		return Page{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return page, nil
+}
+
+// check verifies the page against the request that it answers.
+func (p Page) check(from Offset, limit int) error {
+	if p.First < 1 || p.First > p.Next {
+		return fmt.Errorf("first offset %d and next offset %d are out of order", p.First, p.Next)
+	}
+	if len(p.Records) > max(limit, 0) {
+		return fmt.Errorf("%d records, at most %d were asked for", len(p.Records), limit)
+	}
+	start := max(p.First, from)
+	if len(p.Records) == 0 && start < p.Next && limit > 0 {
+		return fmt.Errorf("no records from offset %d on, although the next offset is %d", start, p.Next)
+	}
+	for i, rec := range p.Records {
+		want := start + Offset(i)
+		if rec.Offset != want || want >= p.Next {
+			return fmt.Errorf("record %d has offset %d, want %d below the next offset %d", i, rec.Offset, want, p.Next)
+		}
+		if len(rec.Data) > MaxRecord {
+			return fmt.Errorf("record at offset %d has %d bytes, at most %d", rec.Offset, len(rec.Data), MaxRecord)
+		}
+	}
+	return nil
+}
