--- /dev/null
+++ b/cmd/beryl-standin/main.go
@@ -0,0 +1,135 @@
+// Command beryl-standin starts stand-ins of the platform's services for tests.
+// It is not part of the product.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/beryllanding/beryllanding/internal/stand/appd"
+	"github.com/beryllanding/beryllanding/internal/stand/engd"
+	"github.com/beryllanding/beryllanding/internal/stand/instd"
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
+	"github.com/beryllanding/beryllanding/internal/stand/wghtd"
+)
+
+// notice says what the program is, in its help and its first log line.
+const notice = "stand-ins of the platform for tests, not the product: everything is in memory and lost at exit"
+
+// headerTimeout bounds the time in which a caller sends its headers.
+const headerTimeout = 10 * time.Second
+
+// options is the command line.
+type options struct {
+	Log       string   `long:"log" value-name:"ADDR" description:"serve the log service"`
+	Instances string   `long:"instances" value-name:"ADDR" description:"serve the instance list"`
+	Weights   string   `long:"weights" value-name:"ADDR" description:"serve the weight store"`
+	Engines   []string `long:"engine" value-name:"ADDR" description:"serve a model engine; may be repeated"`
+	Apps      []string `long:"app" value-name:"ADDR" description:"serve an application; may be repeated"`
+
+	TokenTime time.Duration `long:"token-time" value-name:"TIME" default:"5ms" description:"time of one token at the engines"`
+	Fenced    bool          `long:"check-fence" description:"let the engines refuse orders with an old fencing number"`
+}
+
+// service is one stand-in and where it listens.
+type service struct {
+	name    string
+	addr    string
+	handler http.Handler
+}
+
+func main() {
+	var opts options
+	parser := flags.NewParser(&opts, flags.Default)
+	parser.LongDescription = "Starts " + notice + ". An ADDR is a port, on loopback, or a host and port. " +
+		"Failures are switched by GET and PUT /switches of each stand-in."
+	if _, err := parser.Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	if err := run(opts); err != nil {
+		log.Error("stand-ins ended", "err", err)
+		os.Exit(1)
+	}
+}
+
+// run serves until a signal or the first failure.
+func run(opts options) error {
+	log.Warn(notice)
+	services := opts.services()
+	if len(services) == 0 {
+		return errors.New("no stand-in was asked for; see --help")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	failed := make(chan error, len(services))
+	for _, s := range services {
+		listener, err := net.Listen("tcp", loopback(s.addr))
+		if err != nil {
+			return fmt.Errorf("%s stand-in: %w", s.name, err)
+		}
+		log.Info("serving", "stand-in", s.name, "addr", listener.Addr())
+		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout}
+		go func() { failed <- server.Serve(listener) }()
+	}
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// services returns the stand-ins that were asked for.
+func (o options) services() []service {
+	var list []service
+	add := func(name, addr string, handler http.Handler) {
+		if addr != "" {
+			list = append(list, service{name: name, addr: addr, handler: handler})
+		}
+	}
+	add("log", o.Log, logd.New(logd.Switches{}).Handler())
+	add("instances", o.Instances, instd.New(instd.Switches{}).Handler())
+	add("weights", o.Weights, wghtd.New(wghtd.Switches{}).Handler())
+	for _, addr := range o.Engines {
+		add("engine", addr, o.engine().Handler())
+	}
+	for _, addr := range o.Apps {
+		add("app", addr, appd.New(appd.Switches{}).Handler())
+	}
+	return list
+}
+
+// engine returns a new engine, which loads from the weight store if there is
+// one.
+func (o options) engine() *engd.Engine {
+	e := engd.New(engd.Switches{TokenMicros: int(o.TokenTime.Microseconds()), CheckFence: o.Fenced})
+	if o.Weights != "" {
+		e.Weights = "http://" + loopback(o.Weights)
+	}
+	return e
+}
+
+// loopback adds the loopback address to a bare port.
+func loopback(addr string) string {
+	if !strings.Contains(addr, ":") {
+		return "127.0.0.1:" + addr
+	}
+	if strings.HasPrefix(addr, ":") {
+		return "127.0.0.1" + addr
+	}
+	return addr
+}
--- /dev/null
+++ b/internal/stand/engd/answer.go
@@ -0,0 +1,137 @@
+package engd
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/beryllanding/beryllanding/internal/stand/toggle"
+)
+
+// usage is the bill of one answer.
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+	Details          struct {
+		CachedTokens int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+func usageOf(r *run, made int) usage {
+	u := usage{PromptTokens: len(r.prompt), CompletionTokens: made, TotalTokens: len(r.prompt) + made}
+	u.Details.CachedTokens = r.cached
+	return u
+}
+
+// reasonOf returns the finish reason of a run that has ended.
+func reasonOf(r *run, p phase) string {
+	if p == cancelled {
+		return reasonCancelled
+	}
+	return r.answer.reason
+}
+
+// follow calls emit for each advance of the run, and returns its last phase and
+// length. Where the caller goes away, the run is cancelled.
+func (e *Engine) follow(ctx context.Context, r *run, emit func(from, to int)) (phase, int) {
+	sent := 0
+	for {
+		p, made := r.progress()
+		if made > sent && p != cutOff {
+			emit(sent, made)
+			sent = made
+		}
+		if p != inProgress {
+			return p, sent
+		}
+		select {
+		case <-r.wake:
+		case <-ctx.Done():
+			e.cancel(func(other *run) bool { return other == r })
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// whole answers with one JSON body.
+func (e *Engine) whole(w http.ResponseWriter, req *http.Request, chat chatRequest, r *run) {
+	type choice struct {
+		Index   int `json:"index"`
+		Message struct {
+			Role    string `json:"role"`
+			Content string `json:"content"`
+		} `json:"message"`
+		FinishReason string `json:"finish_reason"`
+	}
+	p, made := e.follow(req.Context(), r, func(int, int) {})
+	if p == cutOff {
+		panic(http.ErrAbortHandler)
+	}
+	c := choice{FinishReason: reasonOf(r, p)}
+	c.Message.Role = "assistant"
+	c.Message.Content = r.answer.text(made)
+	toggle.WriteJSON(w, http.StatusOK, struct {
+		ID      string   `json:"id"`
+		Object  string   `json:"object"`
+		Created int64    `json:"created"`
+		Model   string   `json:"model"`
+		Choices []choice `json:"choices"`
+		Usage   usage    `json:"usage"`
+	}{r.id, "chat.completion", time.Now().Unix(), chat.Model, []choice{c}, usageOf(r, made)})
+}
+
+// stream answers with server-sent events, one for each token.
+func (e *Engine) stream(w http.ResponseWriter, req *http.Request, chat chatRequest, r *run) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	flusher := http.NewResponseController(w)
+	head := eventHead(r.id, chat.Model)
+	var buf []byte
+	p, made := e.follow(req.Context(), r, func(from, to int) {
+		buf = buf[:0]
+		for i := from; i < to; i++ {
+			buf = appendToken(buf, head, r.answer.token(i))
+		}
+		_, _ = w.Write(buf)
+		_ = flusher.Flush()
+	})
+	if p == cutOff {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(appendLast(nil, head, reasonOf(r, p), usageOf(r, made)))
+	_ = flusher.Flush()
+}
+
+// eventHead returns the part that all events of a stream share.
+func eventHead(id, model string) []byte {
+	head, _ := json.Marshal(struct { // strings and numbers always encode
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		Model   string `json:"model"`
+	}{id, "chat.completion.chunk", time.Now().Unix(), model})
+	return append([]byte("data: "), head[:len(head)-1]...)
+}
+
+// appendToken appends the event of one token.
+func appendToken(buf, head []byte, token string) []byte {
+	text, _ := json.Marshal(token) // a string always encodes
+	buf = append(buf, head...)
+	buf = append(buf, `,"choices":[{"index":0,"delta":{"content":`...)
+	buf = append(buf, text...)
+	return append(buf, "},\"finish_reason\":null}]}\n\n"...)
+}
+
+// appendLast appends the event with the usage, and the end of the stream.
+func appendLast(buf, head []byte, reason string, u usage) []byte {
+	bill, _ := json.Marshal(u) // numbers always encode
+	buf = append(buf, head...)
+	buf = append(buf, `,"choices":[{"index":0,"delta":{},"finish_reason":`...)
+	buf = append(buf, strconv.Quote(reason)...)
+	buf = append(buf, `}],"usage":`...)
+	buf = append(buf, bill...)
+	return append(buf, "}\n\ndata: [DONE]\n\n"...)
+}
--- /dev/null
+++ b/internal/stand/engd/chat.go
@@ -0,0 +1,143 @@
+package engd
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// chatRequest is the part of a chat-completion request that the engine reads.
+type chatRequest struct {
+	Model               string    `json:"model"`
+	Messages            []message `json:"messages"`
+	Stream              bool      `json:"stream"`
+	MaxTokens           *int      `json:"max_tokens"`
+	MaxCompletionTokens *int      `json:"max_completion_tokens"`
+}
+
+// message is one message of a conversation.
+type message struct {
+	Role    string  `json:"role"`
+	Content content `json:"content"`
+}
+
+// content is a message's text, given as a string or as a list of text parts.
+type content string
+
+// UnmarshalJSON decodes either form.
+func (c *content) UnmarshalJSON(raw []byte) error {
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		*c = content(text)
+		return nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return errors.New("content is neither a string nor a list of parts")
+	}
+	for _, p := range parts {
+		if p.Type != "text" {
+			return fmt.Errorf("content part of type %q is not supported", p.Type)
+		}
+		text += p.Text
+	}
+	*c = content(text)
+	return nil
+}
+
+// decodeChat decodes and checks a request.
+func decodeChat(body []byte) (chatRequest, error) {
+	var req chatRequest
+	if err := json.Unmarshal(body, &req); err != nil {
+		return req, fmt.Errorf("body is not a chat-completion request: %w", err)
+	}
+	if req.Model == "" {
+		return req, errors.New("model is missing")
+	}
+	if len(req.Messages) == 0 {
+		return req, errors.New("messages are missing")
+	}
+	for _, limit := range []*int{req.MaxTokens, req.MaxCompletionTokens} {
+		if limit != nil && *limit < 1 {
+			return req, fmt.Errorf("max_tokens is %d, want at least 1", *limit)
+		}
+	}
+	return req, nil
+}
+
+// prompt returns the prompt's tokens: each message's role and words.
+func (r chatRequest) prompt() []string {
+	var tokens []string
+	for _, m := range r.Messages {
+		tokens = append(tokens, "<"+m.Role+">")
+		tokens = append(tokens, strings.Fields(string(m.Content))...)
+	}
+	return tokens
+}
+
+// limit returns the bound of the answer's tokens, or 0 where there is none.
+func (r chatRequest) limit() int {
+	bound := 0
+	for _, p := range []*int{r.MaxTokens, r.MaxCompletionTokens} {
+		if p != nil && (bound == 0 || *p < bound) {
+			bound = *p
+		}
+	}
+	return bound
+}
+
+// answer is the deterministic answer to a prompt: the words of the last message
+// over and over.
+type answer struct {
+	words []string
+	// tokens is the answer's length, and reason why it ends there.
+	tokens int
+	reason string
+}
+
+// reasons why an answer ends.
+const (
+	reasonStop      = "stop"
+	reasonLength    = "length"
+	reasonCancelled = "cancelled"
+)
+
+// answerTo returns the answer to a request; natural is its length where
+// max_tokens does not cut it, and 0 stands for twice the last message.
+func answerTo(r chatRequest, natural int) answer {
+	words := strings.Fields(string(r.Messages[len(r.Messages)-1].Content))
+	if len(words) == 0 {
+		words = []string{"(empty)"}
+	}
+	a := answer{words: words, tokens: natural, reason: reasonStop}
+	if natural <= 0 {
+		a.tokens = 2 * len(words)
+	}
+	if bound := r.limit(); bound > 0 && bound < a.tokens {
+		a.tokens = bound
+		a.reason = reasonLength
+	}
+	return a
+}
+
+// token returns the i-th token, with the space before it.
+func (a answer) token(i int) string {
+	word := a.words[i%len(a.words)]
+	if i == 0 {
+		return word
+	}
+	return " " + word
+}
+
+// text returns the first n tokens joined.
+func (a answer) text(n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(a.token(i))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/stand/engd/engine.go
@@ -0,0 +1,140 @@
+// Package engd is a stand-in for a model engine, for tests. It batches
+// continuously, streams, caches prompt prefixes, takes orders, and has switches
+// for its speed and failures. Its answers repeat the words of the last message,
+// so that a test can tell whose answer it got.
+package engd
+
+import (
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/beryllanding/beryllanding/internal/stand/toggle"
+)
+
+var (
+	// errFenced reports a fencing number below the highest seen.
+	errFenced = errors.New("fencing number is too low")
+	// errNoModel reports a model that is not loaded.
+	errNoModel = errors.New("model is not loaded")
+	// errFull reports that too many requests wait.
+	errFull = errors.New("too many requests wait")
+)
+
+// Engine is the model engine. The zero value serves every model. It is safe for
+// concurrent use.
+type Engine struct {
+	// Switches may be changed at any time.
+	Switches toggle.Box[Switches]
+	// Weights is the base URL of the weight store that models are loaded from;
+	// empty loads them at once. Set it before use.
+	Weights string
+	// HTTP fetches from the weight store; nil stands for http.DefaultClient.
+	HTTP *http.Client
+
+	mu      sync.Mutex
+	waiting queue
+	running []*run
+	arrived uint64
+	// looping says that the goroutine of loop runs.
+	looping bool
+	// kick ends the loop's wait while the engine is silent.
+	kick   chan struct{}
+	cache  prefixCache
+	counts counts
+	fence  uint64
+	models models
+	role   string
+	report Status
+	// reported is when report was made.
+	reported time.Time
+}
+
+// New returns an engine with the given switches.
+func New(s Switches) *Engine {
+	e := &Engine{}
+	e.Switches.Set(s)
+	return e
+}
+
+// Status is the load that the engine reports.
+type Status struct {
+	Running           int `json:"running"`
+	Waiting           int `json:"waiting"`
+	CacheUsedPermille int `json:"cache-used-permille"`
+	// Models holds "loading" or "loaded" for each model that was ordered.
+	Models map[string]string `json:"models"`
+	Role   string            `json:"role"`
+	// Fence is the highest fencing number seen.
+	Fence uint64 `json:"fence"`
+}
+
+// Status returns the load, as it was up to the status lag ago.
+func (e *Engine) Status() Status {
+	sw := e.Switches.Get()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	lag := time.Duration(sw.StatusLagMS) * time.Millisecond
+	if e.reported.IsZero() || now.Sub(e.reported) >= lag {
+		e.reported = now
+		e.report = Status{
+			Running:           len(e.running),
+			Waiting:           len(e.waiting),
+			CacheUsedPermille: e.cache.usedPermille(sw),
+			Models:            e.models.states(),
+			Role:              e.role,
+			Fence:             e.fence,
+		}
+	}
+	return e.report
+}
+
+// Events returns the cache events that are published, from the given id on.
+func (e *Engine) Events(from uint64) []Event {
+	sw := e.Switches.Get()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.since(from, sw, time.Now())
+}
+
+// Counts returns what the engine did so far.
+func (e *Engine) Counts() Counts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.counts.snapshot()
+}
+
+// checkFence raises the highest fencing number seen, or refuses a lower one.
+// Where the engine does not check, it ignores the number. The caller holds the
+// lock.
+func (e *Engine) checkFence(fence uint64, sw Switches) error {
+	if !sw.CheckFence {
+		return nil
+	}
+	if fence < e.fence {
+		return errFenced
+	}
+	e.fence = fence
+	return nil
+}
+
+// crash forgets everything but the counts, and ends all runs without an answer.
+func (e *Engine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashLocked()
+}
+
+func (e *Engine) crashLocked() {
+	for _, r := range append(e.running, e.waiting...) {
+		r.end(cutOff)
+	}
+	e.running = nil
+	e.waiting = nil
+	e.cache = prefixCache{}
+	e.models = models{}
+	e.fence = 0
+	e.role = ""
+}
