--- /dev/null
+++ b/pkg/claim/item.go
@@ -0,0 +1,82 @@
+// Package claim folds the claims stream, which decides who may run a
+// non-idempotent request and keeps what became of it.
+package claim
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/beryllanding/beryllanding/pkg/fold"
+	"github.com/beryllanding/beryllanding/pkg/ident"
+)
+
+// MaxBody is the largest answer body, in bytes, that a Done item carries.
+const MaxBody = 16 << 10
+
+// Item is a proposal in the claims stream: Claim, Release or Done.
+type Item interface{ kind() string }
+
+// Claim asks for the right to run a request. It takes effect only where the
+// request is free.
+type Claim struct {
+	// Request is the organisation and the idempotency key.
+	Request string            `json:"request"`
+	Attempt string            `json:"attempt"`
+	Side    ident.Incarnation `json:"side"`
+	// Fingerprint tells requests apart that reuse a key.
+	Fingerprint []byte `json:"fingerprint"`
+}
+
+// Release frees a request that its holder did not run and never will.
+type Release struct {
+	Request string            `json:"request"`
+	Side    ident.Incarnation `json:"side"`
+	Attempt string            `json:"attempt"`
+}
+
+// Done records the answer to a request. It is final.
+type Done struct {
+	Request string            `json:"request"`
+	Side    ident.Incarnation `json:"side"`
+	Attempt string            `json:"attempt"`
+	Status  int               `json:"status"`
+	Headers []Header          `json:"headers,omitempty"`
+	// Body has at most MaxBody bytes.
+	Body []byte `json:"body,omitempty"`
+	// Truncated says that the answer was larger and cannot be replayed.
+	Truncated bool `json:"truncated,omitempty"`
+}
+
+// Header is a header of an answer.
+type Header struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
+
+func (Claim) kind() string   { return "claim" }
+func (Release) kind() string { return "release" }
+func (Done) kind() string    { return "done" }
+
+// Encode returns the item as the log carries it.
+func Encode(item Item) fold.Item { return fold.NewItem(item.kind(), item) }
+
+// Decode parses an item of the claims stream.
+func Decode(item fold.Item) (Item, error) {
+	switch item.Kind {
+	case "claim":
+		return decodeAs[Claim](item)
+	case "release":
+		return decodeAs[Release](item)
+	case "done":
+		return decodeAs[Done](item)
+	}
+	return nil, fmt.Errorf("kind %q does not exist in the claims stream", item.Kind)
+}
+
+func decodeAs[T Item](item fold.Item) (Item, error) {
+	var v T
+	if err := json.Unmarshal(item.Body, &v); err != nil {
+		return nil, fmt.Errorf("item of kind %q: %w", item.Kind, err)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/pkg/fleet/query.go
@@ -0,0 +1,88 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/logsvc"
+)
+
+// Side describes an open side process.
+type Side struct {
+	Side    ident.Incarnation
+	Slot    string
+	Service string
+	// Fence is the side's fencing number, the offset of its SideOpen.
+	Fence logsvc.Offset
+}
+
+// Closed reports whether the holder is closed.
+func (s *State) Closed(holder ident.Incarnation) bool { return s.closings[holder] != nil }
+
+// Final returns the offset that made the holder's closing final, and whether it
+// is: every side that was open at the closing has acknowledged it or ended.
+func (s *State) Final(holder ident.Incarnation) (logsvc.Offset, bool) {
+	c := s.closings[holder]
+	if c == nil || c.Final == 0 {
+		return 0, false
+	}
+	return c.Final, true
+}
+
+// Gone returns the sides that ended without acknowledging the holder's closing.
+// What they ran for it and did not bill is not known from the log.
+func (s *State) Gone(holder ident.Incarnation) []ident.Incarnation {
+	c := s.closings[holder]
+	if c == nil {
+		return nil
+	}
+	return slices.Sorted(slices.Values(c.Gone))
+}
+
+// Unacked returns the holders whose closing the side must still acknowledge, in
+// order of name.
+func (s *State) Unacked(side ident.Incarnation) []ident.Incarnation {
+	var holders []ident.Incarnation
+	for holder, c := range s.closings {
+		if c.Waiting[side] {
+			holders = append(holders, holder)
+		}
+	}
+	slices.Sort(holders)
+	return holders
+}
+
+// Open reports whether the side is registered and has not ended.
+func (s *State) Open(side ident.Incarnation) bool { return s.sides[side] != nil }
+
+// Lookup returns an open side.
+func (s *State) Lookup(id ident.Incarnation) (Side, bool) {
+	v := s.sides[id]
+	if v == nil {
+		return Side{}, false
+	}
+	return Side{Side: id, Slot: v.Slot, Service: v.Service, Fence: v.Fence}, true
+}
+
+// Sides returns the open sides in order of name.
+func (s *State) Sides() []Side {
+	out := make([]Side, 0, len(s.sides))
+	for _, id := range slices.Sorted(maps.Keys(s.sides)) {
+		v, _ := s.Lookup(id)
+		out = append(out, v)
+	}
+	return out
+}
+
+// Waiting returns the sides that hold up the holder's closing, in order of name.
+func (s *State) Waiting(holder ident.Incarnation) []ident.Incarnation {
+	c := s.closings[holder]
+	if c == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(c.Waiting))
+}
+
+// Closings returns the closed holders in order of name.
+func (s *State) Closings() []ident.Incarnation { return slices.Sorted(maps.Keys(s.closings)) }
--- /dev/null
+++ b/pkg/fleet/state.go
@@ -0,0 +1,186 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/beryllanding/beryllanding/pkg/fold"
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/logsvc"
+)
+
+// endedHistory is the number of ended sides that are remembered, so that a
+// side cannot open again under the same incarnation.
+const endedHistory = 4096
+
+// State is the fold of the fleet stream. The zero value is the state before the
+// first record. It is not safe for concurrent use.
+//
+// Closings are kept for good: a holder that was paused may resume after any
+// time, and must still be refused.
+type State struct {
+	sides    map[ident.Incarnation]*side
+	closings map[ident.Incarnation]*closing
+	// ended are the sides that ended last, oldest first, without repetition.
+	ended []ident.Incarnation
+}
+
+// side is an open side process.
+type side struct {
+	Slot    string        `json:"slot"`
+	Service string        `json:"service"`
+	Fence   logsvc.Offset `json:"fence"`
+}
+
+// closing is a closed holder.
+type closing struct {
+	At logsvc.Offset `json:"at"`
+	// Final is the offset that ended the last waiting side; 0 while any waits.
+	Final logsvc.Offset `json:"final"`
+	// Waiting holds the sides that were open at the closing and that have
+	// neither acknowledged it nor ended since.
+	Waiting map[ident.Incarnation]bool `json:"waiting,omitempty"`
+	// Gone holds the sides that ended without an acknowledgement.
+	Gone []ident.Incarnation `json:"gone,omitempty"`
+}
+
+var _ fold.Machine = (*State)(nil)
+
+// Apply folds one item.
+func (s *State) Apply(at fold.Position, item fold.Item) {
+	decoded, err := Decode(item)
+	if err != nil {
+		return
+	}
+	switch it := decoded.(type) {
+	case SideOpen:
+		s.open(at.Offset, it)
+	case SideFence:
+		s.fence(at.Offset, it.Side)
+	case SideClose:
+		s.end(at.Offset, it.Side, false)
+	case SideGone:
+		s.end(at.Offset, it.Side, true)
+	case HolderClose:
+		s.close(at.Offset, it.Holder)
+	case Ack:
+		s.ack(at.Offset, it)
+	}
+}
+
+func (s *State) open(at logsvc.Offset, it SideOpen) {
+	if it.Side == "" || s.sides[it.Side] != nil || slices.Contains(s.ended, it.Side) {
+		return
+	}
+	if s.sides == nil {
+		s.sides = make(map[ident.Incarnation]*side)
+	}
+	s.sides[it.Side] = &side{Slot: it.Slot, Service: it.Service, Fence: at}
+}
+
+// fence ends the sides of the same slot with a lower fencing number. A new
+// SideOpen alone is no such proof: the old process may be paused, and where
+// the target ignores fencing numbers it starts its work when it resumes.
+func (s *State) fence(at logsvc.Offset, id ident.Incarnation) {
+	own := s.sides[id]
+	if own == nil {
+		return
+	}
+	for _, other := range slices.Sorted(maps.Keys(s.sides)) {
+		o := s.sides[other]
+		if o.Slot == own.Slot && o.Fence < own.Fence {
+			s.end(at, other, true)
+		}
+	}
+}
+
+// end removes an open side, and stops all closings from waiting for it.
+func (s *State) end(at logsvc.Offset, id ident.Incarnation, gone bool) {
+	if s.sides[id] == nil {
+		return
+	}
+	delete(s.sides, id)
+	s.ended = append(s.ended, id)
+	if len(s.ended) > endedHistory {
+		s.ended = slices.Delete(s.ended, 0, 1)
+	}
+	for _, c := range s.closings {
+		if !c.Waiting[id] {
+			continue
+		}
+		if gone {
+			c.Gone = append(c.Gone, id)
+		}
+		c.settle(at, id)
+	}
+}
+
+func (s *State) close(at logsvc.Offset, holder ident.Incarnation) {
+	if holder == "" || s.closings[holder] != nil {
+		return
+	}
+	c := &closing{At: at}
+	if len(s.sides) == 0 {
+		c.Final = at
+	} else {
+		c.Waiting = make(map[ident.Incarnation]bool, len(s.sides))
+	}
+	for id := range s.sides {
+		c.Waiting[id] = true
+	}
+	if s.closings == nil {
+		s.closings = make(map[ident.Incarnation]*closing)
+	}
+	s.closings[holder] = c
+}
+
+func (s *State) ack(at logsvc.Offset, it Ack) {
+	c := s.closings[it.Holder]
+	if c == nil || !c.Waiting[it.Side] {
+		return
+	}
+	c.settle(at, it.Side)
+}
+
+// settle takes a side off the waiting ones.
+func (c *closing) settle(at logsvc.Offset, id ident.Incarnation) {
+	delete(c.Waiting, id)
+	if len(c.Waiting) == 0 {
+		c.Waiting = nil
+		c.Final = at
+	}
+}
+
+// snapshot is the encoded form of State. Its maps encode in key order.
+type snapshot struct {
+	Sides    map[ident.Incarnation]*side    `json:"sides"`
+	Closings map[ident.Incarnation]*closing `json:"closings"`
+	Ended    []ident.Incarnation            `json:"ended"`
+}
+
+// Snapshot encodes the state. Equal states encode to equal bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	return json.Marshal(snapshot{Sides: s.sides, Closings: s.closings, Ended: s.ended})
+}
+
+// Restore replaces the state by a snapshot. On error the state is unchanged.
+func (s *State) Restore(data []byte) error {
+	var snap snapshot
+	if err := json.Unmarshal(data, &snap); err != nil {
+		return fmt.Errorf("fleet snapshot: %w", err)
+	}
+	for id, v := range snap.Sides {
+		if v == nil {
+			return fmt.Errorf("fleet snapshot: side %q is null", id)
+		}
+	}
+	for id, v := range snap.Closings {
+		if v == nil {
+			return fmt.Errorf("fleet snapshot: closing of %q is null", id)
+		}
+	}
+	*s = State{sides: snap.Sides, closings: snap.Closings, ended: snap.Ended}
+	return nil
+}
