--- /dev/null
+++ b/internal/side/body.go
@@ -0,0 +1,98 @@
+package side
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+)
+
+// engineBody returns the chat-completion body as the engine gets it: streamed,
+// with the usage reported, and with the output bounded by the reservation. Keys
+// that differ from the controlled ones in case only are dropped, since an
+// engine may take one for the other.
+func engineBody(body []byte, maxTokens ledger.Tokens) ([]byte, error) {
+	var in map[string]json.RawMessage
+	if err := json.Unmarshal(body, &in); err != nil {
+		return nil, fmt.Errorf("body is not a JSON object: %w", err)
+	}
+	out := make(map[string]any, len(in)+3)
+	for key, value := range in {
+		switch strings.ToLower(key) {
+		case "max_tokens", "max_completion_tokens", "stream", "stream_options":
+			continue
+		case "n", "best_of":
+			if s := string(value); s != "1" && s != "null" {
+				return nil, fmt.Errorf("%q is %s, only 1 is served", key, s)
+			}
+			continue
+		}
+		out[key] = value
+	}
+	out["max_tokens"] = maxTokens
+	out["stream"] = true
+	out["stream_options"] = map[string]bool{"include_usage": true}
+	return json.Marshal(out)
+}
+
+// usage is the token count in an answer.
+type usage struct {
+	PromptTokens     ledger.Tokens `json:"prompt_tokens"`
+	CompletionTokens ledger.Tokens `json:"completion_tokens"`
+	TotalTokens      ledger.Tokens `json:"total_tokens"`
+}
+
+// usageOf returns what the meter counted, as an answer reports it.
+func usageOf(m *meter) usage {
+	prompt := m.bill() - m.output
+	return usage{PromptTokens: prompt, CompletionTokens: m.output, TotalTokens: prompt + m.output}
+}
+
+// wholeAnswer assembles the plain JSON answer from a stream's content.
+func wholeAnswer(first delta, content, reason string, m *meter) []byte {
+	type message struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}
+	type choice struct {
+		Index        int     `json:"index"`
+		Message      message `json:"message"`
+		FinishReason string  `json:"finish_reason"`
+	}
+	data, _ := json.Marshal(struct { // plain strings and integers always encode
+		ID      string   `json:"id"`
+		Object  string   `json:"object"`
+		Created int64    `json:"created"`
+		Model   string   `json:"model"`
+		Choices []choice `json:"choices"`
+		Usage   usage    `json:"usage"`
+	}{
+		ID: first.ID, Object: "chat.completion", Created: first.Created, Model: first.Model,
+		Choices: []choice{{Message: message{Role: "assistant", Content: content}, FinishReason: reason}},
+		Usage:   usageOf(m),
+	})
+	return data
+}
+
+// cutEvent is the last event of a stream that was cut at its reservation.
+func cutEvent(first delta, m *meter) []byte {
+	type choice struct {
+		Index        int      `json:"index"`
+		Delta        struct{} `json:"delta"`
+		FinishReason string   `json:"finish_reason"`
+	}
+	data, _ := json.Marshal(struct { // plain strings and integers always encode
+		ID      string   `json:"id"`
+		Object  string   `json:"object"`
+		Created int64    `json:"created"`
+		Model   string   `json:"model"`
+		Choices []choice `json:"choices"`
+		Usage   usage    `json:"usage"`
+	}{
+		ID: first.ID, Object: "chat.completion.chunk", Created: first.Created, Model: first.Model,
+		Choices: []choice{{FinishReason: reasonLength}},
+		Usage:   usageOf(m),
+	})
+	return data
+}
--- /dev/null
+++ b/internal/side/fake_test.go
@@ -0,0 +1,70 @@
+package side
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/beryllanding/beryllanding/pkg/logsvc"
+)
+
+// fakeLog is a log service in memory.
+type fakeLog struct {
+	mu      sync.Mutex
+	streams map[string][]logsvc.Record
+	changed chan struct{}
+	down    bool
+	// lose makes appends take effect without an answer.
+	lose bool
+}
+
+func (l *fakeLog) Append(_ context.Context, stream string, data []byte) (logsvc.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, logsvc.ErrUnavailable
+	}
+	if l.streams == nil {
+		l.streams = make(map[string][]logsvc.Record)
+	}
+	at := logsvc.Offset(len(l.streams[stream]) + 1)
+	l.streams[stream] = append(l.streams[stream], logsvc.Record{Offset: at, Data: data})
+	if l.changed != nil {
+		close(l.changed)
+		l.changed = nil
+	}
+	if l.lose {
+		return 0, logsvc.ErrOutcomeUnknown
+	}
+	return at, nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, stream string, from logsvc.Offset, limit int, wait time.Duration) (logsvc.Page, error) {
+	timeout := time.After(wait)
+	for {
+		l.mu.Lock()
+		records := l.streams[stream]
+		page := logsvc.Page{First: 1, Next: logsvc.Offset(len(records) + 1)}
+		if int(from) <= len(records) && !l.down {
+			page.Records = records[from-1 : min(len(records), int(from)-1+limit)]
+		}
+		if l.changed == nil {
+			l.changed = make(chan struct{})
+		}
+		changed, down := l.changed, l.down
+		l.mu.Unlock()
+		if down {
+			return logsvc.Page{}, logsvc.ErrUnavailable
+		}
+		if len(page.Records) > 0 {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return page, nil
+		case <-ctx.Done():
+			return logsvc.Page{}, ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/side/server_test.go
@@ -0,0 +1,283 @@
+package side
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/fold"
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+	"github.com/beryllanding/beryllanding/pkg/logsvc"
+)
+
+// direct is a transport that calls a handler without a socket, so that a test
+// can run under a fake clock.
+type direct struct {
+	handler http.Handler
+	// refused, where set, makes connections fail.
+	refused func() bool
+}
+
+func (d direct) RoundTrip(req *http.Request) (*http.Response, error) {
+	trace := httptrace.ContextClientTrace(req.Context())
+	if trace != nil && trace.GetConn != nil {
+		trace.GetConn(req.URL.Host)
+	}
+	if d.refused != nil && d.refused() {
+		return nil, fmt.Errorf("connection refused")
+	}
+	if trace != nil && trace.GotConn != nil {
+		trace.GotConn(httptrace.GotConnInfo{})
+	}
+	if req.Body == nil {
+		req.Body = http.NoBody
+	}
+	r, w := io.Pipe()
+	rw := &pipeWriter{header: make(http.Header), body: w, ready: make(chan int, 1)}
+	go func() {
+		d.handler.ServeHTTP(rw, req)
+		rw.WriteHeader(http.StatusOK)
+		_ = w.Close()
+	}()
+	stop := context.AfterFunc(req.Context(), func() { _ = w.CloseWithError(context.Cause(req.Context())) })
+	select {
+	case status := <-rw.ready:
+		return &http.Response{StatusCode: status, Header: rw.header, Body: r, Request: req}, nil
+	case <-req.Context().Done():
+		stop()
+		return nil, req.Context().Err()
+	}
+}
+
+// pipeWriter is the response writer of direct.
+type pipeWriter struct {
+	header http.Header
+	body   *io.PipeWriter
+	once   sync.Once
+	ready  chan int
+}
+
+func (w *pipeWriter) Header() http.Header { return w.header }
+
+func (w *pipeWriter) WriteHeader(status int) { w.once.Do(func() { w.ready <- status }) }
+
+func (w *pipeWriter) Write(p []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	return w.body.Write(p)
+}
+
+// engine is a model engine that puts out numbered tokens.
+type engine struct {
+	mu sync.Mutex
+	// tokens is how many it puts out; more than asked for where ignoreMax.
+	tokens    int
+	ignoreMax bool
+	// pause is the time before each token; it never comes after stallAfter.
+	pause      time.Duration
+	stallAfter int
+	runs       int
+	cancelled  []string
+	fences     []string
+}
+
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	switch r.URL.Path {
+	case "/v1/chat/completions":
+		e.complete(w, r, body)
+	case "/v1/cancel":
+		var in map[string]string
+		_ = json.Unmarshal(body, &in)
+		e.mu.Lock()
+		e.cancelled = append(e.cancelled, in["request-id"])
+		e.mu.Unlock()
+	case "/orders":
+		e.mu.Lock()
+		e.fences = append(e.fences, r.Header.Get(headerFence)+" "+string(body))
+		e.mu.Unlock()
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (e *engine) complete(w http.ResponseWriter, r *http.Request, body []byte) {
+	var in struct {
+		MaxTokens int `json:"max_tokens"`
+	}
+	_ = json.Unmarshal(body, &in)
+	e.mu.Lock()
+	e.runs++
+	n := e.tokens
+	if !e.ignoreMax {
+		n = min(n, in.MaxTokens)
+	}
+	e.mu.Unlock()
+	for i := range n {
+		wait := e.pause
+		if e.stallAfter > 0 && i >= e.stallAfter {
+			wait = 24 * time.Hour
+		}
+		if !sleep(r.Context(), wait) {
+			return
+		}
+		if _, err := fmt.Fprintf(w, "data: {\"id\":\"c1\",\"choices\":[{\"delta\":{\"content\":\"t%d \"}}]}\n\n", i); err != nil {
+			return
+		}
+	}
+	_, _ = fmt.Fprintf(w, "data: {\"id\":\"c1\",\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":7,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", n)
+}
+
+// caller is the stream of one attempt.
+type caller struct {
+	grpc.ServerStream
+	ctx    context.Context
+	mu     sync.Mutex
+	events []*wire.RunEvent
+}
+
+func (c *caller) Context() context.Context { return c.ctx }
+
+func (c *caller) Send(ev *wire.RunEvent) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.events = append(c.events, ev)
+	return nil
+}
+
+// try runs an attempt to its end and returns its events.
+func try(ctx context.Context, s *Server, req *wire.RunRequest) []*wire.RunEvent {
+	c := &caller{ctx: ctx}
+	_ = s.Run(req, c)
+	return c.events
+}
+
+// answerOf joins the chunks of a stream, and fails where the events are not a
+// gapless sequence of the attempt.
+func answerOf(t *testing.T, attempt string, events []*wire.RunEvent) string {
+	t.Helper()
+	var b strings.Builder
+	for i, ev := range events {
+		if ev.GetAttemptId() != attempt || ev.GetIndex() != uint64(i) {
+			t.Fatalf("event %d is number %d of attempt %q, want attempt %q", i, ev.GetIndex(), ev.GetAttemptId(), attempt)
+		}
+		b.Write(ev.GetChunk().GetData())
+	}
+	return b.String()
+}
+
+// last returns the last event.
+func last(events []*wire.RunEvent) *wire.RunEvent {
+	if len(events) == 0 {
+		return &wire.RunEvent{}
+	}
+	return events[len(events)-1]
+}
+
+// usages returns the usages on the log.
+func usages(t *testing.T, log *fakeLog) []ledger.Usage {
+	t.Helper()
+	var out []ledger.Usage
+	for _, item := range itemsOf(t, log, ledger.Stream(0)) {
+		it, err := ledger.Decode(item)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if u, ok := it.(ledger.Usage); ok {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// itemsOf returns the items of a stream.
+func itemsOf(t *testing.T, log *fakeLog, stream string) []fold.Item {
+	t.Helper()
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	var out []fold.Item
+	seen := make(map[string]bool)
+	for _, rec := range log.streams[stream] {
+		var b fold.Batch
+		if err := json.Unmarshal(rec.Data, &b); err != nil {
+			t.Fatal(err)
+		}
+		key := fmt.Sprint(b.Writer, b.Seq)
+		if seen[key] {
+			continue
+		}
+		seen[key] = true
+		out = append(out, b.Items...)
+	}
+	return out
+}
+
+// newServer starts a server named by n whose target is the handler, and waits
+// until it is registered.
+func newServer(t *testing.T, log logsvc.Service, n string, handler http.Handler, change func(o *Options)) *Server {
+	t.Helper()
+	opts := Options{
+		Incarnation: ident.Incarnation(n), Slot: "slot-" + n, Service: "svc",
+		Target: "http://target", Log: log, Transport: direct{handler: handler},
+	}
+	if change != nil {
+		change(&opts)
+	}
+	s := New(opts)
+	s.Start()
+	time.Sleep(time.Second)
+	if !s.Registered() {
+		t.Fatalf("side %q is not registered", n)
+	}
+	return s
+}
+
+// stop stops the server gracefully.
+func stop(t *testing.T, s *Server) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+	defer cancel()
+	if err := s.Stop(ctx); err != nil {
+		t.Error(err)
+	}
+}
+
+func modelRequest(id, attempt string, stream bool, output int64) *wire.RunRequest {
+	return &wire.RunRequest{
+		RequestId: id, AttemptId: attempt, Service: "svc", Budget: "b", Fingerprint: []byte("f"),
+		Charges: []*wire.Charge{{Holder: "r1~1", Tokens: 6}, {Holder: "r2~1", Tokens: output + 4}},
+		Work: &wire.RunRequest_Model{Model: &wire.ModelWork{
+			Body: []byte(`{"model":"m","messages":[],"Max_Tokens":99999}`), Stream: stream, PromptBound: 10, OutputBound: output,
+		}},
+	}
+}
+
+func TestModelRunIsStreamedAndBilledOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{}
+		s := newServer(t, log, "s1", &engine{tokens: 5, pause: time.Millisecond}, nil)
+		events := try(t.Context(), s, modelRequest("o/1", "a1", true, 20))
+		if got := strings.Count(answerOf(t, "a1", events), "content"); got != 5 {
+			t.Errorf("%d tokens arrived, want 5", got)
+		}
+		f := last(events).GetFinish()
+		if f.GetBilled() != 12 || len(f.GetCharges()) != 2 || f.GetCharges()[0].GetTokens() != 6 || f.GetCharges()[1].GetTokens() != 6 {
+			t.Errorf("finish is %v, want 12 billed as 6 and 6", f)
+		}
+		stop(t, s)
+		if u := usages(t, log); len(u) != 1 || u[0].Request != "o/1" || sum(u[0].Charges) != 12 {
+			t.Errorf("usages on the log are %v", u)
+		}
+	})
+}
--- /dev/null
+++ b/internal/side/status.go
@@ -0,0 +1,179 @@
+package side
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"io"
+	"net/http"
+
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/fold"
+	"github.com/beryllanding/beryllanding/pkg/refuse"
+)
+
+// maxStatus bounds a target's load report, in bytes.
+const maxStatus = 64 << 10
+
+// load is the target's own report of its load.
+type load struct {
+	Running           int64 `json:"running"`
+	Waiting           int64 `json:"waiting"`
+	CacheUsedPermille int64 `json:"cache-used-permille"`
+}
+
+// stats are the counters of a server.
+type stats struct {
+	started, joined, finished, refused, cancelled, cut expvar.Int
+	// billed is in tokens.
+	billed expvar.Int
+	// claims counts the claims proposed, released those given up.
+	claims, released expvar.Int
+}
+
+// Vars returns the counters, for publication under one name.
+func (s *Server) Vars() *expvar.Map {
+	m := new(expvar.Map).Init()
+	m.Set("runs-started", &s.stats.started)
+	m.Set("runs-joined", &s.stats.joined)
+	m.Set("runs-finished", &s.stats.finished)
+	m.Set("runs-refused", &s.stats.refused)
+	m.Set("runs-cancelled", &s.stats.cancelled)
+	m.Set("runs-cut", &s.stats.cut)
+	m.Set("tokens-billed", &s.stats.billed)
+	m.Set("claims-proposed", &s.stats.claims)
+	m.Set("claims-released", &s.stats.released)
+	return m
+}
+
+// Status reports load and whether the target is leaving.
+func (s *Server) Status(_ context.Context, req *wire.StatusRequest) (*wire.TargetStatus, error) {
+	s.noteCatalogue(req.GetCatalogueOffset())
+	return s.status(), nil
+}
+
+// status returns the target's status. Where the target reports no load, the
+// runs here are counted.
+func (s *Server) status() *wire.TargetStatus {
+	inside, waiting := s.queue.counts()
+	st := &wire.TargetStatus{
+		Side:            string(s.opts.Incarnation),
+		Leaving:         s.leaving.Load(),
+		Running:         int64(inside),
+		Waiting:         int64(waiting),
+		CatalogueOffset: s.catalogue.Load(),
+		FleetOffset:     uint64(s.fleet.Offset()),
+	}
+	if l := s.load.Load(); l != nil {
+		st.Running = l.Running
+		st.Waiting += l.Waiting
+		st.CacheUsedPermille = l.CacheUsedPermille
+	}
+	return st
+}
+
+// noteCatalogue keeps the highest catalogue offset that anyone told of, so that
+// entry instances learn of it from every answer.
+func (s *Server) noteCatalogue(offset uint64) {
+	for {
+		old := s.catalogue.Load()
+		if offset <= old || s.catalogue.CompareAndSwap(old, offset) {
+			return
+		}
+	}
+}
+
+// pollLoad reads the target's load reports.
+func (s *Server) pollLoad(ctx context.Context) {
+	for sleep(ctx, s.opts.StatusEvery) {
+		if l, ok := s.readLoad(ctx); ok {
+			s.load.Store(&l)
+		}
+	}
+}
+
+func (s *Server) readLoad(ctx context.Context) (load, bool) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.opts.Target+"/status", nil)
+	if err != nil {
+		return load{}, false
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return load{}, false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var l load
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxStatus)).Decode(&l)
+	return l, err == nil && resp.StatusCode == http.StatusOK
+}
+
+// Outcome tells the fate of an attempt, or of a request where no attempt is
+// named.
+func (s *Server) Outcome(_ context.Context, req *wire.OutcomeRequest) (*wire.OutcomeReply, error) {
+	sh := s.shard(req.GetRequestId())
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if req.GetAttemptId() == "" {
+		return outcomeOf(sh.table.runs[req.GetRequestId()], true), nil
+	}
+	here := req.GetSide() == string(s.opts.Incarnation)
+	r := sh.table.fate(req.GetAttemptId(), here)
+	return outcomeOf(r, r == nil || r.owner == req.GetAttemptId()), nil
+}
+
+// fate returns the run of an attempt, or nil where it is not known. Where the
+// attempt was meant for this incarnation and certainly never arrived, it is
+// barred from arriving later, so that "not run" stays true.
+func (t *table) fate(id string, here bool) *run {
+	r := t.attempts[id]
+	if r != nil || !here || t.forgot {
+		return r
+	}
+	t.remember(id, barred)
+	return barred
+}
+
+// outcomeOf returns what is told of a run. Only the attempt that it is charged
+// to is told the bill.
+func outcomeOf(r *run, owner bool) *wire.OutcomeReply {
+	if r == nil {
+		return &wire.OutcomeReply{State: "unknown"}
+	}
+	reply := &wire.OutcomeReply{State: stateOf(r)}
+	if owner {
+		reply.Billed = r.end.billed
+		reply.Charges = wireCharges(r.end.charges)
+	}
+	return reply
+}
+
+// stateOf names the state of a run as the protocol does. A refused run whose
+// answer came late has been billed, and has finished.
+func stateOf(r *run) string {
+	switch {
+	case !r.ended():
+		return "running"
+	case r.phase == phaseFinished:
+		return "finished"
+	case r.late:
+		return "finished"
+	case r.refusal.Outcome == refuse.NotRun:
+		return "not-run"
+	}
+	return "unknown"
+}
+
+// SetLeaving makes every status say that the target is leaving, and refuses new
+// work. Runs in progress go on.
+func (s *Server) SetLeaving() { s.leaving.Store(true) }
+
+// Leaving reports whether SetLeaving was called.
+func (s *Server) Leaving() bool { return s.leaving.Load() }
+
+// Registered reports whether the side may start work.
+func (s *Server) Registered() bool { return s.fence.Load() != 0 }
+
+// FleetView runs fn on the fleet state under its lock.
+func (s *Server) FleetView(fn func(r *fold.Reader)) { s.fleet.View(fn) }
