pkg/fleet: pending closings apart from the final ones

Cause: the closings are kept for good, and the query of those to acknowledge, which a side asks after each run, scanned them all.

--- a/pkg/fleet/query.go
+++ b/pkg/fleet/query.go
@@ -44,7 +44,7 @@
 // order of name.
 func (s *State) Unacked(side ident.Incarnation) []ident.Incarnation {
 	var holders []ident.Incarnation
-	for holder, c := range s.closings {
+	for holder, c := range s.pending {
 		if c.Waiting[side] {
 			holders = append(holders, holder)
 		}
--- a/pkg/fleet/state.go
+++ b/pkg/fleet/state.go
@@ -23,6 +23,8 @@
 type State struct {
 	sides    map[ident.Incarnation]*side
 	closings map[ident.Incarnation]*closing
+	// pending are the closings that are not final.
+	pending map[ident.Incarnation]*closing
 	// ended are the sides that ended last, oldest first, without repetition.
 	ended []ident.Incarnation
 }
@@ -106,14 +108,14 @@
 	if len(s.ended) > endedHistory {
 		s.ended = slices.Delete(s.ended, 0, 1)
 	}
-	for _, c := range s.closings {
+	for holder, c := range s.pending {
 		if !c.Waiting[id] {
 			continue
 		}
 		if gone {
 			c.Gone = append(c.Gone, id)
 		}
-		c.settle(at, id)
+		s.settle(at, holder, id)
 	}
 }
 
@@ -134,22 +136,34 @@
 		s.closings = make(map[ident.Incarnation]*closing)
 	}
 	s.closings[holder] = c
+	s.wait(holder, c)
 }
 
-func (s *State) ack(at logsvc.Offset, it Ack) {
-	c := s.closings[it.Holder]
-	if c == nil || !c.Waiting[it.Side] {
+// wait notes a closing that is not final as pending.
+func (s *State) wait(holder ident.Incarnation, c *closing) {
+	if c.Final != 0 {
 		return
 	}
-	c.settle(at, it.Side)
+	if s.pending == nil {
+		s.pending = make(map[ident.Incarnation]*closing)
+	}
+	s.pending[holder] = c
 }
 
-// settle takes a side off the waiting ones.
-func (c *closing) settle(at logsvc.Offset, id ident.Incarnation) {
+func (s *State) ack(at logsvc.Offset, it Ack) {
+	if c := s.pending[it.Holder]; c != nil && c.Waiting[it.Side] {
+		s.settle(at, it.Holder, it.Side)
+	}
+}
+
+// settle takes a side off those that a pending closing waits for.
+func (s *State) settle(at logsvc.Offset, holder, id ident.Incarnation) {
+	c := s.pending[holder]
 	delete(c.Waiting, id)
 	if len(c.Waiting) == 0 {
 		c.Waiting = nil
 		c.Final = at
+		delete(s.pending, holder)
 	}
 }
 
@@ -182,5 +196,8 @@
 		}
 	}
 	*s = State{sides: snap.Sides, closings: snap.Closings, ended: snap.Ended}
+	for holder, c := range s.closings {
+		s.wait(holder, c)
+	}
 	return nil
 }
--- a/pkg/fleet/state_test.go
+++ b/pkg/fleet/state_test.go
@@ -22,6 +22,7 @@
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
 		_ = flag.Set("rapid.seed", "5")
 	}
+	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
 
