--- /dev/null
+++ b/pkg/route/picker.go
@@ -0,0 +1,162 @@
+package route
+
+import (
+	"slices"
+	"time"
+)
+
+// Picker chooses among the targets of one service. The zero value has no
+// targets; DataCentre and Policy are set before use. It is not safe for
+// concurrent use.
+type Picker struct {
+	// DataCentre is this instance's own.
+	DataCentre string
+	Policy     Policy
+
+	policy  Policy
+	ready   bool
+	targets []*target
+	byName  map[string]*target
+	// scratch holds the candidates during a Pick.
+	local, remote []*target
+}
+
+// target is what the picker knows of one target.
+type target struct {
+	Target
+	hash   uint64
+	status Status
+	// leavingUntil is set when the side process says that it is leaving, which
+	// it says before the instance list does.
+	leavingUntil time.Time
+	// sinceReport is the requests sent less those ended since the last report.
+	sinceReport int64
+	inFlight    int64
+	failures    int
+	// ejections counts ejections since the last success.
+	ejections    int
+	ejectedUntil time.Time
+	ejected      bool
+	// probing is set while the one request that may end an ejection runs.
+	probing bool
+}
+
+// load is the number of requests that the target is taken to have.
+func (t *target) load() float64 {
+	return float64(max(t.inFlight, t.status.Running+t.status.Waiting+t.sinceReport))
+}
+
+// leaving reports whether the target takes no new work. What the side process
+// said is forgotten after a time: a target that was replaced under its name and
+// address would stay out for good otherwise, and one that still leaves says so
+// again.
+func (t *target) leaving(now time.Time) bool {
+	return t.Leaving || now.Before(t.leavingUntil)
+}
+
+// Update replaces the list of targets. What is known of those that stay is
+// kept. A target that was replaced at the same name and another address is new.
+func (p *Picker) Update(list []Target) {
+	p.init()
+	next := make(map[string]*target, len(list))
+	p.targets = p.targets[:0]
+	for _, t := range list {
+		known := p.byName[t.Name]
+		if known == nil || known.Address != t.Address {
+			known = &target{hash: hashString(t.Name)}
+		}
+		known.Target = t
+		next[t.Name] = known
+		p.targets = append(p.targets, known)
+	}
+	p.byName = next
+}
+
+// Sent records that an attempt goes to the target.
+func (p *Picker) Sent(name string) {
+	t := p.byName[name]
+	if t == nil {
+		return
+	}
+	t.inFlight++
+	t.sinceReport++
+	if t.ejected {
+		t.probing = true
+	}
+}
+
+// Done records the end of an attempt that Sent recorded.
+func (p *Picker) Done(name string, result Result) {
+	t := p.byName[name]
+	if t == nil {
+		return
+	}
+	t.inFlight = max(0, t.inFlight-1)
+	t.sinceReport--
+	switch result {
+	case Answered:
+		t.failures, t.ejections = 0, 0
+		t.ejected, t.probing = false, false
+	case Abandoned:
+		t.probing = false
+	}
+}
+
+// Fail records that the target gave an answer neither on the open connection
+// nor on a fresh one.
+func (p *Picker) Fail(now time.Time, name string) {
+	if t := p.byName[name]; t != nil {
+		p.failed(now, t)
+	}
+}
+
+// Report records a target's own report of its load.
+func (p *Picker) Report(now time.Time, name string, status Status) {
+	t := p.byName[name]
+	if t == nil {
+		return
+	}
+	t.status = status
+	t.sinceReport = 0
+	if status.Leaving {
+		t.leavingUntil = now.Add(leavingMemory)
+	}
+}
+
+// failed counts a failure and ejects the target after too many. The last target
+// that is not ejected stays, however often it fails.
+func (p *Picker) failed(now time.Time, t *target) {
+	t.failures++
+	if t.failures < p.policy.EjectAfter || (!t.ejected && p.othersIn(now, t) == 0) {
+		return
+	}
+	pause := p.policy.EjectMax
+	if t.ejections < 16 {
+		pause = min(pause, p.policy.EjectBase<<t.ejections)
+	}
+	t.ejections++
+	t.ejected = true
+	t.ejectedUntil = now.Add(pause)
+}
+
+// othersIn counts the targets besides t that take work.
+func (p *Picker) othersIn(now time.Time, t *target) int {
+	n := 0
+	for _, other := range p.targets {
+		if other != t && !other.ejected && !other.leaving(now) {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *Picker) init() {
+	if p.ready {
+		return
+	}
+	p.policy = p.Policy.withDefaults()
+	p.ready = true
+}
+
+// excluded reports whether the ask rules the target out.
+func (a Ask) excluded(t *target) bool { return slices.Contains(a.Exclude, t.Name) }
--- /dev/null
+++ b/pkg/route/route.go
@@ -0,0 +1,116 @@
+// Package route decides where a request goes, whether it waits, and whether it
+// may be tried again. It has no goroutine, clock or socket: the time and the
+// source of randomness are passed in, and the caller does the locking.
+package route
+
+import (
+	"errors"
+	"time"
+)
+
+// Errors of Pick. Test for them with errors.Is.
+var (
+	// ErrNoTarget reports that the service has no target that takes work.
+	ErrNoTarget = errors.New("no target takes work")
+	// ErrSaturated reports that each target is at its concurrency limit.
+	ErrSaturated = errors.New("every target is at its concurrency limit")
+)
+
+// Target is one target of a service, as the instance list shows it.
+type Target struct {
+	// Name is unique among the targets of all services.
+	Name       string
+	DataCentre string
+	// Address is the side process's host:port.
+	Address string
+	Leaving bool
+}
+
+// Status is a target's own report of its load. It lags.
+type Status struct {
+	// Running and Waiting count the requests at the target.
+	Running int64
+	Waiting int64
+	Leaving bool
+}
+
+// Ask describes the request that a target is wanted for.
+type Ask struct {
+	// Key is the request's id where the caller gave it and may ask again with
+	// it; otherwise empty. Every instance ranks the targets alike for a key.
+	Key string
+	// Prefix is the hash of the prompt's prefix, or 0 where there is none.
+	Prefix uint64
+	// Exclude names the targets that were tried for this request.
+	Exclude []string
+}
+
+// Result is how an attempt ended, as far as it says something about the target.
+type Result int
+
+// The results of attempts.
+const (
+	// Answered: the target or its side process gave an answer or a refusal.
+	Answered Result = iota
+	// Abandoned: the attempt ended before anything was known of the target.
+	Abandoned
+)
+
+// Policy holds the settings of a Picker. A zero field stands for its default.
+type Policy struct {
+	// RemotePenalty is the load, in requests, that a target in another data
+	// centre is taken to have on top of its own.
+	RemotePenalty float64
+	// AffinityFactor and AffinitySlack bound the imbalance that prefix
+	// affinity may cause: a target is preferred only while its load is at most
+	// AffinityFactor times the mean, plus AffinitySlack requests.
+	AffinityFactor float64
+	AffinitySlack  float64
+	// KeyFactor is AffinityFactor for requests with a key. It is larger, since
+	// a retry that misses the run in progress is computed twice.
+	KeyFactor float64
+	// MaxInFlight bounds this instance's own requests at one target.
+	MaxInFlight int
+	// EjectAfter is the number of consecutive failures that eject a target.
+	EjectAfter int
+	// EjectBase and EjectMax bound the time that a target stays ejected. It
+	// doubles with each ejection that no success came between.
+	EjectBase time.Duration
+	EjectMax  time.Duration
+	// NoAffinity switches prefix affinity off.
+	NoAffinity bool
+}
+
+// Defaults of Policy.
+const (
+	defaultRemotePenalty  = 2
+	defaultAffinityFactor = 1.25
+	defaultAffinitySlack  = 2
+	defaultKeyFactor      = 2
+	defaultMaxInFlight    = 256
+	defaultEjectAfter     = 3
+	defaultEjectBase      = time.Second
+	defaultEjectMax       = 30 * time.Second
+	// leavingMemory is how long a target's word that it is leaving holds.
+	leavingMemory = 30 * time.Second
+)
+
+// withDefaults returns the policy with its zero fields filled in.
+func (p Policy) withDefaults() Policy {
+	setDefault(&p.RemotePenalty, defaultRemotePenalty)
+	setDefault(&p.AffinityFactor, defaultAffinityFactor)
+	setDefault(&p.AffinitySlack, defaultAffinitySlack)
+	setDefault(&p.KeyFactor, defaultKeyFactor)
+	setDefault(&p.MaxInFlight, defaultMaxInFlight)
+	setDefault(&p.EjectAfter, defaultEjectAfter)
+	setDefault(&p.EjectBase, defaultEjectBase)
+	setDefault(&p.EjectMax, defaultEjectMax)
+	return p
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
