internal/entry: request path from reservation to settlement

Flow decides what follows each end of an attempt and how the tickets are settled; Engine does the input and output. A ticket is settled only where one attempt at most was billed and all others are known not to be, and is deferred to the log otherwise.

--- /dev/null
+++ b/internal/entry/do.go
@@ -0,0 +1,193 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/refuse"
+	"github.com/beryllanding/beryllanding/pkg/route"
+)
+
+// run is one request in progress.
+type run struct {
+	e    *Engine
+	g    *gate
+	req  *Request
+	sink Sink
+	flow Flow
+	progress
+	result  Result
+	arrived time.Time
+	// target and client are those of the last attempt.
+	target route.Target
+	client wire.SideClient
+}
+
+// Do serves one request and passes the answer to the sink. The error is a
+// *refuse.Refusal, also where output was passed on before; or the context's
+// error where the caller has gone. The tickets are settled when Do returns, or
+// soon after in the background.
+func (e *Engine) Do(ctx context.Context, req *Request, sink Sink) (Result, error) {
+	e.init()
+	e.Counts.Requests.Add(1)
+	if err := e.enter(req.Account); err != nil {
+		e.Counts.Refused.Add(1)
+		return Result{}, err
+	}
+	defer e.exit(req.Account)
+	r := &run{e: e, g: e.gate(req.Service.Name), req: req, sink: sink, arrived: time.Now()}
+	r.flow.Rerunnable = req.rerunnable()
+	r.g.arrived()
+	err := r.serve(ctx)
+	r.settle(ctx)
+	r.result.Target = r.target.Name
+	r.result.Attempts = len(r.flow.Attempts)
+	if err != nil {
+		e.Counts.Refused.Add(1)
+		return r.result, err
+	}
+	e.Counts.Answered.Add(1)
+	return r.result, nil
+}
+
+// serve reserves and makes attempts until the request is answered or refused.
+func (r *run) serve(ctx context.Context) error {
+	if err := r.reserve(ctx); err != nil {
+		return err
+	}
+	if err := r.choose(ctx); err != nil {
+		return r.honest(err)
+	}
+	for {
+		end, err := r.attempt(ctx)
+		if err != nil {
+			return err
+		}
+		if done, err := r.follow(ctx, r.flow.Ended(end)); done {
+			return err
+		}
+	}
+}
+
+// follow takes a step, and reports whether the request has ended.
+func (r *run) follow(ctx context.Context, step Step) (bool, error) {
+	switch s := step.(type) {
+	case Done:
+		return true, nil
+	case Refuse:
+		return true, &s.Refusal
+	case Probe:
+		return r.probe(ctx)
+	case Rehold:
+		return r.rehold(ctx, s)
+	case Retry:
+		return r.again(ctx, s)
+	}
+	return true, nil
+}
+
+// reserve takes the request's upper bound out of the budget.
+func (r *run) reserve(ctx context.Context) error {
+	ctx, span := r.e.Tracer.Start(ctx, "reserve")
+	defer span.End()
+	start := time.Now()
+	t, err := r.e.Budgets.Reserve(ctx, r.req.Account.Budget, r.req.bound())
+	r.result.Reserved += time.Since(start)
+	if err != nil {
+		span.RecordError(err)
+		return r.honest(err)
+	}
+	r.flow.Holds = append(r.flow.Holds, t)
+	return nil
+}
+
+// choose acquires a target that was not tried yet.
+func (r *run) choose(ctx context.Context) error {
+	ask := route.Ask{Exclude: r.flow.tried()}
+	if r.req.Keyed {
+		ask.Key = r.req.ID
+	}
+	if chat, ok := r.req.Work.(Chat); ok {
+		ask.Prefix = chat.Prefix
+	}
+	start := time.Now()
+	t, err := r.g.acquire(ctx, r.e.Targets, ask, r.req.Account.Class, r.e.Timeouts.Queue)
+	r.result.Queued += time.Since(start)
+	if err != nil {
+		return err
+	}
+	r.target = t
+	r.client = nil
+	return nil
+}
+
+// again prepares another attempt.
+func (r *run) again(ctx context.Context, s Retry) (bool, error) {
+	if s.Same {
+		r.e.Counts.Resumes.Add(1)
+		r.g.sent(r.target.Name)
+		return false, nil
+	}
+	if !s.Free && !r.g.mayRetry() {
+		refusal := r.flow.honest(s.Refusal)
+		return true, &refusal
+	}
+	r.e.Counts.Retries.Add(1)
+	if err := r.choose(ctx); err != nil {
+		return true, r.honest(err)
+	}
+	return false, nil
+}
+
+// rehold reports the closed holder and reserves anew. The old ticket is settled
+// with the others at the end.
+func (r *run) rehold(ctx context.Context, s Rehold) (bool, error) {
+	for _, h := range s.closed(r.flow.Holds[len(r.flow.Holds)-1]) {
+		r.e.Budgets.CloseHolder(h)
+	}
+	if err := r.reserve(ctx); err != nil {
+		return true, err
+	}
+	return r.again(ctx, Retry{Free: true, Refusal: s.Refusal})
+}
+
+// closed returns the holders to report: the one that the side process named, or
+// all of the ticket's where it named none.
+func (s Rehold) closed(t Ticket) []ident.Incarnation {
+	if s.Holder != "" {
+		return []ident.Incarnation{s.Holder}
+	}
+	return holders(t)
+}
+
+// probe asks the target's side process what became of the last attempt. Where
+// it cannot be reached on a fresh connection either, the target is blamed.
+func (r *run) probe(ctx context.Context) (bool, error) {
+	r.e.Counts.Probes.Add(1)
+	ctx, span := r.e.Tracer.Start(ctx, "probe")
+	defer span.End()
+	fact := r.e.ask(ctx, r.req.ID, r.flow.last(), r.client)
+	span.SetAttributes(attribute.String("state", string(fact.State)))
+	if ctx.Err() != nil {
+		return true, ctx.Err()
+	}
+	if fact.State == StateUnreachable {
+		r.g.blame(r.target.Name)
+	}
+	r.client = nil
+	return r.follow(ctx, r.flow.Probed(fact))
+}
+
+// honest makes a refusal say what holds for the request as a whole.
+func (r *run) honest(err error) error {
+	refusal, ok := refuse.As(err)
+	if !ok {
+		return err
+	}
+	copied := r.flow.honest(*refusal)
+	return &copied
+}
--- /dev/null
+++ b/internal/entry/engine.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/refuse"
+	"github.com/beryllanding/beryllanding/pkg/route"
+)
+
+// concurrentRetryAfter is when an organisation at its limit of requests in
+// progress may come back.
+const concurrentRetryAfter = time.Second
+
+// Timeouts bounds the waits of a request. A zero field stands for its default.
+type Timeouts struct {
+	// FirstEvent is the time until the side process confirms the start.
+	FirstEvent time.Duration
+	// Progress is the time between two events of a run.
+	Progress time.Duration
+	// Probe bounds one question to a side process about an attempt.
+	Probe time.Duration
+	// Queue is the time that a request waits for a target.
+	Queue time.Duration
+	// Resolve bounds the questions about an attempt after its request ended.
+	Resolve time.Duration
+}
+
+// Defaults of Timeouts.
+const (
+	defaultFirstEvent = 5 * time.Second
+	defaultProgress   = 30 * time.Second
+	defaultProbe      = time.Second
+	defaultQueue      = 10 * time.Second
+	defaultResolve    = 20 * time.Second
+)
+
+// Engine serves requests. The exported fields are set before use; those marked
+// optional may be left zero.
+type Engine struct {
+	// DataCentre is this instance's own.
+	DataCentre string
+	Catalogue  Catalogue
+	Budgets    Budgets
+	Targets    Targets
+	Dialer     Dialer
+	// Orphans is optional.
+	Orphans Orphans
+	// FleetOffset returns the offset held of the fleet stream. It is optional.
+	FleetOffset func() uint64
+	Timeouts    Timeouts
+	Policy      route.Policy
+	// Tracer is optional.
+	Tracer trace.Tracer
+	// Counts only grow.
+	Counts Counts
+
+	once  sync.Once
+	mu    sync.Mutex
+	gates map[string]*gate
+	// inProgress counts the requests of each organisation.
+	inProgress map[string]int
+	// settling counts the settlements in the background.
+	settling sync.WaitGroup
+}
+
+// init fills in the defaults.
+func (e *Engine) init() {
+	e.once.Do(func() {
+		e.Timeouts = e.Timeouts.withDefaults()
+		if e.Tracer == nil {
+			e.Tracer = noop.NewTracerProvider().Tracer("entry")
+		}
+		e.gates = make(map[string]*gate)
+		e.inProgress = make(map[string]int)
+	})
+}
+
+func (t Timeouts) withDefaults() Timeouts {
+	for _, f := range []struct {
+		field *time.Duration
+		def   time.Duration
+	}{
+		{&t.FirstEvent, defaultFirstEvent},
+		{&t.Progress, defaultProgress},
+		{&t.Probe, defaultProbe},
+		{&t.Queue, defaultQueue},
+		{&t.Resolve, defaultResolve},
+	} {
+		if *f.field == 0 {
+			*f.field = f.def
+		}
+	}
+	return t
+}
+
+// gate returns the routing state of a service.
+func (e *Engine) gate(service string) *gate {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g := e.gates[service]
+	if g == nil {
+		g = &gate{
+			service: service,
+			picker:  route.Picker{DataCentre: e.DataCentre, Policy: e.Policy},
+			rnd:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		}
+		e.gates[service] = g
+	}
+	return g
+}
+
+// enter counts a request of an organisation, unless that is at its limit.
+func (e *Engine) enter(a Account) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a.MaxConcurrent > 0 && e.inProgress[a.Organisation] >= a.MaxConcurrent {
+		return &refuse.Refusal{
+			Code:       refuse.CodeBusy,
+			Outcome:    refuse.NotRun,
+			RetryAfter: concurrentRetryAfter,
+			Message:    fmt.Sprintf("organisation %q has %d requests in progress, its limit", a.Organisation, a.MaxConcurrent),
+		}
+	}
+	e.inProgress[a.Organisation]++
+	return nil
+}
+
+// exit ends what enter counted.
+func (e *Engine) exit(a Account) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.inProgress[a.Organisation]--; e.inProgress[a.Organisation] <= 0 {
+		delete(e.inProgress, a.Organisation)
+	}
+}
+
+// Drain blocks until all tickets are settled or the context ends.
+func (e *Engine) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		e.settling.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// holders returns the distinct holders of a ticket's charges.
+func holders(t Ticket) []ident.Incarnation {
+	var list []ident.Incarnation
+	seen := make(map[ident.Incarnation]bool)
+	for _, c := range t.Charges {
+		if !seen[c.Holder] {
+			seen[c.Holder] = true
+			list = append(list, c.Holder)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/entry/settle.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+)
+
+const (
+	// firstAskPause and lastAskPause bound the pause between two questions
+	// about an attempt that still runs.
+	firstAskPause = 20 * time.Millisecond
+	lastAskPause  = time.Second
+)
+
+// settle settles the request's tickets: at once where the fate of each attempt
+// is known, and otherwise in the background, after asking the side processes.
+func (r *run) settle(ctx context.Context) {
+	if len(r.flow.Holds) == 0 {
+		return
+	}
+	if len(r.flow.Open()) == 0 {
+		r.result.Billed = r.settleNow()
+		return
+	}
+	r.e.settling.Add(1)
+	go func() {
+		defer r.e.settling.Done()
+		r.resolve(context.WithoutCancel(ctx))
+		r.settleNow()
+	}()
+}
+
+// resolve asks about each open attempt until its fate is known or the time for
+// it is over. An answer that was passed on in part, by a side process that gives
+// no answer any more, is billed for what was passed on.
+func (r *run) resolve(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, r.e.Timeouts.Resolve)
+	defer cancel()
+	for _, a := range r.flow.Open() {
+		state := r.resolveOne(ctx, a)
+		if state == StateUnreachable && a.Started && r.tokens > 0 {
+			r.billOrphan(a)
+		}
+	}
+}
+
+// resolveOne asks about one attempt, and returns the last state told.
+func (r *run) resolveOne(ctx context.Context, a *Attempt) State {
+	state := StateUnreachable
+	for pause := firstAskPause; ; pause = min(2*pause, lastAskPause) {
+		fact := r.e.ask(ctx, r.req.ID, a, nil)
+		r.flow.Learn(a, fact)
+		if ctx.Err() == nil || fact.State != StateUnreachable {
+			state = fact.State
+		}
+		if a.Fate != FateOpen || state == StateUnknown {
+			return state
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return state
+		}
+	}
+}
+
+// billOrphan bills the output that was passed on.
+func (r *run) billOrphan(a *Attempt) {
+	if r.e.Orphans == nil {
+		return
+	}
+	r.e.Counts.Orphaned.Add(1)
+	ticket := r.flow.Holds[a.Hold]
+	r.e.Orphans.BillOrphan(r.req.ID, ticket, r.req.Service.Name, drain(ticket.Charges, r.tokens))
+}
+
+// settleNow carries out the flow's settlements, and returns the tokens charged.
+func (r *run) settleNow() ledger.Tokens {
+	var charged ledger.Tokens
+	for i, s := range r.flow.Settlements() {
+		ticket := r.flow.Holds[i]
+		switch s := s.(type) {
+		case Settle:
+			r.e.Counts.Settled.Add(1)
+			charged += total(s.Charges)
+			r.e.Budgets.Settle(ticket, s.Charges)
+		case Cancel:
+			r.e.Counts.Cancelled.Add(1)
+			r.e.Budgets.Cancel(ticket)
+		case Defer:
+			r.e.Counts.Deferred.Add(1)
+			r.e.Budgets.Defer(ticket, r.req.ID)
+		}
+	}
+	return charged
+}
+
+// ask asks the target's side process what became of an attempt. Where client is
+// given, the question goes over another connection than that client's.
+func (e *Engine) ask(ctx context.Context, request string, a *Attempt, client wire.SideClient) Fact {
+	ctx, cancel := context.WithTimeout(ctx, e.Timeouts.Probe)
+	defer cancel()
+	fresh, err := e.connect(a, client)
+	if err != nil {
+		return Fact{State: StateUnreachable}
+	}
+	reply, err := fresh.Outcome(ctx, &wire.OutcomeRequest{RequestId: request, AttemptId: a.ID})
+	if err != nil {
+		return Fact{State: StateUnreachable}
+	}
+	return factOf(reply)
+}
+
+func (e *Engine) connect(a *Attempt, old wire.SideClient) (wire.SideClient, error) {
+	if old == nil {
+		return e.Dialer.Side(a.Target)
+	}
+	return e.Dialer.Fresh(a.Target, old)
+}
+
+// factOf returns what a reply says. A state that is not known is unknown.
+func factOf(reply *wire.OutcomeReply) Fact {
+	switch s := State(reply.GetState()); s {
+	case StateRunning, StateFinished, StateNotRun:
+		return Fact{State: s, Charges: chargesOf(reply.GetCharges())}
+	}
+	return Fact{State: StateUnknown}
+}
