--- /dev/null
+++ b/internal/front/chat.go
@@ -0,0 +1,197 @@
+package front
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"github.com/beryllanding/beryllanding/internal/entry"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+	"github.com/beryllanding/beryllanding/pkg/refuse"
+	"github.com/beryllanding/beryllanding/pkg/route"
+)
+
+const (
+	// messageOverhead is the tokens that a message may cost besides its text.
+	messageOverhead = 8
+	// promptOverhead is the tokens that a prompt may cost besides its messages.
+	promptOverhead = 16
+	// maxMessages bounds the messages of one request.
+	maxMessages = 10000
+	// maxChoices bounds the answers asked for in one request.
+	maxChoices = 16
+	// prefixBytes is how much of the messages is hashed for prefix affinity.
+	prefixBytes = 2048
+)
+
+// chatBody is what is read of a chat-completion request. All other fields go to
+// the engine as they are.
+type chatBody struct {
+	Model    string            `json:"model"`
+	Messages []json.RawMessage `json:"messages"`
+	Stream   bool              `json:"stream"`
+	N        *int64            `json:"n"`
+	// MaxTokens is the older name of MaxCompletionTokens.
+	MaxTokens           *int64 `json:"max_tokens"`
+	MaxCompletionTokens *int64 `json:"max_completion_tokens"`
+}
+
+// chat prepares a chat completion.
+func (s *Server) chat(x *exchange) (*entry.Request, error) {
+	body, err := decodeChat(x.body)
+	if err != nil {
+		return nil, err
+	}
+	service, ok := s.Catalogue.Service(body.Model)
+	if !ok || service.Kind != entry.KindModel {
+		return nil, reject(http.StatusNotFound, refuse.CodeUnknownService, "model %q does not exist", clip(body.Model))
+	}
+	chat, err := boundChat(body, x, service)
+	if err != nil {
+		return nil, err
+	}
+	x.sink.stream = body.Stream
+	return &entry.Request{Service: service, Work: chat}, nil
+}
+
+// decodeChat parses and checks the body.
+func decodeChat(data []byte) (chatBody, error) {
+	var body chatBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return body, malformed(err)
+	}
+	switch {
+	case body.Model == "":
+		return body, reject(http.StatusBadRequest, refuse.CodeBadRequest, `field "model" is missing`)
+	case len(body.Messages) == 0:
+		return body, reject(http.StatusBadRequest, refuse.CodeBadRequest, `field "messages" is missing or empty`)
+	case len(body.Messages) > maxMessages:
+		return body, reject(http.StatusBadRequest, refuse.CodeBadRequest,
+			`field "messages" has %d messages; the limit is %d`, len(body.Messages), maxMessages)
+	}
+	for i, m := range body.Messages {
+		if len(m) == 0 || m[0] != '{' {
+			return body, reject(http.StatusBadRequest, refuse.CodeBadRequest, `field "messages[%d]" is not an object`, i)
+		}
+	}
+	return body, checkCounts(body)
+}
+
+// checkCounts checks the numbers in the body.
+func checkCounts(body chatBody) error {
+	for _, f := range []struct {
+		name  string
+		value *int64
+	}{
+		{"max_tokens", body.MaxTokens},
+		{"max_completion_tokens", body.MaxCompletionTokens},
+		{"n", body.N},
+	} {
+		if f.value != nil && *f.value <= 0 {
+			return reject(http.StatusBadRequest, refuse.CodeBadRequest, "field %q is %d; it must be at least 1", f.name, *f.value)
+		}
+	}
+	if body.N != nil && *body.N > maxChoices {
+		return reject(http.StatusBadRequest, refuse.CodeBadRequest, `field "n" is %d; the limit is %d`, *body.N, maxChoices)
+	}
+	return nil
+}
+
+// boundChat computes the bounds of the request's cost and holds them against
+// the limits of the service and the organisation.
+func boundChat(body chatBody, x *exchange, service entry.Service) (entry.Chat, error) {
+	prompt := promptBound(x.body, len(body.Messages), service)
+	output, err := outputBound(body, service)
+	if err != nil {
+		return entry.Chat{}, err
+	}
+	if limit := x.account.MaxTokens; limit > 0 && prompt+output > limit {
+		if body.asked() != nil || prompt >= limit {
+			return entry.Chat{}, reject(http.StatusForbidden, refuse.CodeForbidden,
+				"request may cost up to %d tokens; the limit of organisation %q is %d", prompt+output, x.account.Organisation, limit)
+		}
+		output = limit - prompt
+	}
+	return entry.Chat{
+		Body:        x.body,
+		Stream:      body.Stream,
+		PromptBound: prompt,
+		OutputBound: output,
+		Prefix:      prefixHash(body.Messages),
+	}, nil
+}
+
+// promptBound returns the most tokens that the prompt can have. The whole body
+// is counted, not the messages alone: tool definitions and other fields that
+// are passed on can become part of the prompt as well.
+func promptBound(body []byte, messages int, service entry.Service) ledger.Tokens {
+	per := max(1, service.PromptBytesPerToken)
+	return (int64(len(body))+per-1)/per + messageOverhead*int64(messages) + promptOverhead
+}
+
+// outputBound returns the most tokens that the answers can have together.
+func outputBound(body chatBody, service entry.Service) (ledger.Tokens, error) {
+	limit := service.MaxOutput
+	if limit == 0 {
+		limit = entry.DefaultMaxOutput
+	}
+	choices := int64(1)
+	if body.N != nil {
+		choices = *body.N
+	}
+	asked := body.asked()
+	if asked == nil {
+		if service.DefaultOutput > 0 {
+			limit = min(limit, service.DefaultOutput)
+		}
+		return limit * choices, nil
+	}
+	if *asked > limit {
+		return 0, reject(http.StatusBadRequest, refuse.CodeBadRequest,
+			"max_tokens is %d; the limit of model %q is %d", *asked, service.Name, limit)
+	}
+	return *asked * choices, nil
+}
+
+// asked returns the output limit that the caller named, or nil.
+func (b chatBody) asked() *int64 {
+	if b.MaxCompletionTokens != nil {
+		return b.MaxCompletionTokens
+	}
+	return b.MaxTokens
+}
+
+// prefixHash hashes the beginning of the messages.
+func prefixHash(messages []json.RawMessage) uint64 {
+	prefix := make([]byte, 0, prefixBytes)
+	for _, m := range messages {
+		prefix = append(prefix, m[:min(len(m), prefixBytes-len(prefix))]...)
+		if len(prefix) == prefixBytes {
+			break
+		}
+	}
+	return route.HashPrefix(prefix)
+}
+
+// malformed returns the refusal of a body that is not the JSON expected.
+func malformed(err error) error {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		return reject(http.StatusBadRequest, refuse.CodeBadRequest, "the body is not valid JSON at byte %d", syntax.Offset)
+	case errors.As(err, &kind):
+		return reject(http.StatusBadRequest, refuse.CodeBadRequest, "field %q cannot be %s", clip(kind.Field), clip(kind.Value))
+	}
+	return reject(http.StatusBadRequest, refuse.CodeBadRequest, "the body is not valid JSON")
+}
+
+// clip bounds what is repeated of a caller's input.
+func clip(s string) string {
+	const most = 64
+	if len(s) <= most {
+		return s
+	}
+	return string(bytes.ToValidUTF8([]byte(s[:most]), nil)) + "..."
+}
--- /dev/null
+++ b/internal/front/fake_test.go
@@ -0,0 +1,233 @@
+package front_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/test/bufconn"
+
+	"github.com/beryllanding/beryllanding/internal/entry"
+	"github.com/beryllanding/beryllanding/internal/front"
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+	"github.com/beryllanding/beryllanding/pkg/refuse"
+	"github.com/beryllanding/beryllanding/pkg/route"
+)
+
+// catalogue is a fixed one.
+type catalogue struct{}
+
+func (catalogue) Authenticate(key string) (entry.Account, bool) {
+	switch key {
+	case "good":
+		return entry.Account{Organisation: "org", Budget: "b"}, true
+	case "small":
+		return entry.Account{Organisation: "small", Budget: "b", MaxTokens: 200}, true
+	}
+	return entry.Account{}, false
+}
+
+func (catalogue) Service(name string) (entry.Service, bool) {
+	switch name {
+	case "llm":
+		return entry.Service{Name: "llm", Kind: entry.KindModel, MaxOutput: 1000, DefaultOutput: 100}, true
+	case "stores":
+		once := []entry.OncePath{{Method: http.MethodPost, Path: "/reserve"}}
+		return entry.Service{Name: "stores", Kind: entry.KindApp, Price: 5, Once: once}, true
+	}
+	return entry.Service{}, false
+}
+
+func (catalogue) Offset() uint64 { return 7 }
+
+// budgets is one balance without slices.
+type budgets struct {
+	mu       sync.Mutex
+	free     ledger.Tokens
+	reserved map[uint64]ledger.Tokens
+	last     uint64
+}
+
+func (b *budgets) Reserve(_ context.Context, budget string, n ledger.Tokens) (entry.Ticket, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n > b.free {
+		return entry.Ticket{}, &refuse.Refusal{Code: refuse.CodeBudgetSpent, Outcome: refuse.NotRun, Message: fmt.Sprintf("budget %q is spent", budget)}
+	}
+	b.free -= n
+	b.last++
+	if b.reserved == nil {
+		b.reserved = make(map[uint64]ledger.Tokens)
+	}
+	b.reserved[b.last] = n
+	return entry.Ticket{ID: b.last, Budget: budget, Charges: []ledger.Charge{{Holder: "h~1", Tokens: n}}}, nil
+}
+
+func (b *budgets) Settle(t entry.Ticket, used []ledger.Charge) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.free += b.reserved[t.ID]
+	for _, c := range used {
+		b.free -= c.Tokens
+	}
+	delete(b.reserved, t.ID)
+}
+
+func (b *budgets) Cancel(t entry.Ticket)         { b.Settle(t, nil) }
+func (b *budgets) Defer(entry.Ticket, string)    {}
+func (b *budgets) CloseHolder(ident.Incarnation) {}
+
+func (b *budgets) balance() ledger.Tokens {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.free
+}
+
+// targets is one target.
+type targets struct{}
+
+func (targets) Targets(string) []route.Target {
+	return []route.Target{{Name: "t1", DataCentre: "dc", Address: "bufnet"}}
+}
+
+// side answers with fixed words, and echoes calls.
+type side struct {
+	wire.UnimplementedSideServer
+	// chunks is the number of chunks of a streamed answer.
+	chunks int
+	// cut, if above 0, ends the stream after that many chunks.
+	cut int
+	// hold, if set, is waited for before the finish.
+	hold chan struct{}
+	// cancelled receives the attempts whose stream was cancelled.
+	cancelled chan string
+}
+
+func (s *side) Run(in *wire.RunRequest, out grpc.ServerStreamingServer[wire.RunEvent]) error {
+	send := sender{in: in, out: out}
+	send.event(&wire.RunEvent{Event: &wire.RunEvent_Started{Started: &wire.Started{Side: "t1~1"}}})
+	billed := int64(3)
+	switch w := in.GetWork().(type) {
+	case *wire.RunRequest_Model:
+		if !w.Model.GetStream() {
+			send.chunk(`{"object":"chat.completion"}`)
+			break
+		}
+		for i := range s.chunks {
+			if s.cut > 0 && i == s.cut {
+				return io.ErrUnexpectedEOF
+			}
+			send.chunk(fmt.Sprintf(`{"n":%d}`, i))
+		}
+	case *wire.RunRequest_Call:
+		send.event(&wire.RunEvent{Event: &wire.RunEvent_Head{Head: &wire.Head{Status: 201, Headers: []*wire.Header{{Name: "X-App", Value: "1"}, {Name: "Connection", Value: "close"}}}}})
+		send.chunk(w.Call.GetMethod() + " " + w.Call.GetPath() + " " + headerNames(w.Call.GetHeaders()) + " " + string(w.Call.GetBody()))
+		billed = w.Call.GetPrice()
+	}
+	if s.hold != nil {
+		select {
+		case <-s.hold:
+		case <-out.Context().Done():
+			s.cancelled <- in.GetAttemptId()
+			return nil
+		}
+	}
+	send.event(&wire.RunEvent{Event: &wire.RunEvent_Finish{Finish: &wire.Finish{Billed: billed, Charges: []*wire.Charge{{Holder: "h~1", Tokens: billed}}}}})
+	return nil
+}
+
+func (s *side) Outcome(context.Context, *wire.OutcomeRequest) (*wire.OutcomeReply, error) {
+	if s.cut > 0 {
+		return &wire.OutcomeReply{State: "unknown"}, nil
+	}
+	return &wire.OutcomeReply{State: "finished", Billed: 2, Charges: []*wire.Charge{{Holder: "h~1", Tokens: 2}}}, nil
+}
+
+// sender numbers the events.
+type sender struct {
+	in   *wire.RunRequest
+	out  grpc.ServerStreamingServer[wire.RunEvent]
+	next uint64
+}
+
+func (s *sender) event(e *wire.RunEvent) {
+	e.AttemptId, e.Index = s.in.GetAttemptId(), s.next
+	s.next++
+	_ = s.out.Send(e)
+}
+
+func (s *sender) chunk(data string) {
+	s.event(&wire.RunEvent{Event: &wire.RunEvent_Chunk{Chunk: &wire.Chunk{Data: []byte(data), Tokens: 1}}})
+}
+
+func headerNames(list []*wire.Header) string {
+	var names []string
+	for _, h := range list {
+		names = append(names, h.GetName())
+	}
+	return strings.Join(names, ",")
+}
+
+// fleet is a front, an engine and a side process, joined in memory.
+type fleet struct {
+	front   *front.Server
+	engine  *entry.Engine
+	budgets *budgets
+	url     string
+}
+
+func newFleet(t testing.TB, s *side) *fleet {
+	t.Helper()
+	listener := bufconn.Listen(1 << 20)
+	server := grpc.NewServer()
+	wire.RegisterSideServer(server, s)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	conns := &entry.Conns{Options: []grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return listener.DialContext(ctx) }),
+	}}
+	t.Cleanup(conns.Close)
+	f := &fleet{budgets: &budgets{free: 100000}}
+	f.engine = &entry.Engine{DataCentre: "dc", Catalogue: catalogue{}, Budgets: f.budgets, Targets: targets{}, Dialer: conns}
+	f.front = &front.Server{Engine: f.engine, Catalogue: catalogue{}}
+	web := httptest.NewUnstartedServer(nil)
+	web.Config = f.front.HTTP("")
+	web.Start()
+	t.Cleanup(web.Close)
+	f.url = web.URL
+	return f
+}
+
+// ask sends a request and returns the answer with its body.
+func (f *fleet) ask(t testing.TB, method, path, body string, headers ...string) (*http.Response, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer good")
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Logf("body ended with %v", err)
+	}
+	return res, string(data)
+}
--- /dev/null
+++ b/internal/front/refuse.go
@@ -0,0 +1,143 @@
+package front
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/beryllanding/beryllanding/internal/entry"
+	"github.com/beryllanding/beryllanding/pkg/refuse"
+)
+
+// statusOf maps the codes of refusals to HTTP.
+var statusOf = map[refuse.Code]int{
+	refuse.CodeBadRequest:     http.StatusBadRequest,
+	refuse.CodeTooLarge:       http.StatusRequestEntityTooLarge,
+	refuse.CodeNoKey:          http.StatusUnauthorized,
+	refuse.CodeUnknownService: http.StatusNotFound,
+	refuse.CodeForbidden:      http.StatusForbidden,
+	refuse.CodeBudgetSpent:    http.StatusPaymentRequired,
+	refuse.CodeBudgetAway:     http.StatusTooManyRequests,
+	refuse.CodeBusy:           http.StatusTooManyRequests,
+	refuse.CodeLeaving:        http.StatusServiceUnavailable,
+	refuse.CodeNoTarget:       http.StatusServiceUnavailable,
+	refuse.CodeLogDown:        http.StatusServiceUnavailable,
+	refuse.CodeHolderClosed:   http.StatusServiceUnavailable,
+	refuse.CodeInterrupted:    http.StatusBadGateway,
+	refuse.CodeInProgress:     http.StatusConflict,
+	refuse.CodeKeyReused:      http.StatusConflict,
+}
+
+// refuse sends a refusal: as the answer, or as the last event of a stream that
+// has begun. An answer that is no stream and has begun is cut off, so that the
+// caller cannot take it for whole.
+func (x *exchange) refuse(err error) {
+	if errors.Is(err, entry.ErrHungUp) {
+		x.s.Counts.HungUp.Add(1)
+		x.abort()
+		return
+	}
+	refusal := refusalOf(err)
+	x.s.Counts.refused(refusal)
+	switch {
+	case !x.sink.begun:
+		x.sendRefusal(statusFor(err, refusal), refusal)
+	case x.sink.stream:
+		x.sink.fail(refusal)
+	default:
+		x.abort()
+	}
+}
+
+// abort ends the connection where the answer has begun.
+func (x *exchange) abort() {
+	if x.sink.begun {
+		x.sink.broken = true
+	}
+}
+
+// sendRefusal writes a refusal as the whole answer.
+func (x *exchange) sendRefusal(status int, r refuse.Refusal) {
+	sendRefusal(x.w, status, r)
+}
+
+func sendRefusal(w http.ResponseWriter, status int, r refuse.Refusal) {
+	h := w.Header()
+	h.Set(headerOutcome, string(r.Outcome))
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatInt(seconds(r.RetryAfter), 10))
+	}
+	if status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	writeJSON(w, status, refusalBody(r))
+}
+
+// refusalBody returns the JSON body of a refusal.
+func refusalBody(r refuse.Refusal) any {
+	type inner struct {
+		Code       refuse.Code    `json:"code"`
+		Outcome    refuse.Outcome `json:"outcome"`
+		Message    string         `json:"message"`
+		RetryAfter int64          `json:"retry-after-ms"`
+	}
+	return struct {
+		Error inner `json:"error"`
+	}{inner{Code: r.Code, Outcome: r.Outcome, Message: r.Message, RetryAfter: r.RetryAfter.Milliseconds()}}
+}
+
+// refusalOf returns the refusal in an error. An error without one promises
+// nothing about the work.
+func refusalOf(err error) refuse.Refusal {
+	if r, ok := refuse.As(err); ok {
+		return *r
+	}
+	return refuse.Refusal{Code: refuse.CodeInterrupted, Outcome: refuse.Unknown, RetryAfter: time.Second, Message: "the request was interrupted"}
+}
+
+// statusFor returns the HTTP status of a refusal.
+func statusFor(err error, r refuse.Refusal) int {
+	var f *fault
+	if errors.As(err, &f) {
+		return f.status
+	}
+	if status := statusOf[r.Code]; status != 0 {
+		return status
+	}
+	return http.StatusBadGateway
+}
+
+// seconds rounds up to whole seconds, the unit of Retry-After.
+func seconds(d time.Duration) int64 {
+	return int64((d + time.Second - 1) / time.Second)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		status, data = http.StatusInternalServerError, []byte("{}")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)+1))
+	w.WriteHeader(status)
+	_, _ = w.Write(append(data, '\n'))
+}
+
+// notFound refuses paths that do not exist.
+func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
+	s.sendFault(w, reject(http.StatusNotFound, refuse.CodeUnknownService, "path %q does not exist", r.URL.Path))
+}
+
+// notAllowed refuses methods that a path does not support.
+func (s *Server) notAllowed(w http.ResponseWriter, r *http.Request) {
+	s.sendFault(w, reject(http.StatusMethodNotAllowed, refuse.CodeBadRequest,
+		"method %q is not supported at path %q", r.Method, r.URL.Path))
+}
+
+func (s *Server) sendFault(w http.ResponseWriter, f *fault) {
+	s.Counts.Requests.Add(1)
+	s.Counts.refused(f.Refusal)
+	sendRefusal(w, f.status, f.Refusal)
+}
--- /dev/null
+++ b/internal/front/serve.go
@@ -0,0 +1,241 @@
+package front
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/beryllanding/beryllanding/internal/entry"
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/refuse"
+)
+
+// Names of headers.
+const (
+	headerRequestID = "X-Request-Id"
+	headerOutcome   = "X-Beryl-Outcome"
+	headerKey       = "Idempotency-Key"
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 128
+)
+
+// exchange is one request of a caller on its way through the handlers.
+type exchange struct {
+	s       *Server
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+	account entry.Account
+	// id is the request's id: the organisation and a key, joined by "/".
+	id    string
+	keyed bool
+	body  []byte
+	sink  *sink
+}
+
+// fault is a refusal by this package, with the status that its code alone does
+// not tell.
+type fault struct {
+	refuse.Refusal
+	status int
+}
+
+// reject returns a refusal of a request that never left this instance.
+func reject(status int, code refuse.Code, format string, args ...any) *fault {
+	return &fault{
+		Refusal: refuse.Refusal{Code: code, Outcome: refuse.NotRun, Message: fmt.Sprintf(format, args...)},
+		status:  status,
+	}
+}
+
+// Error returns the refusal in one line.
+func (f *fault) Error() string { return f.Refusal.Error() }
+
+// Unwrap makes refuse.As find the refusal.
+func (f *fault) Unwrap() error { return &f.Refusal }
+
+// prepare turns an exchange into a request for the engine.
+type prepare func(x *exchange) (*entry.Request, error)
+
+// serve returns the handler that checks a request, prepares it and passes it to
+// the engine. Each refusal is sent as soon as it is known.
+func (s *Server) serve(p prepare) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, span := s.Tracer.Start(r.Context(), "request")
+		defer span.End()
+		s.Counts.Requests.Add(1)
+		x := &exchange{s: s, w: w, r: r.WithContext(ctx), arrived: time.Now()}
+		x.sink = &sink{x: x, control: http.NewResponseController(w)}
+		req, result, err := x.run(ctx, p)
+		span.SetAttributes(attribute.String("request", x.id))
+		if err != nil {
+			span.RecordError(err)
+			x.refuse(err)
+		}
+		x.record(req, result, err)
+		if x.sink.broken {
+			panic(http.ErrAbortHandler) // ends the connection without an end of the body
+		}
+	})
+}
+
+// run takes the request through its checks to its end.
+func (x *exchange) run(ctx context.Context, p prepare) (*entry.Request, entry.Result, error) {
+	if err := x.admit(); err != nil {
+		return nil, entry.Result{}, err
+	}
+	defer x.s.door.exit()
+	for _, check := range []func() error{x.checkHeaders, x.authenticate, x.identify, x.readBody} {
+		if err := check(); err != nil {
+			return nil, entry.Result{}, err
+		}
+	}
+	req, err := p(x)
+	if err != nil {
+		return nil, entry.Result{}, err
+	}
+	x.complete(req)
+	result, err := x.s.Engine.Do(ctx, req, x.sink)
+	if err == nil {
+		err = x.sink.finish()
+	}
+	return req, result, err
+}
+
+// admit lets the request in unless the instance is leaving or full.
+func (x *exchange) admit() error {
+	err := x.s.door.enter()
+	switch {
+	case errors.Is(err, errLeaving):
+		f := reject(http.StatusServiceUnavailable, refuse.CodeLeaving, "this instance is leaving; ask another")
+		f.RetryAfter = time.Second
+		return f
+	case errors.Is(err, errFull):
+		f := reject(http.StatusTooManyRequests, refuse.CodeBusy, "this instance has %d requests in progress, its limit", x.s.Limits.Streams)
+		f.RetryAfter = time.Second
+		return f
+	}
+	return nil
+}
+
+// checkHeaders bounds the number of header lines.
+func (x *exchange) checkHeaders() error {
+	n := 0
+	for _, values := range x.r.Header {
+		n += len(values)
+	}
+	if n > x.s.Limits.HeaderCount {
+		return reject(http.StatusRequestHeaderFieldsTooLarge, refuse.CodeTooLarge,
+			"request has %d header lines; the limit is %d", n, x.s.Limits.HeaderCount)
+	}
+	return nil
+}
+
+// authenticate finds the account of the bearer key.
+func (x *exchange) authenticate() error {
+	scheme, key, _ := strings.Cut(x.r.Header.Get("Authorization"), " ")
+	key = strings.TrimSpace(key)
+	if !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return reject(http.StatusUnauthorized, refuse.CodeNoKey, "the header Authorization: Bearer KEY is missing")
+	}
+	account, ok := x.s.Catalogue.Authenticate(key)
+	if !ok {
+		return reject(http.StatusUnauthorized, refuse.CodeNoKey, "the bearer key belongs to no organisation")
+	}
+	x.account = account
+	return nil
+}
+
+// identify gives the request its id. A key names the same request whenever the
+// organisation uses it; the id that is made here starts with a character that
+// no key may have, so that a caller's key never meets it.
+func (x *exchange) identify() error {
+	values := x.r.Header.Values(headerKey)
+	if len(values) > 1 {
+		return reject(http.StatusBadRequest, refuse.CodeBadRequest, "the header %s is given %d times", headerKey, len(values))
+	}
+	if len(values) == 0 {
+		x.id = x.account.Organisation + "/~" + ident.NewRequest()
+	} else {
+		if err := checkKey(values[0]); err != nil {
+			return err
+		}
+		x.id, x.keyed = x.account.Organisation+"/"+values[0], true
+	}
+	x.w.Header().Set(headerRequestID, x.id)
+	return nil
+}
+
+// checkKey checks the length and the characters of an idempotency key.
+func checkKey(key string) error {
+	if key == "" || len(key) > maxKeyBytes {
+		return reject(http.StatusBadRequest, refuse.CodeBadRequest,
+			"the header %s has %d bytes; it needs 1 to %d", headerKey, len(key), maxKeyBytes)
+	}
+	for i, c := range []byte(key) {
+		if !keyByte(c) {
+			return reject(http.StatusBadRequest, refuse.CodeBadRequest,
+				"the header %s has the byte 0x%02x at position %d; letters, digits and -_.: are allowed", headerKey, c, i)
+		}
+	}
+	return nil
+}
+
+func keyByte(c byte) bool {
+	switch {
+	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
+		return true
+	}
+	return strings.IndexByte("-_.:", c) >= 0
+}
+
+// readBody reads the body within the limits of size and time.
+func (x *exchange) readBody() error {
+	limit := x.s.Limits.Body
+	if x.r.ContentLength > limit {
+		return bodyTooLarge(limit)
+	}
+	control := x.sink.control
+	_ = control.SetReadDeadline(time.Now().Add(x.s.Limits.BodyRead)) // not all test writers can
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	if err != nil {
+		return x.bodyError(err)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	x.body = body
+	return nil
+}
+
+func (x *exchange) bodyError(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return bodyTooLarge(tooLarge.Limit)
+	}
+	if timeout, ok := err.(interface{ Timeout() bool }); ok && timeout.Timeout() {
+		return reject(http.StatusRequestTimeout, refuse.CodeBadRequest,
+			"the body did not arrive within %v", x.s.Limits.BodyRead)
+	}
+	return reject(http.StatusBadRequest, refuse.CodeBadRequest, "the body could not be read to its end")
+}
+
+func bodyTooLarge(limit int64) *fault {
+	return reject(http.StatusRequestEntityTooLarge, refuse.CodeTooLarge, "the body exceeds the limit of %d bytes", limit)
+}
+
+// complete fills in what all kinds of requests have in common.
+func (x *exchange) complete(req *entry.Request) {
+	req.ID = x.id
+	req.Keyed = x.keyed
+	req.Account = x.account
+	h := sha256.New()
+	_, _ = fmt.Fprintf(h, "%s\n%s\n", x.r.Method, x.r.URL.RequestURI())
+	_, _ = h.Write(x.body)
+	req.Fingerprint = h.Sum(nil)
+}
--- /dev/null
+++ b/internal/front/serve_test.go
@@ -0,0 +1,59 @@
+package front_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+)
+
+const chatRequest = `{"model":"llm","messages":[{"role":"user","content":"hi"}],"x":1}`
+
+func TestPlainChat(t *testing.T) {
+	f := newFleet(t, &side{})
+	res, body := f.ask(t, http.MethodPost, "/v1/chat/completions", chatRequest)
+	if res.StatusCode != http.StatusOK || body != `{"object":"chat.completion"}` {
+		t.Fatalf("got %d %q", res.StatusCode, body)
+	}
+	if got := f.budgets.balance(); got != 100000-3 {
+		t.Errorf("balance is %d", got)
+	}
+	if !strings.HasPrefix(res.Header.Get("X-Request-Id"), "org/~") {
+		t.Errorf("request id is %q", res.Header.Get("X-Request-Id"))
+	}
+}
+
+func TestStreamedChat(t *testing.T) {
+	f := newFleet(t, &side{chunks: 2})
+	body := strings.Replace(chatRequest, `"x":1`, `"stream":true`, 1)
+	res, got := f.ask(t, http.MethodPost, "/v1/chat/completions", body, "Idempotency-Key", "k1")
+	want := "data: {\"n\":0}\n\ndata: {\"n\":1}\n\ndata: [DONE]\n\n"
+	if got != want || res.Header.Get("Content-Type") != "text/event-stream" {
+		t.Errorf("got %q, %q", got, res.Header.Get("Content-Type"))
+	}
+	if res.Header.Get("X-Request-Id") != "org/k1" {
+		t.Errorf("request id is %q", res.Header.Get("X-Request-Id"))
+	}
+}
+
+func TestCall(t *testing.T) {
+	f := newFleet(t, &side{})
+	res, got := f.ask(t, http.MethodPost, "/apps/stores/reserve?part=7", "b", "Idempotency-Key", "k2", "X-Mine", "1", "Te", "trailers")
+	if res.StatusCode != http.StatusCreated || got != "POST /reserve?part=7 Accept-Encoding,User-Agent,X-Mine b" {
+		t.Errorf("got %d %q", res.StatusCode, got)
+	}
+	if res.Header.Get("X-App") != "1" {
+		t.Errorf("headers are %v", res.Header)
+	}
+	if got := f.budgets.balance(); got != 100000-5 {
+		t.Errorf("balance is %d", got)
+	}
+}
+
+func TestStreamCutBySide(t *testing.T) {
+	f := newFleet(t, &side{chunks: 2, cut: 1})
+	body := strings.Replace(chatRequest, `"x":1`, `"stream":true`, 1)
+	_, got := f.ask(t, http.MethodPost, "/v1/chat/completions", body)
+	if strings.Contains(got, "[DONE]") || !strings.Contains(got, "event: error\ndata: {\"error\":{\"code\":\"interrupted\",\"outcome\":\"unknown\"") {
+		t.Errorf("got %q", got)
+	}
+}
