--- /dev/null
+++ b/internal/config/doc.go
@@ -0,0 +1,136 @@
+package config
+
+import (
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+)
+
+// family names the settings of a program.
+type family struct {
+	name    string
+	program string
+	typ     reflect.Type
+}
+
+var families = []family{
+	{"router", "beryl-router", reflect.TypeFor[Router]()},
+	{"side", "beryl-side", reflect.TypeFor[Side]()},
+	{"operator", "beryl", reflect.TypeFor[Operator]()},
+}
+
+// FamilyNames lists the names that Check and WriteDefaults take.
+func FamilyNames() []string {
+	var names []string
+	for _, f := range families {
+		names = append(names, f.name)
+	}
+	return names
+}
+
+// Check reads a settings file as the named family would, and returns its faults.
+func Check(familyName, path string) error {
+	var err error
+	switch familyName {
+	case "router":
+		_, err = Load[Router](path)
+	case "side":
+		_, err = Load[Side](path)
+	case "operator":
+		_, err = Load[Operator](path)
+	default:
+		err = unknownFamily(familyName)
+	}
+	return err
+}
+
+// WriteDefaults writes a settings file of the named family with every key, its
+// description and its default. Keys without a default are commented out.
+func WriteDefaults(w io.Writer, familyName string) error {
+	for _, f := range families {
+		if f.name == familyName {
+			_, err := io.WriteString(w, f.defaults())
+			return err
+		}
+	}
+	return unknownFamily(familyName)
+}
+
+func unknownFamily(name string) error {
+	return fmt.Errorf("program family %q does not exist, expected one of %s", name, strings.Join(FamilyNames(), ", "))
+}
+
+func (f family) defaults() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "; Settings of %s with their defaults.\n", f.program)
+	for _, s := range schema(f.typ) {
+		fmt.Fprintf(&b, "\n; %s\n[%s]\n", s.doc, s.name)
+		for _, d := range s.fields {
+			fmt.Fprintf(&b, "\n; %s\n; Expected: %s.\n%s\n", d.doc, d.expected(), d.line())
+		}
+	}
+	return b.String()
+}
+
+// line is the key with its default, commented out where it has none.
+func (d *field) line() string {
+	switch {
+	case d.fallback != "":
+		return d.key + " = " + d.fallback
+	case d.required:
+		return "; " + d.key + " = (required)"
+	}
+	return "; " + d.key + " ="
+}
+
+// referenceHead starts docs/SETTINGS.md.
+const referenceHead = `# Settings
+
+Each program reads one INI file, given by --settings, and checks it whole before
+it does anything else. It names every fault at once, with file, line, section,
+key, what was found and what is expected, and does not start.
+` + "`beryl settings check FILE --for router|side|operator`" + ` does the same check, and
+` + "`beryl settings show-defaults --for router|side|operator`" + ` writes a file to
+start from.
+
+Durations carry a unit (` + "`500ms`, `2s`, `1m30s`" + `), sizes as well (` + "`32KiB`, `8MiB`" + `),
+and shares a per cent sign (` + "`10%`" + `). A comment starts with ` + "`;` or `#`" + `.
+Addresses are IP numbers with a port: ` + "`0.0.0.0:8080`" + ` listens on all
+interfaces, and nothing listens beyond loopback unless it is told so.
+
+This page is generated from the structs in internal/config by ` + "`beryl docs`" + `.
+`
+
+// WriteReference writes docs/SETTINGS.md.
+func WriteReference(w io.Writer) error {
+	var b strings.Builder
+	b.WriteString(referenceHead)
+	for _, f := range families {
+		f.reference(&b)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func (f family) reference(b *strings.Builder) {
+	fmt.Fprintf(b, "\n## %s (`--for %s`)\n", f.program, f.name)
+	for _, s := range schema(f.typ) {
+		fmt.Fprintf(b, "\n### [%s]\n\n%s\n\n", s.name, s.doc)
+		b.WriteString("| key | default | expected | meaning |\n|---|---|---|---|\n")
+		for _, d := range s.fields {
+			fmt.Fprintf(b, "| `%s` | %s | %s | %s |\n", d.key, d.defaultCell(), d.expected(), d.doc)
+		}
+	}
+}
+
+// defaultCell is the default as the reference shows it.
+func (d *field) defaultCell() string {
+	switch {
+	case d.required:
+		return "required"
+	case d.fallback == "":
+		return "none"
+	}
+	return "`" + d.fallback + "`"
+}
--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,271 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// maxFile bounds a settings file, in bytes.
+const maxFile = 1 << 20
+
+// Load reads and checks a settings file. The error is Faults where the content
+// is wrong.
+func Load[T Family](path string) (T, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		var none T
+		return none, fmt.Errorf("settings file %q: %w", path, err)
+	}
+	return Parse[T](path, data)
+}
+
+// Parse checks the content of a settings file, which the faults call by the
+// given name. Keys that it does not set have their defaults.
+func Parse[T Family](name string, data []byte) (T, error) {
+	var settings T
+	p := parser{file: name, sections: schema(reflect.TypeFor[T]()), lines: scanLines(data)}
+	p.defaults(reflect.ValueOf(&settings).Elem())
+	p.parse(data, reflect.ValueOf(&settings).Elem())
+	if len(p.faults) > 0 {
+		var none T
+		return none, p.sorted()
+	}
+	return settings, nil
+}
+
+// Defaults returns the settings of an empty file, without its required keys.
+func Defaults[T Family]() T {
+	var settings T
+	p := parser{sections: schema(reflect.TypeFor[T]())}
+	p.defaults(reflect.ValueOf(&settings).Elem())
+	return settings
+}
+
+// parser checks one file.
+type parser struct {
+	file     string
+	sections []section
+	lines    lines
+	faults   Faults
+}
+
+func (p *parser) defaults(settings reflect.Value) {
+	for _, s := range p.sections {
+		for _, d := range s.fields {
+			if d.fallback == "" {
+				continue
+			}
+			if err := d.set(settings, d.fallback); err != nil {
+				panic(fmt.Sprintf("config: default of key %q: %v", d.key, err))
+			}
+		}
+	}
+}
+
+func (p *parser) parse(data []byte, settings reflect.Value) {
+	if len(data) > maxFile {
+		p.fault(Fault{Found: fmt.Sprintf("%d bytes", len(data)), Expected: fmt.Sprintf("up to %d bytes", maxFile)})
+		return
+	}
+	file := p.read(data)
+	if file == nil {
+		return
+	}
+	for _, s := range file.Sections() {
+		p.parseSection(s, settings)
+	}
+	p.missing(file)
+	p.pairs(settings)
+}
+
+// read parses the INI form. Where a line has none, it is reported, and the
+// others are read nevertheless.
+func (p *parser) read(data []byte) *ini.File {
+	options := ini.LoadOptions{AllowShadows: true, AllowDuplicateShadowValues: true, IgnoreContinuation: true}
+	file, err := ini.LoadSources(options, data)
+	if err == nil {
+		return file
+	}
+	p.fault(Fault{Line: p.lines.find(err.Error()), Found: err.Error(), Expected: "lines of [section], key = value or ; comment"})
+	options.SkipUnrecognizableLines = true
+	file, err = ini.LoadSources(options, data)
+	if err != nil {
+		return nil
+	}
+	return file
+}
+
+func (p *parser) parseSection(s *ini.Section, settings reflect.Value) {
+	if s.Name() == ini.DefaultSection {
+		p.outsideSections(s)
+		return
+	}
+	known := p.section(s.Name())
+	if known == nil {
+		p.fault(Fault{
+			Line:     p.lines.section(s.Name()),
+			Section:  s.Name(),
+			Found:    "an unknown section",
+			Expected: expectedName(s.Name(), p.sectionNames()),
+		})
+		return
+	}
+	for _, key := range s.Keys() {
+		p.parseKey(known, key, settings)
+	}
+}
+
+// outsideSections reports the keys that stand before the first section.
+func (p *parser) outsideSections(s *ini.Section) {
+	for _, key := range s.Keys() {
+		p.fault(Fault{
+			Line:     p.lines.key("", key.Name()),
+			Key:      key.Name(),
+			Found:    "a key outside of the sections",
+			Expected: "a section before it, such as [" + p.sections[0].name + "]",
+		})
+	}
+}
+
+func (p *parser) parseKey(s *section, key *ini.Key, settings reflect.Value) {
+	f := Fault{Line: p.lines.key(s.name, key.Name()), Section: s.name, Key: key.Name()}
+	d := s.field(key.Name())
+	if d == nil {
+		f.Found, f.Expected = "an unknown key", expectedName(key.Name(), s.keys())
+		p.fault(f)
+		return
+	}
+	f.Expected = d.expected()
+	if values := key.ValueWithShadows(); len(values) > 1 {
+		f.Found, f.Expected = fmt.Sprintf("%d values", len(values)), "the key once"
+		p.fault(f)
+		return
+	}
+	text := key.Value()
+	if text == "" && d.required {
+		return // reported with those missing
+	}
+	if err := d.set(settings, text); err != nil {
+		f.Found = fmt.Sprintf("%q", text)
+		p.fault(f)
+	}
+}
+
+// missing reports the required keys that the file does not set.
+func (p *parser) missing(file *ini.File) {
+	for _, s := range p.sections {
+		for _, d := range s.fields {
+			if !d.required || file.Section(s.name).Key(d.key).Value() != "" {
+				continue
+			}
+			p.fault(Fault{Section: s.name, Key: d.key, Found: "no value", Expected: d.expected()})
+		}
+	}
+}
+
+// together lists the keys of a section that are set together or not at all.
+var together = []struct {
+	section string
+	keys    []string
+}{
+	{"listen", []string{"tls-cert", "tls-key"}},
+	{"peer-tls", []string{"cert", "key", "ca"}},
+}
+
+// pairs reports keys that need each other.
+func (p *parser) pairs(settings reflect.Value) {
+	for _, group := range together {
+		s := p.section(group.section)
+		set, unset := p.split(s, group.keys, settings)
+		if len(set) == 0 {
+			continue
+		}
+		for _, key := range unset {
+			p.fault(Fault{
+				Section:  s.name,
+				Key:      key,
+				Found:    "no value",
+				Expected: s.field(key).expected() + ", because " + set[0] + " is set",
+			})
+		}
+	}
+}
+
+// split sorts the keys, which hold strings, by whether they are set.
+func (p *parser) split(s *section, keys []string, settings reflect.Value) (set, unset []string) {
+	for _, key := range keys {
+		d := s.field(key)
+		if d == nil {
+			continue
+		}
+		if settings.FieldByIndex(d.index).String() != "" {
+			set = append(set, key)
+		} else {
+			unset = append(unset, key)
+		}
+	}
+	return set, unset
+}
+
+func (p *parser) fault(f Fault) {
+	f.File = p.file
+	p.faults = append(p.faults, f)
+}
+
+// sorted orders the faults by line, those without one last.
+func (p *parser) sorted() Faults {
+	slices.SortStableFunc(p.faults, func(a, b Fault) int {
+		if (a.Line == 0) != (b.Line == 0) {
+			return b.Line - a.Line
+		}
+		return a.Line - b.Line
+	})
+	return p.faults
+}
+
+func (p *parser) section(name string) *section {
+	for i := range p.sections {
+		if p.sections[i].name == name {
+			return &p.sections[i]
+		}
+	}
+	return nil
+}
+
+func (p *parser) sectionNames() []string {
+	var names []string
+	for _, s := range p.sections {
+		names = append(names, s.name)
+	}
+	return names
+}
+
+func (s *section) field(key string) *field {
+	for i := range s.fields {
+		if s.fields[i].key == key {
+			return &s.fields[i]
+		}
+	}
+	return nil
+}
+
+func (s *section) keys() []string {
+	var keys []string
+	for _, d := range s.fields {
+		keys = append(keys, d.key)
+	}
+	return keys
+}
+
+// expectedName suggests the nearest of the known names, or lists them all.
+func expectedName(name string, known []string) string {
+	if near := nearest(name, known); near != "" {
+		return fmt.Sprintf("%s, the nearest of those known", near)
+	}
+	return "one of " + strings.Join(known, ", ")
+}
--- a/pkg/catal/snap.go
+++ b/pkg/catal/snap.go
@@ -14,10 +14,10 @@
 	Latest logsvc.Offset `json:"latest"`
 	Floor  logsvc.Offset `json:"floor"`
 	// Records are ordered by name.
-	Records []recordBody `json:"records"`
+	Records []recordBody `json:"records,omitempty"`
 	// Tombstones and Verdicts are in the order of the log.
-	Tombstones []string      `json:"tombstones"`
-	Verdicts   []verdictBody `json:"verdicts"`
+	Tombstones []string      `json:"tombstones,omitempty"`
+	Verdicts   []verdictBody `json:"verdicts,omitempty"`
 }
 
 // recordBody is a Record as a snapshot carries it.
