--- /dev/null
+++ b/internal/cmds/cmds.go
@@ -0,0 +1,194 @@
+// Package cmds is the command tree of beryl, the operators' program. What the
+// commands do is in internal/opsvc; here they are named, explained and printed.
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/beryllanding/beryllanding/internal/config"
+	"github.com/beryllanding/beryllanding/internal/opsvc"
+)
+
+// Command is a node of the command tree.
+type Command struct {
+	Name    string
+	Aliases []string
+	// Short is one line without a full stop.
+	Short string
+	// Long teaches: what the command does, when to use it, what its answers
+	// mean. Lines are at most 80 bytes.
+	Long     string
+	Examples []Example
+	// Hidden keeps the command out of help and reference.
+	Hidden bool
+	// New makes the struct that holds the command's options, and runs it. It is
+	// nil for a node that only has children.
+	New      func() Runner
+	Children []Command
+}
+
+// Example is a line to paste, and what it does.
+type Example struct {
+	Line string
+	Does string
+}
+
+// Runner is a command with its options, given by go-flags tags. The method
+// returns an error that Exit turns into an exit code.
+type Runner interface {
+	Run(ctx context.Context, app *App) error
+}
+
+// Connect makes the service that the commands use.
+type Connect func(settings config.Operator) (*opsvc.Service, error)
+
+// Program is beryl. The zero value reads nothing and has no service.
+type Program struct {
+	In       io.Reader
+	Out, Err io.Writer
+	// Connect is called by the commands that need the platform.
+	Connect Connect
+	// Extra are commands beside the built-in ones.
+	Extra []Command
+}
+
+// Run parses the arguments, runs the command and returns its exit code.
+func (p Program) Run(ctx context.Context, args []string) int {
+	t := newTree(append(Builtin(), p.Extra...))
+	rest, err := t.parser.ParseArgs(args)
+	node := t.active()
+	if err != nil {
+		return p.parseError(t, node, err)
+	}
+	if len(rest) > 0 {
+		return p.usage(node, fmt.Errorf("unexpected argument %q", rest[0]))
+	}
+	app := &App{Globals: *t.globals, In: p.In, Out: p.Out, connect: p.Connect, tree: t}
+	return p.finish(node, p.run(ctx, app, node))
+}
+
+func (p Program) run(ctx context.Context, app *App, node *node) error {
+	if !node.runner.bounded() {
+		return node.runner.Run(ctx, app)
+	}
+	ctx, cancel := context.WithTimeout(ctx, app.Globals.Timeout)
+	defer cancel()
+	return node.runner.Run(ctx, app)
+}
+
+// parseError prints help where it was asked for, or what is wrong.
+func (p Program) parseError(t *tree, node *node, err error) int {
+	var fe *flags.Error
+	if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+		if t.write(p.Out, node) != nil {
+			return ExitUsage.Int()
+		}
+		return ExitOK.Int()
+	}
+	return p.usage(node, err)
+}
+
+func (p Program) usage(node *node, err error) int {
+	_, _ = fmt.Fprintf(p.Err, "%s: %v\nTry: %s --help\n", node.path(), err, node.path())
+	return ExitUsage.Int()
+}
+
+// finish prints the error, unless the command has told everything.
+func (p Program) finish(node *node, err error) int {
+	code := Exit(err)
+	var told toldError
+	if err != nil && !errors.As(err, &told) {
+		_, _ = fmt.Fprintf(p.Err, "%s: %v\n", node.path(), err)
+	}
+	return code.Int()
+}
+
+// node is a command of the parsed tree.
+type node struct {
+	parent  *node
+	command *Command
+	parsed  *flags.Command
+	runner  boundedRunner
+	nodes   []*node
+}
+
+// boundedRunner is a command, with whether --timeout bounds it.
+type boundedRunner struct{ Runner }
+
+// Unbounded marks commands that run until they are interrupted.
+type Unbounded interface{ Unbounded() }
+
+func (r boundedRunner) bounded() bool {
+	_, unbounded := r.Runner.(Unbounded)
+	return !unbounded
+}
+
+// path is the command as it is typed.
+func (n *node) path() string {
+	if n.parent == nil {
+		return n.command.Name
+	}
+	return n.parent.path() + " " + n.command.Name
+}
+
+// tree is the command tree with its parser.
+type tree struct {
+	parser  *flags.Parser
+	globals *Globals
+	root    *node
+}
+
+// newTree builds the parser. It panics where a command's tags are wrong, which
+// only a programming error can cause.
+func newTree(commands []Command) *tree {
+	t := &tree{globals: new(Globals)}
+	t.parser = flags.NewNamedParser("beryl", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := t.parser.AddGroup("Global options", "", t.globals); err != nil {
+		panic(fmt.Sprintf("cmds: global options: %v", err))
+	}
+	t.root = &node{command: &Command{Name: "beryl", Short: rootShort, Long: rootLong}, parsed: t.parser.Command}
+	for i := range commands {
+		t.root.add(&commands[i])
+	}
+	return t
+}
+
+// add makes the command a child of the node.
+func (n *node) add(c *Command) {
+	child := &node{parent: n, command: c}
+	data := any(&struct{}{})
+	if c.New != nil {
+		child.runner = boundedRunner{c.New()}
+		data = child.runner.Runner
+	}
+	parsed, err := n.parsed.AddCommand(c.Name, c.Short, c.Long, data)
+	if err != nil {
+		panic(fmt.Sprintf("cmds: command %q: %v", c.Name, err))
+	}
+	parsed.Aliases = c.Aliases
+	parsed.Hidden = c.Hidden
+	child.parsed = parsed
+	n.nodes = append(n.nodes, child)
+	for i := range c.Children {
+		child.add(&c.Children[i])
+	}
+}
+
+// active returns the node of the command that the arguments named.
+func (t *tree) active() *node {
+	n := t.root
+	for n.parsed.Active != nil {
+		i := slices.IndexFunc(n.nodes, func(child *node) bool { return child.parsed == n.parsed.Active })
+		if i < 0 {
+			return n
+		}
+		n = n.nodes[i]
+	}
+	return n
+}
--- a/internal/logs/redact.go
+++ b/internal/logs/redact.go
@@ -25,8 +25,8 @@
 	return Redact(value)
 }
 
-// keyPrefix starts every key that "beryl key new" makes.
-const keyPrefix = "beryl-"
+// keyPrefix starts every key that operators make with "beryl key new".
+const keyPrefix = "beryl-key-"
 
 // bearerPrefix comes before a key in an Authorization header.
 const bearerPrefix = "bearer "
--- /dev/null
+++ b/internal/opsvc/opsvc.go
@@ -0,0 +1,127 @@
+// Package opsvc does what operators ask for: it reads the folded streams, and
+// proposes changes and waits until they are decided. It knows nothing of
+// command lines.
+package opsvc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/beryllanding/beryllanding/pkg/fold"
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/logsvc"
+)
+
+// ErrNotFound reports a name that does not exist. Test for it with errors.Is.
+var ErrNotFound = errors.New("not found")
+
+// ErrPlatform reports that a service of the platform, or an instance, did not
+// answer. Test for it with errors.Is.
+var ErrPlatform = errors.New("no answer")
+
+// Service does the operators' queries and commands. Log is required, the other
+// fields as the methods say. It is safe for concurrent use.
+type Service struct {
+	Log logsvc.Service
+	// Operator is the name that changes carry.
+	Operator string
+	// Shards is the number of budget streams; 0 stands for 1.
+	Shards int
+	// NewID makes the ids of proposals; nil stands for ident.NewRequest.
+	NewID func() string
+}
+
+// Outcome says what became of a proposal.
+type Outcome string
+
+// The outcomes of a proposal.
+const (
+	// Accepted: the proposal is in force.
+	Accepted Outcome = "accepted"
+	// Conflict: the proposal was based on an older state, and had no effect.
+	Conflict Outcome = "conflict"
+	// Invalid: the proposal broke an invariant, and had no effect.
+	Invalid Outcome = "invalid"
+	// NotAppended: the log service refused the proposal. It had no effect and
+	// will have none.
+	NotAppended Outcome = "not-appended"
+	// Unknown: the proposal may or may not take effect. The same command with
+	// the same id tells, and does nothing twice.
+	Unknown Outcome = "unknown"
+)
+
+func (s *Service) newID() string {
+	if s.NewID != nil {
+		return s.NewID()
+	}
+	return ident.NewRequest()
+}
+
+// catchUp folds a stream into the machine up to its present end.
+func (s *Service) catchUp(ctx context.Context, stream string, m fold.Machine) (*fold.Follower, error) {
+	f := &fold.Follower{Log: s.Log, Stream: stream, Reader: fold.Reader{Machine: m}}
+	if err := f.CatchUp(ctx); err != nil {
+		return nil, fmt.Errorf("stream %q: %w", stream, err)
+	}
+	return f, nil
+}
+
+// decide proposes an item and blocks until the folded state shows what became
+// of it, or the context ends. The item is sent again until the log service has
+// confirmed it; the fold ignores the copies. decided runs under the follower's
+// lock.
+//
+// The outcome is "" where it was decided, else NotAppended or Unknown.
+func (s *Service) decide(ctx context.Context, f *fold.Follower, item fold.Item, decided func() bool) Outcome {
+	watched := &appendWatch{Service: s.Log}
+	w := &fold.Writer{Log: watched, Stream: f.Stream, Name: string(ident.NewIncarnation("beryl"))}
+	running, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { f.Run(running) })
+	wg.Go(func() { w.Run(running) })
+	w.Propose(item, nil)
+	err := f.Wait(ctx, func(*fold.Reader) bool { return decided() })
+	stop()
+	wg.Wait()
+	if err == nil {
+		return ""
+	}
+	if watched.mayHaveAppended() {
+		return Unknown
+	}
+	return NotAppended
+}
+
+// appendWatch notes whether any append may have taken effect.
+type appendWatch struct {
+	logsvc.Service
+
+	mu       sync.Mutex
+	appended bool
+}
+
+// Append passes the record on.
+func (a *appendWatch) Append(ctx context.Context, stream string, data []byte) (logsvc.Offset, error) {
+	at, err := a.Service.Append(ctx, stream, data)
+	if !withoutEffect(err) {
+		a.mu.Lock()
+		a.appended = true
+		a.mu.Unlock()
+	}
+	return at, err
+}
+
+func (a *appendWatch) mayHaveAppended() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.appended
+}
+
+// withoutEffect reports whether the error says that nothing was appended.
+func withoutEffect(err error) bool {
+	return errors.Is(err, logsvc.ErrUnavailable) ||
+		errors.Is(err, logsvc.ErrRateLimited) ||
+		errors.Is(err, logsvc.ErrTooLarge)
+}
--- a/pkg/catal/state.go
+++ b/pkg/catal/state.go
@@ -15,6 +15,13 @@
 // forgotten in the order of the log.
 const maxTombstones = 4096
 
+const (
+	// maxIDLen bounds the id of a change, in bytes.
+	maxIDLen = 128
+	// maxOperatorLen bounds the operator of a change, in bytes.
+	maxOperatorLen = 128
+)
+
 // State is the catalogue. It is a fold.Machine; the zero value is empty. Apply,
 // Snapshot and Restore exclude one another, as the follower's lock makes them;
 // queries may run at any time, also while a change is applied.
@@ -103,10 +110,10 @@
 	if old != nil && old.At >= at {
 		return []string{fmt.Sprintf("base %d is not an offset before the change", c.Base)}
 	}
+	faults := checkLengths(c)
 	if c.Entry == nil {
-		return checkDelete(old, c.Delete)
+		return append(faults, checkDelete(old, c.Delete)...)
 	}
-	var faults []string
 	var invalid *InvalidError
 	if errors.As(Validate(c.Entry), &invalid) {
 		faults = invalid.Faults
@@ -117,6 +124,18 @@
 	return faults
 }
 
+// checkLengths bounds the strings that are kept for every record.
+func checkLengths(c *Change) []string {
+	var faults []string
+	if len(c.ID) > maxIDLen {
+		faults = append(faults, fmt.Sprintf("change id has %d bytes, expected up to %d", len(c.ID), maxIDLen))
+	}
+	if len(c.Operator) > maxOperatorLen {
+		faults = append(faults, fmt.Sprintf("operator has %d bytes, expected up to %d", len(c.Operator), maxOperatorLen))
+	}
+	return faults
+}
+
 func checkDelete(old *Record, name string) []string {
 	if old == nil || old.Entry == nil {
 		return []string{fmt.Sprintf("entry %q does not exist", name)}
