--- a/pkg/catal/snap.go
+++ b/pkg/catal/snap.go
@@ -109,7 +109,7 @@
 		if verdict == nil {
 			return nil, fmt.Errorf("catalogue snapshot has no verdict for change %q", body.ID)
 		}
-		v.add(body.ID, verdict)
+		v.add(body.ID, verdict, len(snap.Verdicts))
 	}
 	return &v, nil
 }
--- a/pkg/catal/state.go
+++ b/pkg/catal/state.go
@@ -11,9 +11,9 @@
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
 )
 
-// maxTombstones bounds the deletions that are remembered. Older ones are
-// forgotten in the order of the log.
-const maxTombstones = 4096
+// defaultMemory bounds the verdicts, and the deletions, that are remembered.
+// Older ones are forgotten in the order of the log.
+const defaultMemory = 4096
 
 const (
 	// maxIDLen bounds the id of a change, in bytes.
@@ -34,6 +34,16 @@
 	tombstones []string
 	// floor is the offset of the latest deletion that was forgotten.
 	floor logsvc.Offset
+	// memory stands for defaultMemory where it is 0. All states of a stream
+	// must have the same.
+	memory int
+}
+
+func (s *State) remembered() int {
+	if s.memory > 0 {
+		return s.memory
+	}
+	return defaultMemory
 }
 
 // tables index the records.
@@ -63,7 +73,7 @@
 	if s.verdicts.get(c.ID) != nil {
 		return
 	}
-	s.verdicts.add(c.ID, s.decide(at.Offset, &c))
+	s.verdicts.add(c.ID, s.decide(at.Offset, &c), s.remembered())
 }
 
 // decide returns the verdict on a change, and puts it in force where it is
@@ -181,7 +191,7 @@
 	if r.Entry == nil {
 		s.tombstones = append(s.tombstones, r.Name)
 	}
-	if len(s.tombstones) > maxTombstones {
+	if len(s.tombstones) > s.remembered() {
 		s.forget(s.tombstones[0])
 		s.tombstones = slices.Delete(s.tombstones, 0, 1)
 	}
--- a/pkg/catal/verdict.go
+++ b/pkg/catal/verdict.go
@@ -2,10 +2,6 @@
 
 import "sync"
 
-// maxVerdicts bounds the verdicts that are remembered. Older ones are forgotten
-// in the order of the log.
-const maxVerdicts = 4096
-
 // verdicts remembers the latest verdicts by the id of their change. The zero
 // value is empty. It is safe for concurrent use.
 type verdicts struct {
@@ -21,7 +17,8 @@
 	return v.byID[id]
 }
 
-func (v *verdicts) add(id string, verdict Verdict) {
+// add remembers a verdict, and forgets the oldest above the limit.
+func (v *verdicts) add(id string, verdict Verdict, limit int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.byID == nil {
@@ -29,7 +26,7 @@
 	}
 	v.byID[id] = verdict
 	v.order = append(v.order, id)
-	if len(v.order) > maxVerdicts {
+	if len(v.order) > limit {
 		delete(v.byID, v.order[0])
 		v.order = v.order[1:]
 	}
