pkg/ledger, pkg/slice, internal/budget: state, decisions and service

A thin version of the budget's whole path, without tests yet: the fold of a budget stream, the pure decisions of a holder, and the input and output around them, with the API that the entry instance calls.

--- /dev/null
+++ b/internal/budget/service.go
@@ -0,0 +1,284 @@
+// Package budget does the input and output around the budget decisions: it
+// follows the budget streams, proposes grants and returns, moves tokens between
+// peers and lets a request wait, for a bounded time, for tokens on their way.
+package budget
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/fold"
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+	"github.com/beryllanding/beryllanding/pkg/logsvc"
+	"github.com/beryllanding/beryllanding/pkg/slice"
+)
+
+const (
+	// DefaultWait bounds how long a request waits for tokens on their way.
+	DefaultWait = 400 * time.Millisecond
+	// DefaultPlanEvery is the pause between two plans over all budgets.
+	DefaultPlanEvery = 250 * time.Millisecond
+	// DefaultFresh is the age up to which the folded state counts as current. A
+	// read of a quiet stream takes up to two seconds to answer.
+	DefaultFresh = 5 * time.Second
+	// DefaultCheckpointEvery is the number of records between two checkpoints.
+	DefaultCheckpointEvery = 4096
+	// defaultRetryAfter is what a refused caller is told to wait.
+	defaultRetryAfter = 2 * time.Second
+	// transferTimeout bounds one attempt at a transfer.
+	transferTimeout = 100 * time.Millisecond
+)
+
+// Options configures a Service. Log and Instance are required.
+type Options struct {
+	Log logsvc.Service
+	// Instance is the name of the entry instance, and starts its incarnations.
+	Instance string
+	// Holder is the first incarnation; empty makes a new one.
+	Holder ident.Incarnation
+	// Shards is the number of budget streams; 0 is one.
+	Shards int
+	Policy slice.Policy
+	// Wait bounds how long Reserve waits; 0 is DefaultWait.
+	Wait time.Duration
+	// PlanEvery is the pause between plans; 0 is DefaultPlanEvery.
+	PlanEvery time.Duration
+	// Fresh is the age up to which the fold is current; 0 is DefaultFresh.
+	Fresh time.Duration
+	// CheckpointEvery is the number of records between checkpoints; 0 is
+	// DefaultCheckpointEvery.
+	CheckpointEvery uint64
+	// Group is how long proposals are collected for one append; 0 is
+	// fold.DefaultGroup.
+	Group time.Duration
+	// Peers returns the other entry instances that may be reachable. It is
+	// optional.
+	Peers func() []wire.PeerClient
+}
+
+// Service is the budget side of an entry instance. It is safe for concurrent
+// use.
+type Service struct {
+	opts   Options
+	holder *slice.Holder
+	shards []*shard
+	now    func() time.Time
+	// kick wakes the planner before its time.
+	kick chan struct{}
+
+	mu       sync.Mutex
+	gathers  map[string]*gather
+	deferred map[string][]Ticket
+	stopping bool
+}
+
+// shard is one budget stream.
+type shard struct {
+	index    int
+	follower *fold.Follower
+	state    *ledger.State
+	writer   *fold.Writer
+	// restores is the reader's count of restores at the last look.
+	restores uint64
+	// decided collects verdicts that concern this instance, in the order of the
+	// stream. It is guarded by the follower's lock.
+	decided []ledger.Decision
+	// checkpointAt is the offset after which this instance appends a checkpoint.
+	checkpointAt logsvc.Offset
+}
+
+// New returns a service that does nothing until Run.
+func New(opts Options) *Service {
+	setDefaults(&opts)
+	s := &Service{
+		opts:     opts,
+		holder:   slice.New(opts.Holder, opts.Policy),
+		now:      time.Now,
+		kick:     make(chan struct{}, 1),
+		gathers:  make(map[string]*gather),
+		deferred: make(map[string][]Ticket),
+	}
+	for i := range opts.Shards {
+		s.shards = append(s.shards, s.newShard(i))
+	}
+	return s
+}
+
+func setDefaults(o *Options) {
+	if o.Holder == "" {
+		o.Holder = ident.NewIncarnation(o.Instance)
+	}
+	o.Shards = max(1, o.Shards)
+	orDefault(&o.Wait, DefaultWait)
+	orDefault(&o.PlanEvery, DefaultPlanEvery)
+	orDefault(&o.Fresh, DefaultFresh)
+	orDefault(&o.CheckpointEvery, DefaultCheckpointEvery)
+}
+
+// orDefault sets a zero value to its default.
+func orDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+func (s *Service) newShard(i int) *shard {
+	sh := &shard{index: i, state: &ledger.State{}}
+	stream := ledger.Stream(i)
+	sh.state.OnDecision = func(d ledger.Decision) { s.noteDecision(sh, d) }
+	sh.follower = &fold.Follower{
+		Log:     s.opts.Log,
+		Stream:  stream,
+		Reader:  fold.Reader{Machine: sh.state},
+		OnApply: func() { s.onApply(sh) },
+	}
+	// The name must never be used again, also not when the holder goes on as a
+	// new incarnation within this process.
+	name := string(s.opts.Holder) + "/" + stream
+	sh.writer = &fold.Writer{Log: s.opts.Log, Stream: stream, Name: name, Group: s.opts.Group}
+	sh.checkpointAt = s.nextCheckpoint(0)
+	return sh
+}
+
+// ShardOf returns the shard of a budget among n.
+func ShardOf(budget string, n int) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(budget)) // never fails, as hash.Hash documents
+	return int(h.Sum32() % uint32(n))
+}
+
+func (s *Service) shardOf(budget string) *shard {
+	return s.shards[ShardOf(budget, len(s.shards))]
+}
+
+// Run follows the streams, and plans, until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	var g errgroup.Group
+	for _, sh := range s.shards {
+		g.Go(func() error { sh.follower.Run(ctx); return nil })
+		g.Go(func() error { sh.writer.Run(ctx); return nil })
+	}
+	g.Go(func() error { s.planLoop(ctx); return nil })
+	_ = g.Wait() // the functions return no errors
+}
+
+func (s *Service) planLoop(ctx context.Context) {
+	tick := time.NewTicker(s.opts.PlanEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-s.kick:
+		}
+		s.planAll(ctx)
+		s.checkpoint()
+	}
+}
+
+// planAll carries out the plan for every budget.
+func (s *Service) planAll(ctx context.Context) {
+	if s.isStopping() {
+		return
+	}
+	now := s.now()
+	for _, h := range s.holder.Holdings() {
+		s.sync(h.Budget)
+	}
+	for _, e := range s.holder.Plan(now) {
+		s.carryOut(ctx, e)
+	}
+}
+
+// carryOut starts an effect and does not wait for it.
+func (s *Service) carryOut(ctx context.Context, e slice.Effect) {
+	switch e := e.(type) {
+	case slice.ProposeGrant:
+		s.propose(e.Budget, ledger.Grant{Budget: e.Budget, Holder: e.Holder, Tokens: e.Tokens})
+	case slice.ProposeReturn:
+		s.propose(e.Budget, ledger.Return{Budget: e.Budget, Holder: e.Holder, Tokens: e.Tokens})
+	case slice.AskPeers:
+		go s.askPeers(ctx, e)
+	}
+}
+
+func (s *Service) propose(budget string, item ledger.Item) {
+	s.shardOf(budget).writer.Propose(ledger.Encode(item), nil)
+}
+
+// Stop gives back all tokens that are not reserved and waits until that is on
+// the log or the context ends. Run must still be running.
+func (s *Service) Stop(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
+	for _, e := range s.holder.ReturnAll() {
+		s.carryOut(ctx, e)
+	}
+	for _, sh := range s.shards {
+		if err := sh.writer.Flush(ctx); err != nil {
+			return fmt.Errorf("returning the slices of %q on stream %q: %w", s.Holder(), sh.follower.Stream, err)
+		}
+	}
+	return nil
+}
+
+func (s *Service) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
+// nextCheckpoint returns the offset after which to append a checkpoint: a part
+// at random, so that few instances race.
+func (s *Service) nextCheckpoint(last logsvc.Offset) logsvc.Offset {
+	every := s.opts.CheckpointEvery
+	return last + logsvc.Offset(every+rand.Uint64N(every/2+1))
+}
+
+// checkpoint appends a checkpoint on each shard that is due.
+func (s *Service) checkpoint() {
+	for _, sh := range s.shards {
+		if cp, due := s.checkpointDue(sh); due {
+			s.appendCheckpoint(sh, cp)
+		}
+	}
+}
+
+func (s *Service) checkpointDue(sh *shard) (cp fold.Checkpoint, due bool) {
+	sh.follower.View(func(r *fold.Reader) {
+		if r.Stale() || r.Offset() < sh.checkpointAt {
+			return
+		}
+		last := r.LastCheckpoint()
+		sh.checkpointAt = s.nextCheckpoint(last)
+		if r.Offset() < sh.checkpointAt {
+			return // a peer was faster
+		}
+		var err error
+		cp, err = r.Checkpoint()
+		due = err == nil
+		sh.checkpointAt = s.nextCheckpoint(r.Offset())
+	})
+	return cp, due
+}
+
+func (s *Service) appendCheckpoint(sh *shard, cp fold.Checkpoint) {
+	chunks, err := cp.Chunks()
+	if err != nil {
+		return // only a state that cannot be encoded, which New rules out
+	}
+	for _, c := range chunks {
+		sh.writer.Propose(c, nil)
+	}
+}
--- /dev/null
+++ b/pkg/ledger/state.go
@@ -0,0 +1,170 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/logsvc"
+)
+
+const (
+	// MaxTokens bounds the tokens of one item and those paid for one budget, so
+	// that no sum of two overflows.
+	MaxTokens Tokens = 1 << 52
+	// billWindow is the number of usages whose request ids are remembered. A
+	// second usage for an id is recognised while fewer than this many others
+	// were folded in between. It counts usages, not seconds, since the clocks of
+	// the writers are no part of the fold.
+	billWindow = 1 << 16
+	// closedWindow is the number of reclaimed holders that are remembered. A
+	// grant to a holder forgotten since would hold, and its tokens could not be
+	// spent, because the fleet stream still has the holder as closed.
+	closedWindow = 1 << 14
+)
+
+// State is the folded state of one budget stream. The zero value is the state
+// before the first record. It implements fold.Machine and is not safe for
+// concurrent use.
+//
+// For each budget, at every position: billed <= granted net <= paid.
+type State struct {
+	// OnDecision is called for each well-formed item that was applied, with the
+	// fold's verdict. It is optional and must not use the state.
+	OnDecision func(Decision)
+	// Stats only grows.
+	Stats Stats
+
+	budgets map[string]*account
+	topUps  map[string]struct{}
+	closed  closedHolders
+	bills   billMemory
+}
+
+// account is the state of one budget.
+type account struct {
+	// paid is the sum of the top-ups that held.
+	paid Tokens
+	// net is granted - returned - reclaimed over all slices, forgotten ones
+	// included. It never exceeds paid.
+	net Tokens
+	// billed is the sum of all bills. It never exceeds net.
+	billed Tokens
+	slices map[ident.Incarnation]Slice
+}
+
+// Slice is what was granted of one budget to one holder.
+type Slice struct {
+	Granted  Tokens `json:"granted"`
+	Returned Tokens `json:"returned"`
+	Billed   Tokens `json:"billed"`
+}
+
+// Left returns the tokens that can still be billed to the slice.
+func (s Slice) Left() Tokens { return s.Granted - s.Returned - s.Billed }
+
+// Stats counts items by what the fold made of them.
+type Stats struct {
+	Applied   uint64 `json:"applied"`
+	Malformed uint64 `json:"malformed"`
+	// Refused counts grants and top-ups that did not hold.
+	Refused uint64 `json:"refused"`
+	// Repeated counts usages and top-ups whose id had taken effect before.
+	Repeated uint64 `json:"repeated"`
+	// Overdrawn counts usages above what their charges' slices had left, and
+	// OverdrawnTokens the tokens that were therefore not billed. Both stay 0
+	// while holders and side processes keep their rules.
+	Overdrawn       uint64 `json:"overdrawn"`
+	OverdrawnTokens Tokens `json:"overdrawn-tokens"`
+	// ClosedCharges counts charges to reclaimed holders, which bill nothing.
+	ClosedCharges uint64 `json:"closed-charges"`
+}
+
+// closedHolders remembers the last closedWindow reclaimed holders.
+type closedHolders struct {
+	fleet map[ident.Incarnation]logsvc.Offset
+	order []ident.Incarnation
+}
+
+// add remembers a holder and forgets the oldest one over the bound.
+func (c *closedHolders) add(holder ident.Incarnation, fleet logsvc.Offset) {
+	if c.fleet == nil {
+		c.fleet = make(map[ident.Incarnation]logsvc.Offset)
+	}
+	c.fleet[holder] = fleet
+	c.order = append(c.order, holder)
+	if len(c.order) > closedWindow {
+		delete(c.fleet, c.order[0])
+		c.order = c.order[1:]
+	}
+}
+
+func (c *closedHolders) has(holder ident.Incarnation) bool {
+	_, ok := c.fleet[holder]
+	return ok
+}
+
+// Budget is the public view of one budget.
+type Budget struct {
+	Name string `json:"name"`
+	Paid Tokens `json:"paid"`
+	// Granted is what holders were given, less what came back.
+	Granted Tokens `json:"granted"`
+	Billed  Tokens `json:"billed"`
+	// Free is paid and not granted.
+	Free Tokens `json:"free"`
+	// Holders is the number of slices with tokens left.
+	Holders int `json:"holders"`
+}
+
+// Balance returns the tokens paid for and not billed.
+func (b Budget) Balance() Tokens { return b.Paid - b.Billed }
+
+// Budget returns a budget, and whether it exists.
+func (s *State) Budget(name string) (Budget, bool) {
+	a, ok := s.budgets[name]
+	if !ok {
+		return Budget{Name: name}, false
+	}
+	return a.view(name), true
+}
+
+func (a *account) view(name string) Budget {
+	b := Budget{Name: name, Paid: a.paid, Granted: a.net, Billed: a.billed, Free: a.paid - a.net}
+	for _, sl := range a.slices {
+		if sl.Left() > 0 {
+			b.Holders++
+		}
+	}
+	return b
+}
+
+// Budgets returns the names of all budgets, sorted.
+func (s *State) Budgets() []string { return slices.Sorted(maps.Keys(s.budgets)) }
+
+// Slice returns a holder's slice of a budget, and whether it exists. The slices
+// of a reclaimed holder no longer exist.
+func (s *State) Slice(budget string, holder ident.Incarnation) (Slice, bool) {
+	a, ok := s.budgets[budget]
+	if !ok {
+		return Slice{}, false
+	}
+	sl, ok := a.slices[holder]
+	return sl, ok
+}
+
+// Holders returns the holders that have a slice of the budget, sorted.
+func (s *State) Holders(budget string) []ident.Incarnation {
+	a, ok := s.budgets[budget]
+	if !ok {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(a.slices))
+}
+
+// Reclaimed reports whether the holder's slices were reclaimed.
+func (s *State) Reclaimed(holder ident.Incarnation) bool { return s.closed.has(holder) }
+
+// Billed returns the bill of a request, if it is in the window of remembered
+// bills.
+func (s *State) Billed(request string) (Bill, bool) { return s.bills.get(request) }
--- /dev/null
+++ b/pkg/slice/admit.go
@@ -0,0 +1,124 @@
+package slice
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+)
+
+// Reserve takes tokens for a request under a new ticket id. It returns ErrDry,
+// and notes the lack for the next plan, where the free lots do not cover them.
+func (h *Holder) Reserve(id, budget string, tokens ledger.Tokens, now time.Time) ([]ledger.Charge, error) {
+	if tokens <= 0 || tokens > ledger.MaxTokens {
+		return nil, fmt.Errorf("reservation of %d tokens on budget %q is not between 1 and %d", tokens, budget, ledger.MaxTokens)
+	}
+	tokens = h.Policy.withMargin(tokens)
+	var charges []ledger.Charge
+	var err error
+	h.with(budget, func(_ *shard, b *book) {
+		charges, err = b.reserve(id, tokens, now)
+	})
+	return charges, err
+}
+
+func (b *book) reserve(id string, tokens ledger.Tokens, now time.Time) ([]ledger.Charge, error) {
+	if _, ok := b.tickets[id]; ok {
+		return nil, ErrKnown
+	}
+	b.need.asked(b.reserved+tokens, now)
+	if b.free < tokens {
+		b.lack(id, tokens)
+		return nil, ErrDry
+	}
+	delete(b.lacking, id)
+	charges := b.draw(tokens)
+	b.reserved += tokens
+	if b.tickets == nil {
+		b.tickets = make(map[string][]ledger.Charge)
+	}
+	b.tickets[id] = charges
+	return charges, nil
+}
+
+// lack notes a reservation that the free lots do not cover.
+func (b *book) lack(id string, tokens ledger.Tokens) {
+	if b.lacking == nil {
+		b.lacking = make(map[string]ledger.Tokens)
+	}
+	b.lacking[id] = tokens
+}
+
+// Settle ends a ticket: what was not used goes back to the lots that it came
+// from. used is bounded by the ticket for each holder. The second settlement of
+// a ticket has no effect.
+func (h *Holder) Settle(id, budget string, used []ledger.Charge, now time.Time) {
+	h.with(budget, func(_ *shard, b *book) {
+		charges, ok := b.tickets[id]
+		if !ok {
+			return
+		}
+		delete(b.tickets, id)
+		b.reserved -= sum(charges)
+		spent := h.unreserve(b, charges, used)
+		b.need.used(spent, now)
+	})
+}
+
+// unreserve puts back what is left of the charges after use, and returns the
+// tokens used. Tokens of closed holders are dropped.
+func (h *Holder) unreserve(b *book, charges, used []ledger.Charge) ledger.Tokens {
+	byHolder := make(map[ident.Incarnation]ledger.Tokens, len(used))
+	for _, c := range used {
+		byHolder[c.Holder] += max(0, c.Tokens)
+	}
+	var spent ledger.Tokens
+	for _, c := range charges {
+		n := min(c.Tokens, byHolder[c.Holder])
+		byHolder[c.Holder] -= n
+		spent += n
+		if !h.isClosed(c.Holder) {
+			b.put(c.Holder, c.Tokens-n)
+		}
+	}
+	return spent
+}
+
+// Cancel ends a ticket of which nothing was or will be used.
+func (h *Holder) Cancel(id, budget string, now time.Time) {
+	h.Settle(id, budget, nil, now)
+}
+
+// Ticket returns the charges of an open ticket.
+func (h *Holder) Ticket(id, budget string) ([]ledger.Charge, bool) {
+	var charges []ledger.Charge
+	var ok bool
+	h.with(budget, func(_ *shard, b *book) {
+		charges, ok = b.tickets[id]
+	})
+	return charges, ok
+}
+
+// CloseHolder drops the lots of a closed holder. Where that is the holder's own
+// incarnation, it goes on as next.
+func (h *Holder) CloseHolder(closed, next ident.Incarnation) {
+	h.mu.Lock()
+	h.closed[closed] = struct{}{}
+	if h.own == closed {
+		h.own = next
+	}
+	own := h.own
+	h.mu.Unlock()
+	h.each(func(_ string, b *book) {
+		b.drop(closed)
+		if b.own == closed {
+			b.own = own
+			b.credited = 0
+			b.pending = 0
+		}
+	})
+}
+
+// Closed reports whether the holder was closed.
+func (h *Holder) Closed(holder ident.Incarnation) bool { return h.isClosed(holder) }
--- /dev/null
+++ b/pkg/slice/peer.go
@@ -0,0 +1,136 @@
+package slice
+
+import (
+	"time"
+
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+)
+
+// Give hands free tokens of a budget over to a peer and debits them first. The
+// same id yields the same answer. It gives up to tokens, and possibly nothing.
+func (h *Holder) Give(id, budget string, tokens ledger.Tokens, now time.Time) []ledger.Charge {
+	var charges []ledger.Charge
+	h.with(budget, func(s *shard, b *book) {
+		var known bool
+		if charges, known = s.given[id]; known {
+			return
+		}
+		n := h.Policy.giving(b, tokens, now)
+		if n > 0 {
+			charges = b.draw(n)
+		}
+		s.rememberGiven(id, charges)
+	})
+	return charges
+}
+
+func (s *shard) rememberGiven(id string, charges []ledger.Charge) {
+	if s.given == nil {
+		s.given = make(map[string][]ledger.Charge)
+	}
+	s.given[id] = charges
+	if len(s.givenOrder) < givenWindow {
+		s.givenOrder = append(s.givenOrder, id)
+		return
+	}
+	delete(s.given, s.givenOrder[s.givenNext])
+	s.givenOrder[s.givenNext] = id
+	s.givenNext = (s.givenNext + 1) % givenWindow
+}
+
+// Ask notes that a transfer is asked for under the id.
+func (h *Holder) Ask(id, budget string) {
+	h.with(budget, func(_ *shard, b *book) {
+		if b.asks == nil {
+			b.asks = make(map[string]struct{})
+		}
+		b.asks[id] = struct{}{}
+	})
+}
+
+// Take credits the answer to a transfer, once for each id that was asked for.
+// It returns the tokens credited. No charges mean a refusal.
+func (h *Holder) Take(id, budget string, charges []ledger.Charge) ledger.Tokens {
+	var taken ledger.Tokens
+	h.with(budget, func(_ *shard, b *book) {
+		if _, ok := b.asks[id]; !ok {
+			return
+		}
+		delete(b.asks, id)
+		for _, c := range charges {
+			if c.Tokens <= 0 || h.isClosed(c.Holder) {
+				continue
+			}
+			b.put(c.Holder, c.Tokens)
+			taken += c.Tokens
+		}
+	})
+	return taken
+}
+
+// Granted credits a grant that held in the fold.
+func (h *Holder) Granted(budget string, holder ident.Incarnation, tokens ledger.Tokens) {
+	h.with(budget, func(_ *shard, b *book) {
+		if b.own != holder || h.isClosed(holder) {
+			return
+		}
+		b.credited += tokens
+		b.put(holder, tokens)
+		b.pending = max(0, b.pending-tokens)
+	})
+}
+
+// Refused notes that a proposed grant did not hold.
+func (h *Holder) Refused(budget string, holder ident.Incarnation, tokens ledger.Tokens) {
+	h.with(budget, func(_ *shard, b *book) {
+		if b.own == holder {
+			b.pending = max(0, b.pending-tokens)
+		}
+	})
+}
+
+// Sync takes over what the fold shows of a budget. Grants that the fold folded
+// out of sight, behind a checkpoint, are credited by the cumulative amount.
+func (h *Holder) Sync(budget string, seen Seen) {
+	h.with(budget, func(_ *shard, b *book) {
+		b.seen = seen
+		if seen.Own != b.own || h.isClosed(b.own) {
+			return
+		}
+		if missed := seen.Granted - b.credited; missed > 0 {
+			b.credited += missed
+			b.put(b.own, missed)
+			b.pending = max(0, b.pending-missed)
+		}
+	})
+}
+
+// Forget clears what is pending after the reader jumped to a checkpoint: the
+// verdicts in between will not be seen.
+func (h *Holder) Forget() {
+	h.each(func(_ string, b *book) { b.pending = 0 })
+}
+
+// ReturnAll debits all free tokens and returns them as effects, for a planned
+// stop.
+func (h *Holder) ReturnAll() []Effect {
+	var effects []Effect
+	h.each(func(name string, b *book) {
+		effects = append(effects, b.giveBack(name, b.free)...)
+	})
+	return effects
+}
+
+// giveBack debits n free tokens and returns the proposals that give them back
+// to the slices they are charged to.
+func (b *book) giveBack(name string, n ledger.Tokens) []Effect {
+	if n <= 0 {
+		return nil
+	}
+	var effects []Effect
+	for _, c := range b.draw(n) {
+		effects = append(effects, ProposeReturn{Budget: name, Holder: c.Holder, Tokens: c.Tokens})
+	}
+	return effects
+}
--- /dev/null
+++ b/pkg/slice/policy.go
@@ -0,0 +1,168 @@
+package slice
+
+import (
+	"math"
+	"time"
+
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+)
+
+// Policy holds the settings that size slices. They weigh false refusals against
+// tokens bound at holders; no setting can cause overspend. A zero field stands
+// for its default, unless its comment says otherwise.
+type Policy struct {
+	// Horizon is the time of demand that a slice is sized for: how long the log
+	// may be out of reach without a refusal.
+	Horizon time.Duration
+	// LowWater is the share of the wanted level under which a slice is renewed.
+	LowWater float64
+	// Floor is the least wanted level of a slice in use, in tokens.
+	Floor ledger.Tokens
+	// Share bounds the wanted level near exhaustion: Share x the tokens not yet
+	// granted / the holders of the budget. Negative is no bound.
+	Share float64
+	// IdleReturn is the time without a request after which a slice is given
+	// back. Negative is never.
+	IdleReturn time.Duration
+	// NoTransfer turns off transfers between peers.
+	NoTransfer bool
+	// Weight says what the operator minds most: 0 false refusals, 1 overspend.
+	// It raises every reservation by Weight x marginShare, against targets whose
+	// work exceeds its bound, and shortens the horizon, so that fewer tokens are
+	// bound where they cannot be seen.
+	Weight float64
+}
+
+const (
+	// DefaultHorizon is the horizon of the zero policy.
+	DefaultHorizon = 10 * time.Minute
+	// DefaultLowWater is the low-water share of the zero policy.
+	DefaultLowWater = 0.5
+	// DefaultFloor is the floor of the zero policy, in tokens.
+	DefaultFloor ledger.Tokens = 8192
+	// DefaultShare is the share of the zero policy.
+	DefaultShare = 0.5
+	// DefaultIdleReturn is the idle time of the zero policy.
+	DefaultIdleReturn = 5 * time.Minute
+
+	// marginShare is the part by which a reservation is raised at Weight 1.
+	marginShare = 0.05
+	// weightHorizon is the part of the horizon that is cut at Weight 1.
+	weightHorizon = 0.5
+	// rateTime is the time constant of the demand's rate.
+	rateTime = 60 * time.Second
+	// peakTime is the time constant by which the peak decays.
+	peakTime = 5 * time.Minute
+	// surplus is the multiple of the wanted level above which the rest is
+	// returned.
+	surplus = 2
+)
+
+func (p Policy) horizon() time.Duration {
+	d := p.Horizon
+	if d == 0 {
+		d = DefaultHorizon
+	}
+	return time.Duration(float64(d) * (1 - weightHorizon*p.weight()))
+}
+
+func (p Policy) weight() float64 { return min(1, max(0, p.Weight)) }
+
+func (p Policy) lowWater() float64 {
+	if p.LowWater == 0 {
+		return DefaultLowWater
+	}
+	return p.LowWater
+}
+
+func (p Policy) floor() ledger.Tokens {
+	if p.Floor == 0 {
+		return DefaultFloor
+	}
+	return p.Floor
+}
+
+func (p Policy) share() float64 {
+	if p.Share == 0 {
+		return DefaultShare
+	}
+	return p.Share
+}
+
+func (p Policy) idleReturn() time.Duration {
+	if p.IdleReturn == 0 {
+		return DefaultIdleReturn
+	}
+	return p.IdleReturn
+}
+
+// withMargin raises a reservation by the margin of the weight.
+func (p Policy) withMargin(n ledger.Tokens) ledger.Tokens {
+	margin := math.Ceil(float64(n) * marginShare * p.weight())
+	return min(ledger.MaxTokens, n+ledger.Tokens(margin))
+}
+
+// wanted returns the level of free tokens that the book should have.
+func (p Policy) wanted(b *book, now time.Time) ledger.Tokens {
+	level := max(b.need.level(p.horizon(), now), p.floor())
+	if p.share() > 0 {
+		level = min(level, p.cap(b))
+	}
+	return level
+}
+
+// cap returns the level that leaves enough ungranted for the other holders. It
+// counts the own free tokens in, so that a grant does not lower it.
+func (p Policy) cap(b *book) ledger.Tokens {
+	left := float64(b.seen.Free + b.free)
+	return ledger.Tokens(p.share() * left / float64(max(1, b.seen.Holders)))
+}
+
+// giving returns how many tokens a holder parts with when a peer asks.
+func (p Policy) giving(b *book, tokens ledger.Tokens, _ time.Time) ledger.Tokens {
+	if p.NoTransfer {
+		return 0
+	}
+	return max(0, min(tokens, b.free))
+}
+
+// demand estimates what a budget's requests need at one holder.
+type demand struct {
+	// rate is an average of the tokens used a second.
+	rate   float64
+	rateAt time.Time
+	// peak is the most that was reserved at once, decaying.
+	peak   float64
+	peakAt time.Time
+	// last is when the last request came.
+	last time.Time
+}
+
+// asked notes a reservation that brings the tokens reserved to n.
+func (d *demand) asked(n ledger.Tokens, now time.Time) {
+	d.peak = max(d.peakNow(now), float64(n))
+	d.peakAt = now
+	d.last = now
+}
+
+// used notes the tokens that a request used.
+func (d *demand) used(n ledger.Tokens, now time.Time) {
+	d.rate = d.rateNow(now) + float64(n)/rateTime.Seconds()
+	d.rateAt = now
+}
+
+func (d *demand) rateNow(now time.Time) float64 { return decayed(d.rate, d.rateAt, now, rateTime) }
+func (d *demand) peakNow(now time.Time) float64 { return decayed(d.peak, d.peakAt, now, peakTime) }
+
+// level returns the tokens needed over the horizon.
+func (d *demand) level(horizon time.Duration, now time.Time) ledger.Tokens {
+	return ledger.Tokens(d.peakNow(now) + d.rateNow(now)*horizon.Seconds())
+}
+
+// decayed returns v after an exponential decay since at.
+func decayed(v float64, at, now time.Time, constant time.Duration) float64 {
+	if v == 0 || !now.After(at) {
+		return v
+	}
+	return v * math.Exp(-now.Sub(at).Seconds()/constant.Seconds())
+}
