--- /dev/null
+++ b/internal/boot/debug.go
@@ -0,0 +1,50 @@
+package boot
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// debugHeaderTimeout bounds the time in which a client sends its headers.
+const debugHeaderTimeout = 5 * time.Second
+
+// debugServer serves the process's metrics and profiles. The variables are its
+// own and not those of the expvar package, so that several instances can live
+// in one process.
+type debugServer struct {
+	vars   *expvar.Map
+	server *http.Server
+}
+
+// newDebugServer returns a server of the given variables.
+func newDebugServer(vars *expvar.Map) *debugServer {
+	d := &debugServer{vars: vars}
+	r := mux.NewRouter()
+	r.HandleFunc("/debug/vars", d.serveVars)
+	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	r.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	r.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
+	d.server = &http.Server{Handler: r, ReadHeaderTimeout: debugHeaderTimeout}
+	return d
+}
+
+func (d *debugServer) serve(l net.Listener) { _ = d.server.Serve(l) }
+
+func (d *debugServer) stop(ctx context.Context) { _ = d.server.Shutdown(ctx) }
+
+// serveVars writes the variables, with those of the Go runtime.
+func (d *debugServer) serveVars(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	all := new(expvar.Map)
+	all.Set("beryl", d.vars)
+	if mem := expvar.Get("memstats"); mem != nil {
+		all.Set("memstats", mem)
+	}
+	_, _ = w.Write([]byte(all.String()))
+}
--- /dev/null
+++ b/internal/boot/fleet.go
@@ -0,0 +1,147 @@
+package boot
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/insts"
+	"github.com/beryllanding/beryllanding/pkg/route"
+)
+
+const (
+	// listEvery is the pause between two reads of the instance list.
+	listEvery = time.Second
+	// announceEvery is the pause between two announcements.
+	announceEvery = 3 * time.Second
+	// listTimeout bounds one call to the instance list.
+	listTimeout = 2 * time.Second
+)
+
+// members is what this process knows of the others: the instance list, read
+// again and again, and this instance's own announcement on it.
+type members struct {
+	client *insts.Client
+
+	mu   sync.Mutex
+	self insts.Instance
+	view insts.View
+	// onChange runs after each good read. It is optional.
+	onChange func()
+}
+
+// run reads the list and announces this instance until the context ends.
+func (m *members) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { every(ctx, listEvery, m.read) })
+	wg.Go(func() { every(ctx, announceEvery, m.announce) })
+	wg.Wait()
+}
+
+// read updates the view. A failed read leaves it as it is.
+func (m *members) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	list, err := m.client.List(ctx)
+	if err != nil {
+		return
+	}
+	m.mu.Lock()
+	m.view.Update(time.Now(), list)
+	m.mu.Unlock()
+	if m.onChange != nil {
+		m.onChange()
+	}
+}
+
+// announce puts this instance on the list, or keeps it there.
+func (m *members) announce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	m.mu.Lock()
+	self := m.self
+	m.mu.Unlock()
+	_ = m.client.Announce(ctx, self) // repeated by the next round
+}
+
+// leave announces that this instance takes no new work.
+func (m *members) leave(ctx context.Context) {
+	m.mu.Lock()
+	m.self.State = insts.Leaving
+	m.mu.Unlock()
+	m.announce(ctx)
+}
+
+// renew changes the incarnation that is announced, and reports whether it was
+// another one.
+func (m *members) renew(incarnation ident.Incarnation) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.self.Incarnation == incarnation {
+		return false
+	}
+	m.self.Incarnation = incarnation
+	return true
+}
+
+// withdraw takes this instance off the list.
+func (m *members) withdraw(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	m.mu.Lock()
+	name := m.self.Name
+	m.mu.Unlock()
+	_ = m.client.Withdraw(ctx, name) // the list drops it later by itself
+}
+
+// Targets returns the targets of a service as the list shows them.
+func (m *members) Targets(service string) []route.Target {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	sides := m.view.Sides(service)
+	targets := make([]route.Target, 0, len(sides))
+	for _, s := range sides {
+		targets = append(targets, route.Target{
+			Name:       s.Name,
+			DataCentre: s.DataCentre,
+			Address:    s.Addr,
+			Leaving:    s.State == insts.Leaving,
+		})
+	}
+	return targets
+}
+
+// routers returns the entry instances on the list and when it was read.
+func (m *members) routers() ([]insts.Instance, time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Routers(), m.view.At
+}
+
+// addresses returns the addresses of all listed side processes.
+func (m *members) addresses() map[string]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	addrs := make(map[string]bool)
+	for _, inst := range m.view.All() {
+		if inst.Role == insts.Side {
+			addrs[inst.Addr] = true
+		}
+	}
+	return addrs
+}
+
+// every calls fn at once and then after each pause until the context ends.
+func every(ctx context.Context, pause time.Duration, fn func(context.Context)) {
+	tick := time.NewTicker(pause)
+	defer tick.Stop()
+	for {
+		fn(ctx)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/boot/router.go
@@ -0,0 +1,277 @@
+// Package boot assembles the programs from their parts: what each instance runs,
+// in which order it starts, and how it stops.
+package boot
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/fx"
+	"google.golang.org/grpc"
+
+	"github.com/beryllanding/beryllanding/internal/budget"
+	"github.com/beryllanding/beryllanding/internal/config"
+	"github.com/beryllanding/beryllanding/internal/entry"
+	"github.com/beryllanding/beryllanding/internal/front"
+	"github.com/beryllanding/beryllanding/internal/logs"
+	"github.com/beryllanding/beryllanding/internal/reaper"
+	"github.com/beryllanding/beryllanding/internal/trace"
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/catal"
+	"github.com/beryllanding/beryllanding/pkg/fleet"
+	"github.com/beryllanding/beryllanding/pkg/fold"
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/insts"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+	"github.com/beryllanding/beryllanding/pkg/logsvc"
+	"github.com/beryllanding/beryllanding/pkg/slice"
+)
+
+const (
+	// StopTimeout bounds a planned stop: the longest request has to fit in.
+	StopTimeout = 15 * time.Minute
+	// returnTimeout bounds the return of the slices during a planned stop. What
+	// is not returned then is reclaimed once the list lacks the instance.
+	returnTimeout = 20 * time.Second
+	// reapEvery is the pause between two looks for holders that are gone.
+	reapEvery = 5 * time.Second
+)
+
+// Router is an entry instance in the making and running. Its parts are built by
+// NewRouter and started by Start.
+type Router struct {
+	Settings config.Router
+
+	logger  *log.Logger
+	tracing *trace.Tracing
+
+	catalogue *catalogue
+	fleet     *fold.Follower
+	fleetFold *fleet.State
+	members   *members
+	budget    *budget.Service
+	conns     *entry.Conns
+	engine    *entry.Engine
+	front     *front.Server
+	dial      []grpc.DialOption
+	peers     peerConns
+	planner   reaper.Planner
+	fleetLog  *fold.Writer
+
+	// base ends after the stop is complete; loops run under it.
+	base    context.Context
+	end     context.CancelFunc
+	loops   sync.WaitGroup
+	callers *http.Server
+	grpc    *grpc.Server
+	debug   *debugServer
+}
+
+// RouterModule is the fx module of an entry instance.
+func RouterModule(settings config.Router) fx.Option {
+	return fx.Module("router",
+		fx.Supply(settings),
+		fx.Provide(newLogs(settings.Log), newTracing("beryl-router", settings.Instance, settings.Trace), NewRouter),
+		fx.Invoke(func(lc fx.Lifecycle, r *Router) {
+			lc.Append(fx.Hook{OnStart: r.Start, OnStop: r.Stop})
+		}),
+	)
+}
+
+// newLogs returns a constructor of the loggers, which write to standard error.
+func newLogs(settings config.Log) func() (*logs.Set, error) {
+	return func() (*logs.Set, error) { return logs.New(os.Stderr, settings) }
+}
+
+// newTracing returns a constructor of the tracing.
+func newTracing(program string, instance config.Instance, settings config.Trace) func(fx.Lifecycle) (*trace.Tracing, error) {
+	return func(lc fx.Lifecycle) (*trace.Tracing, error) {
+		t, err := trace.New(program, instance, settings)
+		if err == nil {
+			lc.Append(fx.Hook{OnStop: t.Shutdown})
+		}
+		return t, err
+	}
+}
+
+// NewRouter builds an entry instance.
+func NewRouter(settings config.Router, set *logs.Set, tracing *trace.Tracing) (*Router, error) {
+	dial, err := dialOptions(settings.PeerTLS, tracing)
+	if err != nil {
+		return nil, err
+	}
+	log := &logsvc.Client{Addr: settings.Platform.LogService}
+	holder := ident.NewIncarnation(settings.Instance.Name)
+	r := &Router{Settings: settings, logger: set.Layer("entry"), tracing: tracing, dial: dial}
+	r.base, r.end = context.WithCancel(context.Background())
+	r.members = &members{
+		client: &insts.Client{Addr: settings.Platform.InstanceList},
+		self: insts.Instance{
+			Name: settings.Instance.Name, Role: insts.Router, DataCentre: settings.Instance.DataCentre,
+			Region: settings.Instance.Region, Addr: settings.Listen.GRPC, Incarnation: holder, State: insts.Live,
+		},
+	}
+	r.peers = peerConns{options: dial}
+	r.catalogue = newCatalogue(log)
+	r.fleetFold = new(fleet.State)
+	r.fleet = &fold.Follower{Log: log, Stream: ledger.FleetStream, Reader: fold.Reader{Machine: r.fleetFold}}
+	r.fleetLog = &fold.Writer{Log: log, Stream: ledger.FleetStream, Name: string(holder) + "/fleet"}
+	r.budget = budget.New(budget.Options{
+		Log: log, Instance: settings.Instance.Name, Holder: holder, Shards: settings.Budget.Shards,
+		Policy: policy(settings.Budget), Wait: settings.Budget.Wait, Peers: r.otherRouters,
+	})
+	r.planner = reaper.Planner{Self: holder}
+	r.conns = &entry.Conns{Options: dial}
+	r.members.onChange = func() { r.conns.Keep(r.members.addresses()) }
+	r.engine = r.newEngine()
+	r.front = &front.Server{
+		Engine: r.engine, Catalogue: r.catalogue, Limits: frontLimits(settings.Limits),
+		Logger: set.Layer("front"), Tracer: tracing.Tracer("front"), Ready: r.ready,
+	}
+	return r, nil
+}
+
+// newCatalogue returns a catalogue that follows its stream.
+func newCatalogue(log logsvc.Service) *catalogue {
+	state := new(catal.State)
+	f := &fold.Follower{Log: log, Stream: ledger.CatalogueStream, Reader: fold.Reader{Machine: state}}
+	return &catalogue{state: state, follower: f}
+}
+
+// policy maps the settings to the policy of the slices.
+func policy(b config.Budget) slice.Policy {
+	weights := map[string]float64{"refusals": 0, "balanced": 0.5, "overspend": 1}
+	return slice.Policy{Horizon: b.Horizon, LowWater: float64(b.LowWater), Weight: weights[b.Weight]}
+}
+
+func frontLimits(l config.Limits) front.Limits {
+	return front.Limits{
+		Body: int64(l.BodyBytes), HeaderBytes: int(l.HeaderBytes), HeaderRead: l.ReadTimeout,
+		BodyRead: l.ReadTimeout, Streams: l.Streams,
+	}
+}
+
+func (r *Router) newEngine() *entry.Engine {
+	limits := r.Settings.Limits
+	return &entry.Engine{
+		DataCentre:  r.Settings.Instance.DataCentre,
+		Catalogue:   r.catalogue,
+		Budgets:     budgets{r.budget},
+		Targets:     r.members,
+		Dialer:      r.conns,
+		Orphans:     budgets{r.budget},
+		FleetOffset: func() uint64 { return uint64(r.fleet.Offset()) },
+		Timeouts:    entry.Timeouts{FirstEvent: limits.FirstEventTimeout, Progress: limits.EventTimeout},
+		Tracer:      r.tracing.Tracer("entry"),
+	}
+}
+
+// ready reports whether the catalogue has been read, from the log or a peer.
+func (r *Router) ready() bool { return r.catalogue.follower.Offset() > 0 }
+
+// Start opens the listeners and starts all loops. It does not wait for the
+// platform: an instance that starts in an outage serves what its peers know.
+func (r *Router) Start(context.Context) error {
+	listeners, err := r.listeners()
+	if err != nil {
+		return err
+	}
+	if r.grpc, err = newServer(r.Settings.PeerTLS, r.tracing); err != nil {
+		return err
+	}
+	wire.RegisterPeerServer(r.grpc, &peerServer{budget: r.budget, followers: map[string]*fold.Follower{
+		ledger.CatalogueStream: r.catalogue.follower,
+		ledger.FleetStream:     r.fleet,
+	}})
+	r.callers = r.front.HTTP(r.Settings.Listen.HTTP)
+	r.debug = newDebugServer(r.vars())
+	r.startLoops()
+	go func() { _ = r.callers.Serve(listeners[0]) }()
+	go func() { _ = r.grpc.Serve(listeners[1]) }()
+	go r.debug.serve(listeners[2])
+	r.logger.Info("serving", "http", listeners[0].Addr(), "grpc", listeners[1].Addr(), "holder", r.budget.Holder())
+	return nil
+}
+
+// listeners opens the listeners for callers, processes and metrics.
+func (r *Router) listeners() ([]net.Listener, error) {
+	s := r.Settings.Listen
+	callers, err := listen("http", s.HTTP)
+	if err != nil {
+		return nil, err
+	}
+	if s.TLSCert != "" {
+		cert, err := tls.LoadX509KeyPair(s.TLSCert, s.TLSKey)
+		if err != nil {
+			return nil, fmt.Errorf("certificate of section %q: %w", "listen", err)
+		}
+		conf := &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
+		callers = tls.NewListener(callers, conf)
+	}
+	own, err := listen("grpc", s.GRPC)
+	if err != nil {
+		return nil, err
+	}
+	debug, err := listen("debug", s.Debug)
+	return []net.Listener{callers, own, debug}, err
+}
+
+// startLoops starts what runs until the end of the instance.
+func (r *Router) startLoops() {
+	run := func(fn func(context.Context)) { r.loops.Go(func() { fn(r.base) }) }
+	run(r.members.run)
+	run(r.catalogue.follower.Run)
+	run(r.fleet.Run)
+	run(r.fleetLog.Run)
+	run(r.budget.Run)
+	run(r.seed)
+	run(func(ctx context.Context) { every(ctx, reapEvery, r.reap) })
+}
+
+// Stop is the planned stop: no request in progress is cut off, and the slices
+// go back before the instance ends.
+func (r *Router) Stop(ctx context.Context) error {
+	r.logger.Info("leaving")
+	r.members.leave(ctx)
+	r.front.Leave()
+	drained := r.front.Drain(ctx)
+	returning, cancel := context.WithTimeout(ctx, returnTimeout)
+	returned := r.budget.Stop(returning)
+	cancel()
+	r.members.withdraw(ctx)
+	_ = r.callers.Shutdown(ctx)
+	r.grpc.Stop()
+	r.debug.stop(ctx)
+	r.end()
+	r.loops.Wait()
+	r.conns.Close()
+	r.peers.close()
+	r.logger.Info("left", "drained", drained == nil, "returned", returned == nil)
+	return errors.Join(drained, returned)
+}
+
+// vars returns the instance's metrics.
+func (r *Router) vars() *expvar.Map {
+	m := new(expvar.Map)
+	section := func(name string, publish func(*expvar.Map)) {
+		sub := new(expvar.Map)
+		publish(sub)
+		m.Set(name, sub)
+	}
+	section("front", r.front.Counts.Publish)
+	section("entry", r.engine.Counts.Publish)
+	m.Set("catalogue-offset", expvar.Func(func() any { return r.catalogue.Offset() }))
+	m.Set("fleet-offset", expvar.Func(func() any { return r.fleet.Offset() }))
+	m.Set("holder", expvar.Func(func() any { return r.budget.Holder() }))
+	m.Set("deferred", expvar.Func(func() any { return r.budget.Deferred() }))
+	return m
+}
--- /dev/null
+++ b/internal/boot/side.go
@@ -0,0 +1,125 @@
+package boot
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"sync"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/fx"
+	"google.golang.org/grpc"
+
+	"github.com/beryllanding/beryllanding/internal/budget"
+	"github.com/beryllanding/beryllanding/internal/config"
+	"github.com/beryllanding/beryllanding/internal/logs"
+	"github.com/beryllanding/beryllanding/internal/side"
+	"github.com/beryllanding/beryllanding/internal/trace"
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/insts"
+	"github.com/beryllanding/beryllanding/pkg/logsvc"
+)
+
+// Side is a side process in the making and running.
+type Side struct {
+	Settings config.Side
+
+	logger  *log.Logger
+	tracing *trace.Tracing
+	server  *side.Server
+	members *members
+
+	base  context.Context
+	end   context.CancelFunc
+	loops sync.WaitGroup
+	grpc  *grpc.Server
+	debug *debugServer
+}
+
+// SideModule is the fx module of a side process.
+func SideModule(settings config.Side) fx.Option {
+	return fx.Module("side",
+		fx.Supply(settings),
+		fx.Provide(newLogs(settings.Log), newTracing("beryl-side", settings.Instance, settings.Trace), NewSide),
+		fx.Invoke(func(lc fx.Lifecycle, s *Side) {
+			lc.Append(fx.Hook{OnStart: s.Start, OnStop: s.Stop})
+		}),
+	)
+}
+
+// NewSide builds a side process.
+func NewSide(settings config.Side, set *logs.Set, tracing *trace.Tracing) *Side {
+	incarnation := ident.NewIncarnation(settings.Instance.Name)
+	s := &Side{Settings: settings, logger: set.Layer("side"), tracing: tracing}
+	s.base, s.end = context.WithCancel(context.Background())
+	s.server = side.New(side.Options{
+		Incarnation:       incarnation,
+		Slot:              settings.Target.Slot,
+		Service:           settings.Target.Service,
+		DataCentre:        settings.Instance.DataCentre,
+		Target:            settings.Target.URL,
+		EngineChecksFence: settings.Target.FenceChecked,
+		Log:               &logsvc.Client{Addr: settings.Platform.LogService},
+		Shard:             func(name string) int { return budget.ShardOf(name, settings.Budget.Shards) },
+		MaxRunning:        settings.Target.Concurrent,
+		FirstByte:         settings.Limits.FirstEventTimeout,
+		BetweenTokens:     settings.Limits.EventTimeout,
+	})
+	s.members = &members{
+		client: &insts.Client{Addr: settings.Platform.InstanceList},
+		self: insts.Instance{
+			Name: settings.Instance.Name, Role: insts.Side, Service: settings.Target.Service,
+			DataCentre: settings.Instance.DataCentre, Region: settings.Instance.Region,
+			Addr: settings.Listen.GRPC, Incarnation: incarnation, State: insts.Live,
+		},
+	}
+	return s
+}
+
+// Start opens the listeners and starts the registration. Runs are refused until
+// the registration is folded.
+func (s *Side) Start(context.Context) error {
+	own, err := listen("grpc", s.Settings.Listen.GRPC)
+	if err != nil {
+		return err
+	}
+	metrics, err := listen("debug", s.Settings.Listen.Debug)
+	if err != nil {
+		return err
+	}
+	if s.grpc, err = newServer(s.Settings.PeerTLS, s.tracing); err != nil {
+		return err
+	}
+	wire.RegisterSideServer(s.grpc, s.server)
+	s.debug = newDebugServer(s.vars())
+	s.server.Start()
+	s.loops.Go(func() { s.members.run(s.base) })
+	go func(l net.Listener) { _ = s.grpc.Serve(l) }(own)
+	go s.debug.serve(metrics)
+	s.logger.Info("serving", "grpc", own.Addr(), "slot", s.Settings.Target.Slot, "incarnation", s.server.Incarnation())
+	return nil
+}
+
+// Stop is the planned stop: the runs in progress end, and their usage is on the
+// log before the process ends.
+func (s *Side) Stop(ctx context.Context) error {
+	s.logger.Info("leaving")
+	s.server.SetLeaving()
+	s.members.leave(ctx)
+	err := s.server.Stop(ctx)
+	s.members.withdraw(ctx)
+	s.grpc.GracefulStop()
+	s.debug.stop(ctx)
+	s.end()
+	s.loops.Wait()
+	s.logger.Info("left", "err", err)
+	return err
+}
+
+// vars returns the process's metrics.
+func (s *Side) vars() *expvar.Map {
+	m := new(expvar.Map)
+	m.Set("side", s.server.Vars())
+	return m
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -83,7 +83,7 @@
 
 // Ticket is a reservation of tokens.
 type Ticket struct {
-	ID     uint64
+	ID     string
 	Budget string
 	// Charges say which holders' slices the tokens come from. They are drained
 	// in this order.
