--- a/internal/front/fake_test.go
+++ b/internal/front/fake_test.go
@@ -70,7 +70,7 @@
 		b.reserved = make(map[uint64]ledger.Tokens)
 	}
 	b.reserved[b.last] = n
-	return entry.Ticket{ID: b.last, Budget: budget, Charges: []ledger.Charge{{Holder: "h~1", Tokens: n}}}, nil
+	return entry.Ticket{ID: fmt.Sprint(b.last), Budget: budget, Charges: []ledger.Charge{{Holder: "h~1", Tokens: n}}}, nil
 }
 
 func (b *budgets) Settle(t entry.Ticket, used []ledger.Charge) {
