--- a/internal/front/fake_test.go
+++ b/internal/front/fake_test.go
@@ -54,7 +54,7 @@
 type budgets struct {
 	mu       sync.Mutex
 	free     ledger.Tokens
-	reserved map[uint64]ledger.Tokens
+	reserved map[string]ledger.Tokens
 	last     uint64
 }
 
@@ -67,10 +67,11 @@
 	b.free -= n
 	b.last++
 	if b.reserved == nil {
-		b.reserved = make(map[uint64]ledger.Tokens)
+		b.reserved = make(map[string]ledger.Tokens)
 	}
-	b.reserved[b.last] = n
-	return entry.Ticket{ID: fmt.Sprint(b.last), Budget: budget, Charges: []ledger.Charge{{Holder: "h~1", Tokens: n}}}, nil
+	id := fmt.Sprint(b.last)
+	b.reserved[id] = n
+	return entry.Ticket{ID: id, Budget: budget, Charges: []ledger.Charge{{Holder: "h~1", Tokens: n}}}, nil
 }
 
 func (b *budgets) Settle(t entry.Ticket, used []ledger.Charge) {
