--- a/internal/boot/fleet.go
+++ b/internal/boot/fleet.go
@@ -73,6 +73,13 @@
 	m.announce(ctx)
 }
 
+// setAddr sets the address that is announced.
+func (m *members) setAddr(addr string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.self.Addr = addr
+}
+
 // renew changes the incarnation that is announced, and reports whether it was
 // another one.
 func (m *members) renew(incarnation ident.Incarnation) bool {
--- a/internal/boot/router.go
+++ b/internal/boot/router.go
@@ -72,15 +72,26 @@
 	end     context.CancelFunc
 	loops   sync.WaitGroup
 	callers *http.Server
-	grpc    *grpc.Server
-	debug   *debugServer
+	// callersAddr is where callers are served.
+	callersAddr net.Addr
+	grpc        *grpc.Server
+	debug       *debugServer
 }
 
-// RouterModule is the fx module of an entry instance.
+// RouterModule is the fx module of an entry instance, with its logs and traces.
 func RouterModule(settings config.Router) fx.Option {
+	return fx.Options(
+		RouterParts(settings),
+		fx.Provide(newLogs(settings.Log), newTracing("beryl-router", settings.Instance, settings.Trace)),
+	)
+}
+
+// RouterParts is an entry instance without logs and traces, which the caller
+// supplies.
+func RouterParts(settings config.Router) fx.Option {
 	return fx.Module("router",
 		fx.Supply(settings),
-		fx.Provide(newLogs(settings.Log), newTracing("beryl-router", settings.Instance, settings.Trace), NewRouter),
+		fx.Provide(NewRouter),
 		fx.Invoke(func(lc fx.Lifecycle, r *Router) {
 			lc.Append(fx.Hook{OnStart: r.Start, OnStop: r.Stop})
 		}),
@@ -192,7 +203,9 @@
 		ledger.CatalogueStream: r.catalogue.follower,
 		ledger.FleetStream:     r.fleet,
 	}})
+	r.members.setAddr(listeners[1].Addr().String())
 	r.callers = r.front.HTTP(r.Settings.Listen.HTTP)
+	r.callersAddr = listeners[0].Addr()
 	r.debug = newDebugServer(r.vars())
 	r.startLoops()
 	go func() { _ = r.callers.Serve(listeners[0]) }()
@@ -259,6 +272,15 @@
 	return errors.Join(drained, returned)
 }
 
+// Ready reports whether requests can be served.
+func (r *Router) Ready() bool { return r.ready() }
+
+// TargetCount returns the number of listed targets of a service.
+func (r *Router) TargetCount(service string) int { return len(r.members.Targets(service)) }
+
+// CallersAddr returns the address that callers are served at, after Start.
+func (r *Router) CallersAddr() string { return r.callersAddr.String() }
+
 // vars returns the instance's metrics.
 func (r *Router) vars() *expvar.Map {
 	m := new(expvar.Map)
--- a/internal/boot/side.go
+++ b/internal/boot/side.go
@@ -37,11 +37,20 @@
 	debug *debugServer
 }
 
-// SideModule is the fx module of a side process.
+// SideModule is the fx module of a side process, with its logs and traces.
 func SideModule(settings config.Side) fx.Option {
+	return fx.Options(
+		SideParts(settings),
+		fx.Provide(newLogs(settings.Log), newTracing("beryl-side", settings.Instance, settings.Trace)),
+	)
+}
+
+// SideParts is a side process without logs and traces, which the caller
+// supplies.
+func SideParts(settings config.Side) fx.Option {
 	return fx.Module("side",
 		fx.Supply(settings),
-		fx.Provide(newLogs(settings.Log), newTracing("beryl-side", settings.Instance, settings.Trace), NewSide),
+		fx.Provide(NewSide),
 		fx.Invoke(func(lc fx.Lifecycle, s *Side) {
 			lc.Append(fx.Hook{OnStart: s.Start, OnStop: s.Stop})
 		}),
@@ -91,6 +100,7 @@
 	if s.grpc, err = newServer(s.Settings.PeerTLS, s.tracing); err != nil {
 		return err
 	}
+	s.members.setAddr(own.Addr().String())
 	wire.RegisterSideServer(s.grpc, s.server)
 	s.debug = newDebugServer(s.vars())
 	s.server.Start()
--- a/internal/cmds/exit.go
+++ b/internal/cmds/exit.go
@@ -45,6 +45,10 @@
 // errUsage is matched by errors about how the command was called.
 var errUsage = errors.New("wrong usage")
 
+// ErrCheckFailed is matched by errors that say that the thing that was checked
+// is not in order.
+var ErrCheckFailed = errors.New("check failed")
+
 // toldError is an outcome that the command has printed already.
 type toldError struct{ code ExitCode }
 
@@ -59,6 +63,8 @@
 		return ExitOK
 	case errors.As(err, &told):
 		return told.code
+	case errors.Is(err, ErrCheckFailed):
+		return ExitCheckFailed
 	case errors.Is(err, opsvc.ErrNotFound):
 		return ExitNotFound
 	case unreachable(err):
--- /dev/null
+++ b/internal/devel/smoke.go
@@ -0,0 +1,190 @@
+package devel
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+)
+
+const (
+	// smokeQuestion is answered by the engine's stand-in with its own words.
+	smokeQuestion = "which bogie fits"
+	// billWait bounds the wait for the bills to arrive on the log.
+	billWait = 10 * time.Second
+	// billPause is the pause between two looks at the bills.
+	billPause = 20 * time.Millisecond
+)
+
+// Smoke sends one chat, one streamed chat and one reservation, and compares the
+// answers and the bill with what they have to be. It writes what it did to w.
+func (s *System) Smoke(ctx context.Context, w io.Writer) error {
+	account := Accounts[0]
+	chat, err := s.smokeChat(ctx, account)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(w, "chat: right answer, %d tokens\n", chat)
+	stream, err := s.smokeStream(ctx, account)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(w, "streamed chat: right answer, %d tokens\n", stream)
+	if err := s.smokeReservation(ctx, account); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(w, "reservation: made once, %d tokens\n", callPrice)
+	return s.smokeBill(ctx, w, account, chat+stream+callPrice)
+}
+
+// usage is the part of an answer that says what it cost.
+type usage struct {
+	Prompt     ledger.Tokens `json:"prompt_tokens"`
+	Completion ledger.Tokens `json:"completion_tokens"`
+}
+
+// smokeChat sends a chat and returns the tokens that its answer names.
+func (s *System) smokeChat(ctx context.Context, a Account) (ledger.Tokens, error) {
+	raw, err := s.post(ctx, a, "/v1/chat/completions", "", chatBody(false))
+	if err != nil {
+		return 0, err
+	}
+	var answer struct {
+		Choices []struct {
+			Message struct {
+				Content string `json:"content"`
+			} `json:"message"`
+		} `json:"choices"`
+		Usage usage `json:"usage"`
+	}
+	if err := json.Unmarshal(raw, &answer); err != nil {
+		return 0, fmt.Errorf("answer of the chat: %w", err)
+	}
+	if len(answer.Choices) != 1 {
+		return 0, fmt.Errorf("answer of the chat has %d choices, want 1", len(answer.Choices))
+	}
+	return answer.Usage.Prompt + answer.Usage.Completion, checkEcho(answer.Choices[0].Message.Content)
+}
+
+// smokeStream sends a streamed chat and returns the tokens that its last event
+// names.
+func (s *System) smokeStream(ctx context.Context, a Account) (ledger.Tokens, error) {
+	raw, err := s.post(ctx, a, "/v1/chat/completions", "", chatBody(true))
+	if err != nil {
+		return 0, err
+	}
+	var content strings.Builder
+	var total ledger.Tokens
+	done := false
+	for line := range strings.Lines(string(raw)) {
+		data, isData := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !isData {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var event struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+			Usage *usage `json:"usage"`
+		}
+		if err := json.Unmarshal([]byte(data), &event); err != nil {
+			return 0, fmt.Errorf("event %q of the streamed chat: %w", data, err)
+		}
+		for _, c := range event.Choices {
+			content.WriteString(c.Delta.Content)
+		}
+		if event.Usage != nil {
+			total = event.Usage.Prompt + event.Usage.Completion
+		}
+	}
+	if !done {
+		return 0, fmt.Errorf("the streamed chat ended without %q", "[DONE]")
+	}
+	return total, checkEcho(content.String())
+}
+
+// smokeReservation makes a reservation twice under one key, and checks that it
+// was made once.
+func (s *System) smokeReservation(ctx context.Context, a Account) error {
+	body := `{"part": "brake-block", "qty": 2}`
+	first, err := s.post(ctx, a, "/apps/"+App+"/reservations", "smoke-1", body)
+	if err != nil {
+		return err
+	}
+	again, err := s.post(ctx, a, "/apps/"+App+"/reservations", "smoke-1", body)
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(first, again) {
+		return fmt.Errorf("the retry of the reservation was answered %q, the first attempt %q", again, first)
+	}
+	return nil
+}
+
+// smokeBill waits until the bill on the log has the wanted sum.
+func (s *System) smokeBill(ctx context.Context, w io.Writer, a Account, want ledger.Tokens) error {
+	ctx, cancel := context.WithTimeout(ctx, billWait)
+	defer cancel()
+	for {
+		b, err := s.Ledger(ctx, a.Budget)
+		if err == nil && b.Billed >= want {
+			_, _ = fmt.Fprintf(w, "bill of %s: paid %d, billed %d, left %d\n", a.Budget, b.Paid, b.Billed, b.Balance())
+			if b.Billed > want {
+				return fmt.Errorf("budget %q was billed %d tokens, want %d", a.Budget, b.Billed, want)
+			}
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("budget %q was billed %d tokens, want %d", a.Budget, b.Billed, want)
+		case <-time.After(billPause):
+		}
+	}
+}
+
+func chatBody(stream bool) string {
+	return fmt.Sprintf(`{"model": %q, "stream": %t, "messages": [{"role": "user", "content": %q}]}`, Model, stream, smokeQuestion)
+}
+
+// checkEcho checks that the answer is the one to the question.
+func checkEcho(content string) error {
+	if !strings.HasPrefix(content, smokeQuestion) {
+		return fmt.Errorf("the answer is %q, want one that begins with %q", content, smokeQuestion)
+	}
+	return nil
+}
+
+// post sends a request with the account's key and returns the answer's body.
+func (s *System) post(ctx context.Context, a Account, path, key, body string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+a.Key)
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode >= http.StatusBadRequest {
+		err = fmt.Errorf("%s was answered %s: %s", path, resp.Status, raw)
+	}
+	return raw, err
+}
