internal/config, internal/boot: advertised address, pauses and closing time as settings

Cause: an instance behind another address could not be announced, and the time after which a missing instance is closed was fixed.

--- a/internal/boot/fleet.go
+++ b/internal/boot/fleet.go
@@ -1,28 +1,28 @@
 package boot
 
 import (
+	"cmp"
 	"context"
+	"net"
 	"sync"
 	"time"
 
+	"github.com/beryllanding/beryllanding/internal/config"
 	"github.com/beryllanding/beryllanding/pkg/ident"
 	"github.com/beryllanding/beryllanding/pkg/insts"
 	"github.com/beryllanding/beryllanding/pkg/route"
 )
 
-const (
-	// listEvery is the pause between two reads of the instance list.
-	listEvery = time.Second
-	// announceEvery is the pause between two announcements.
-	announceEvery = 3 * time.Second
-	// listTimeout bounds one call to the instance list.
-	listTimeout = 2 * time.Second
-)
+// listTimeout bounds one call to the instance list, or to a peer.
+const listTimeout = 2 * time.Second
 
 // members is what this process knows of the others: the instance list, read
 // again and again, and this instance's own announcement on it.
 type members struct {
 	client *insts.Client
+	// listEvery and announceEvery are the pauses between two reads of the list
+	// and between two announcements.
+	listEvery, announceEvery time.Duration
 
 	mu   sync.Mutex
 	self insts.Instance
@@ -31,11 +31,21 @@
 	onChange func()
 }
 
+// newMembers returns members that announce self.
+func newMembers(platform config.Platform, self insts.Instance) *members {
+	return &members{
+		client:        &insts.Client{Addr: platform.InstanceList},
+		listEvery:     platform.ListEvery,
+		announceEvery: platform.AnnounceEvery,
+		self:          self,
+	}
+}
+
 // run reads the list and announces this instance until the context ends.
 func (m *members) run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { every(ctx, listEvery, m.read) })
-	wg.Go(func() { every(ctx, announceEvery, m.announce) })
+	wg.Go(func() { every(ctx, m.listEvery, m.read) })
+	wg.Go(func() { every(ctx, m.announceEvery, m.announce) })
 	wg.Wait()
 }
 
@@ -73,11 +83,12 @@
 	m.announce(ctx)
 }
 
-// setAddr sets the address that is announced.
-func (m *members) setAddr(addr string) {
+// setAddr sets the address that is announced: the one advertised by the
+// settings, or else that of the listener.
+func (m *members) setAddr(advertised string, listener net.Listener) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.self.Addr = addr
+	m.self.Addr = cmp.Or(advertised, listener.Addr().String())
 }
 
 // renew changes the incarnation that is announced, and reports whether it was
--- a/internal/boot/reap.go
+++ b/internal/boot/reap.go
@@ -92,7 +92,7 @@
 // seed fetches, from any peer, the streams that the log does not show: this
 // instance may have started in an outage of the log.
 func (r *Router) seed(ctx context.Context) {
-	every(ctx, listEvery, func(ctx context.Context) {
+	every(ctx, r.Settings.Platform.ListEvery, func(ctx context.Context) {
 		r.seedStream(ctx, ledger.CatalogueStream, r.catalogue.follower.FreshAt(), r.catalogue.follower.Restore)
 		r.seedStream(ctx, ledger.FleetStream, r.fleet.FreshAt(), r.fleet.Restore)
 		for i := range r.budget.Shards() {
--- a/internal/boot/router.go
+++ b/internal/boot/router.go
@@ -43,7 +43,7 @@
 	// is not returned then is reclaimed once the list lacks the instance.
 	returnTimeout = 20 * time.Second
 	// reapEvery is the pause between two looks for holders that are gone.
-	reapEvery = 5 * time.Second
+	reapEvery = time.Second
 )
 
 // Router is an entry instance in the making and running. Its parts are built by
@@ -124,13 +124,10 @@
 	holder := ident.NewIncarnation(settings.Instance.Name)
 	r := &Router{Settings: settings, logger: set.Layer("entry"), tracing: tracing, dial: dial}
 	r.base, r.end = context.WithCancel(context.Background())
-	r.members = &members{
-		client: &insts.Client{Addr: settings.Platform.InstanceList},
-		self: insts.Instance{
-			Name: settings.Instance.Name, Role: insts.Router, DataCentre: settings.Instance.DataCentre,
-			Region: settings.Instance.Region, Addr: settings.Listen.GRPC, Incarnation: holder, State: insts.Live,
-		},
-	}
+	r.members = newMembers(settings.Platform, insts.Instance{
+		Name: settings.Instance.Name, Role: insts.Router, DataCentre: settings.Instance.DataCentre,
+		Region: settings.Instance.Region, Incarnation: holder, State: insts.Live,
+	})
 	r.peers = peerConns{options: dial}
 	r.catalogue = newCatalogue(log)
 	r.fleetFold = new(fleet.State)
@@ -140,7 +137,7 @@
 		Log: log, Instance: settings.Instance.Name, Holder: holder, Shards: settings.Budget.Shards,
 		Policy: policy(settings.Budget), Wait: settings.Budget.Wait, Peers: r.otherRouters,
 	})
-	r.planner = reaper.Planner{Self: holder}
+	r.planner = reaper.Planner{Self: holder, Absence: settings.Fleet.CloseAfter, Stagger: settings.Fleet.Stagger}
 	r.conns = &entry.Conns{Options: dial}
 	r.members.onChange = func() { r.conns.Keep(r.members.addresses()) }
 	r.engine = r.newEngine()
@@ -203,7 +200,7 @@
 		ledger.CatalogueStream: r.catalogue.follower,
 		ledger.FleetStream:     r.fleet,
 	}})
-	r.members.setAddr(listeners[1].Addr().String())
+	r.members.setAddr(r.Settings.Listen.Advertise, listeners[1])
 	r.callers = r.front.HTTP(r.Settings.Listen.HTTP)
 	r.callersAddr = listeners[0].Addr()
 	r.debug = newDebugServer(r.vars())
--- a/internal/boot/side.go
+++ b/internal/boot/side.go
@@ -75,14 +75,11 @@
 		FirstByte:         settings.Limits.FirstEventTimeout,
 		BetweenTokens:     settings.Limits.EventTimeout,
 	})
-	s.members = &members{
-		client: &insts.Client{Addr: settings.Platform.InstanceList},
-		self: insts.Instance{
-			Name: settings.Instance.Name, Role: insts.Side, Service: settings.Target.Service,
-			DataCentre: settings.Instance.DataCentre, Region: settings.Instance.Region,
-			Addr: settings.Listen.GRPC, Incarnation: incarnation, State: insts.Live,
-		},
-	}
+	s.members = newMembers(settings.Platform, insts.Instance{
+		Name: settings.Instance.Name, Role: insts.Side, Service: settings.Target.Service,
+		DataCentre: settings.Instance.DataCentre, Region: settings.Instance.Region,
+		Incarnation: incarnation, State: insts.Live,
+	})
 	return s
 }
 
@@ -100,7 +97,7 @@
 	if s.grpc, err = newServer(s.Settings.PeerTLS, s.tracing); err != nil {
 		return err
 	}
-	s.members.setAddr(own.Addr().String())
+	s.members.setAddr(s.Settings.Listen.Advertise, own)
 	wire.RegisterSideServer(s.grpc, s.server)
 	s.debug = newDebugServer(s.vars())
 	s.server.Start()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,6 +14,7 @@
 	PeerTLS  PeerTLS      `section:"peer-tls" doc:"Mutual TLS between the system's own processes. Without certificates they speak plain TCP."`
 	Platform Platform     `section:"platform" doc:"The platform's services."`
 	Budget   Budget       `section:"budget" doc:"How tokens are obtained for the requests that arrive here."`
+	Fleet    Fleet        `section:"fleet" doc:"What is done about entry instances that are gone."`
 	Limits   Limits       `section:"limits" doc:"Bounds on what callers may ask of the instance."`
 	Log      Log          `section:"log" doc:"Log lines, which go to standard error."`
 	Trace    Trace        `section:"trace" doc:"OpenTelemetry traces with a span for each hop."`
@@ -51,17 +52,19 @@
 
 // RouterListen holds the addresses of an entry instance.
 type RouterListen struct {
-	HTTP    string `key:"http" type:"address" default:"127.0.0.1:8080" doc:"Address for callers."`
-	GRPC    string `key:"grpc" type:"address" default:"127.0.0.1:8081" doc:"Address for other processes of the system."`
-	Debug   string `key:"debug" type:"address" default:"127.0.0.1:8082" doc:"Address for metrics (expvar) and profiles. It has no authentication."`
-	TLSCert string `key:"tls-cert" type:"file" doc:"PEM file with the certificate chain for callers. Without it they are served plain HTTP."`
-	TLSKey  string `key:"tls-key" type:"file" doc:"PEM file with the key of tls-cert."`
+	HTTP      string `key:"http" type:"address" default:"127.0.0.1:8080" doc:"Address for callers."`
+	GRPC      string `key:"grpc" type:"address" default:"127.0.0.1:8081" doc:"Address for other processes of the system."`
+	Advertise string `key:"advertise" type:"address" doc:"Address that the instance list shows to the others; that of the grpc listener where it is not set."`
+	Debug     string `key:"debug" type:"address" default:"127.0.0.1:8082" doc:"Address for metrics (expvar) and profiles. It has no authentication."`
+	TLSCert   string `key:"tls-cert" type:"file" doc:"PEM file with the certificate chain for callers. Without it they are served plain HTTP."`
+	TLSKey    string `key:"tls-key" type:"file" doc:"PEM file with the key of tls-cert."`
 }
 
 // SideListen holds the addresses of a side process.
 type SideListen struct {
-	GRPC  string `key:"grpc" type:"address" default:"127.0.0.1:8091" doc:"Address for entry instances."`
-	Debug string `key:"debug" type:"address" default:"127.0.0.1:8092" doc:"Address for metrics (expvar) and profiles. It has no authentication."`
+	GRPC      string `key:"grpc" type:"address" default:"127.0.0.1:8091" doc:"Address for entry instances."`
+	Advertise string `key:"advertise" type:"address" doc:"Address that the instance list shows to the others; that of the grpc listener where it is not set."`
+	Debug     string `key:"debug" type:"address" default:"127.0.0.1:8092" doc:"Address for metrics (expvar) and profiles. It has no authentication."`
 }
 
 // PeerTLS holds the files for mutual TLS. All three are set, or none.
@@ -76,8 +79,10 @@
 
 // Platform holds the URLs of the platform's services.
 type Platform struct {
-	LogService   string `key:"log-service" type:"url" required:"yes" doc:"Base URL of the log service."`
-	InstanceList string `key:"instance-list" type:"url" required:"yes" doc:"Base URL of the instance list."`
+	LogService    string        `key:"log-service" type:"url" required:"yes" doc:"Base URL of the log service."`
+	InstanceList  string        `key:"instance-list" type:"url" required:"yes" doc:"Base URL of the instance list."`
+	AnnounceEvery time.Duration `key:"announce-every" min:"100ms" max:"10m" default:"3s" doc:"Pause between two announcements on the instance list. It must be well below the time after which the list drops an instance."`
+	ListEvery     time.Duration `key:"list-every" min:"100ms" max:"10m" default:"1s" doc:"Pause between two reads of the instance list."`
 }
 
 // Shards tells how budgets are spread over streams.
@@ -94,6 +99,12 @@
 	Weight   string        `key:"weight" oneof:"refusals|balanced|overspend" default:"balanced" doc:"What to avoid first. It changes how many tokens are held in advance, and never the bound on spending."`
 }
 
+// Fleet says what is done about entry instances that are gone.
+type Fleet struct {
+	CloseAfter time.Duration `key:"close-after" min:"1s" max:"24h" default:"30s" doc:"How long an entry instance has to be missing from the instance list before its slices are closed. Being wrong costs no promise: an instance that was closed alive starts again with new slices."`
+	Stagger    time.Duration `key:"stagger" min:"0s" max:"1h" default:"10s" doc:"How much longer each further instance waits before it closes the same one."`
+}
+
 // Limits bounds what callers may ask of an entry instance.
 type Limits struct {
 	HeaderBytes       Bytes         `key:"header-bytes" min:"1KiB" max:"1MiB" default:"32KiB" doc:"Largest request header."`
--- a/internal/devel/system.go
+++ b/internal/devel/system.go
@@ -166,8 +166,8 @@
 	name := fmt.Sprintf("%s-%d", service, i)
 	settings := config.Defaults[config.Side]()
 	settings.Instance = config.Instance{Name: name, DataCentre: "dev-a", Region: "dev"}
-	settings.Listen = config.SideListen{GRPC: "127.0.0.1:0", Debug: "127.0.0.1:0"}
-	settings.Platform = config.Platform{LogService: s.LogURL, InstanceList: s.ListURL}
+	settings.Listen.GRPC, settings.Listen.Debug = "127.0.0.1:0", "127.0.0.1:0"
+	settings.Platform.LogService, settings.Platform.InstanceList = s.LogURL, s.ListURL
 	settings.Target.URL, settings.Target.Slot = url, name
 	settings.Target.Service, settings.Target.Kind = service, kind
 	settings.Target.FenceChecked = kind == "model"
@@ -182,7 +182,7 @@
 	settings := config.Defaults[config.Router]()
 	settings.Instance = config.Instance{Name: "router-0", DataCentre: "dev-a", Region: "dev"}
 	settings.Listen = config.RouterListen{HTTP: addr, GRPC: "127.0.0.1:0", Debug: "127.0.0.1:0"}
-	settings.Platform = config.Platform{LogService: s.LogURL, InstanceList: s.ListURL}
+	settings.Platform.LogService, settings.Platform.InstanceList = s.LogURL, s.ListURL
 	err := s.startApp(ctx, set, fx.Options(boot.RouterParts(settings), fx.Populate(&s.router)))
 	if err == nil {
 		s.URL = "http://" + s.router.CallersAddr()
