--- /dev/null
+++ b/internal/procs/budget_test.go
@@ -0,0 +1,125 @@
+package procs
+
+import (
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/beryllanding/beryllanding/internal/stand/engd"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+)
+
+const (
+	// slowToken is a token time that leaves room to interfere, in microseconds.
+	slowToken = 10_000
+	// longAnswer is the output limit of long streams, in tokens.
+	longAnswer = 200
+)
+
+// TestKilledRouterIsReclaimed kills an entry instance with an open stream. The
+// other one serves the retry whole, the request is billed once, and the tokens
+// of the dead one come back.
+func TestKilledRouterIsReclaimed(t *testing.T) {
+	w := newWorld(t, 100_000)
+	engine, _ := w.engine("engine-0", engd.Switches{TokenMicros: slowToken, AnswerTokens: longAnswer})
+	a, b := w.router("router-a"), w.router("router-b")
+	w.ready(a, b)
+	open, err := a.openStream("k1", "which bogie fits", longAnswer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	open.next()
+	a.kill()
+	if open.rest(); open.done {
+		t.Fatal("the stream through the killed instance ended as if whole")
+	}
+	retry, err := b.openStream("k1", "which bogie fits", longAnswer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := retry.rest()
+	if words := len(strings.Fields(text)); !retry.done || words != longAnswer {
+		t.Errorf("the retry got %d words, whole %t; want %d", words, retry.done, longAnswer)
+	}
+	if runs := engine.Counts().Total.Runs; runs != 1 {
+		t.Errorf("the engine ran %d times, want 1: the retry joins the run in progress", runs)
+	}
+	w.eventually("the dead holder is reclaimed", func() bool { return w.budget().Holders == 1 })
+	b.terminate()
+	got := w.budget()
+	if want := ledger.Tokens(longAnswer + 4); got.Billed != want || got.Granted != got.Billed {
+		t.Errorf("billed %d and granted %d, want both %d", got.Billed, got.Granted, want)
+	}
+}
+
+// TestFrozenRouterIsFenced freezes an entry instance that holds tokens until
+// it is closed and reclaimed and all tokens are spent elsewhere. Thawed, it may
+// spend nothing of its old slice.
+func TestFrozenRouterIsFenced(t *testing.T) {
+	const paid = 20_000
+	w := newWorld(t, paid)
+	engine, _ := w.engine("engine-0", engd.Switches{AnswerTokens: 1000})
+	a, b := w.router("router-a"), w.router("router-b")
+	w.ready(a, b)
+	if got := a.chat("", "x", 1000); got.status != http.StatusOK {
+		t.Fatalf("first request: %+v", got)
+	}
+	a.signal(syscall.SIGSTOP)
+	w.eventually("the frozen holder is reclaimed", func() bool { return w.budget().Granted == w.budget().Billed })
+	spend(b)
+	a.signal(syscall.SIGCONT)
+	spend(a)
+	spend(b)
+	if got := tokens(engine); got > paid {
+		t.Errorf("the engine made and read %d tokens, paid are %d", got, paid)
+	}
+	w.eventually("all usage is on the log", func() bool { return w.budget().Billed == tokens(engine) })
+	if left := paid - tokens(engine); left > 1200 {
+		t.Errorf("%d tokens were refused although paid for", left)
+	}
+}
+
+// spend sends requests of about a thousand tokens until several are refused in
+// a row.
+func spend(p *proc) {
+	for refused := 0; refused < 3; {
+		if p.chat("", "x", 1000).status == http.StatusOK {
+			refused = 0
+			continue
+		}
+		refused++
+	}
+}
+
+// tokens returns what the engine read and made.
+func tokens(e *engd.Engine) ledger.Tokens {
+	c := e.Counts().Total
+	return ledger.Tokens(c.PromptTokens + c.Tokens)
+}
+
+// ready waits until each entry instance answers a free request from the
+// catalogue and sees the targets.
+func (w *world) ready(routers ...*proc) {
+	w.t.Helper()
+	for _, p := range routers {
+		w.eventually(p.name+" is ready", func() bool {
+			resp, err := http.Get(p.http + "/readyz")
+			if err != nil {
+				return false
+			}
+			_ = resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		})
+	}
+	listed, _ := w.list.Instances()
+	w.eventually("all sides are registered", func() bool {
+		sides := 0
+		for _, inst := range listed {
+			if inst.Role == "side" {
+				sides++
+			}
+		}
+		return len(w.fleet().Sides()) >= sides
+	})
+}
