pkg/fold: prove the reader against a naive fold, and mend seven faults

Readers are driven by random histories (duplicates, malformed records, expiry, racing and incomplete checkpoints, restarts, restores from peers) and compared with a fold that has seen every record and remembers every batch.

Faults found and mended, each with its test: * A stale reader whose stream had expired whole never came to its end, so CatchUp read for ever (TestReadersAgreeWithNaiveFold, TestCatchUpAllExpired). * Chunks of two encodings of one checkpoint could be joined; each chunk now names the sum of the whole (TestMixedEncodings). * A chunk's offset and digest were not compared with those of the checkpoint in it, nor with the offset of its own record (TestBadChunks). * Chunks were kept without bound, and with their data by readers that never need it (TestPartialMemory). * Restore took a state of other records at the reader's own offset (TestRestoreOfOtherRecords). * A stream that lost its end was read on without an error; what came next was skipped as folded already (TestRewound). * FreshAt was renewed by pages that left the follower stale, and a read that was never answered held the follower for ever.

Before: the first history of the differential test fails on the old reader: "reader is still at offset 0 (stale: true) of 1". After: go test ./pkg/fold.

Seen failing: each of these was removed in turn and a test failed: the check of Seq, the gap check, the writers in a checkpoint, the end of staleness, the move of the search with the first record, its new start at a gap, the offset, digest and sum checks of chunks, the bound of incomplete checkpoints, the refusal to go back. Two checks that no test missed were redundant; one was removed, the other (a checkpoint behind the reader is not collected) only saves work.

--- a/pkg/fold/batch.go
+++ b/pkg/fold/batch.go
@@ -19,6 +19,9 @@
 	Items []Item `json:"items"`
 }
 
+// valid reports whether the batch says who wrote it and as which.
+func (b Batch) valid() bool { return b.Writer != "" && b.Seq > 0 }
+
 // Item is one proposal in a batch. Its effect is decided by the fold.
 type Item struct {
 	Kind string          `json:"kind"`
--- a/pkg/fold/follow.go
+++ b/pkg/fold/follow.go
@@ -39,26 +39,49 @@
 // Run follows the stream until the context ends. Failures of the log service
 // are retried; the state stays as it was meanwhile.
 func (f *Follower) Run(ctx context.Context) {
+	// The timeout doubles with each failure, so that a connection that went
+	// silent is given up soon and a slow service is still waited for.
+	timeout := firstTimeout
 	for ctx.Err() == nil {
-		if f.Poll(ctx, readWait) != nil {
-			sleep(ctx, readPause)
+		err := f.poll(ctx, readWait, timeout)
+		if err == nil {
+			timeout = firstTimeout
+			continue
 		}
+		if searching := errors.Is(err, ErrGap) && !f.atEnd(); searching {
+			continue
+		}
+		timeout = min(2*timeout, lastTimeout)
+		sleep(ctx, readPause)
 	}
 }
 
 // Poll reads and folds one page, and waits up to wait for its first record.
 func (f *Follower) Poll(ctx context.Context, wait time.Duration) error {
-	page, err := f.Log.Read(ctx, f.Stream, f.nextRead(), readLimit, wait)
+	return f.poll(ctx, wait, lastTimeout)
+}
+
+// poll is Poll with a timeout for the answer beyond the wait.
+func (f *Follower) poll(ctx context.Context, wait, timeout time.Duration) error {
+	reading, cancel := context.WithTimeout(ctx, wait+timeout)
+	defer cancel()
+	page, err := f.Log.Read(reading, f.Stream, f.nextRead(), readLimit, wait)
 	if err != nil {
 		return err
 	}
+	if err := f.apply(page); err != nil {
+		return err
+	}
 	f.fresh.Store(time.Now().UnixNano())
-	return f.apply(page)
+	return nil
 }
 
 // CatchUp reads until the end of the stream as the service reports it.
 func (f *Follower) CatchUp(ctx context.Context) error {
 	for {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
 		if err := f.Poll(ctx, 0); err != nil && !errors.Is(err, ErrGap) {
 			return err
 		}
@@ -68,7 +91,8 @@
 	}
 }
 
-// FreshAt returns when the stream was last read with success, or the zero time.
+// FreshAt returns when a page was last read and folded without error, or the
+// zero time. A stale follower isn't fresh.
 func (f *Follower) FreshAt() time.Time {
 	n := f.fresh.Load()
 	if n == 0 {
@@ -91,6 +115,14 @@
 	return f.Reader.Offset()
 }
 
+// Folded returns the highest Seq folded for the writer, and an offset by which it
+// was folded. It serves as Writer.Folded.
+func (f *Follower) Folded(writer string) (uint64, logsvc.Offset) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Reader.Folded(writer), f.Reader.Offset()
+}
+
 // Restore moves the state to a checkpoint from a peer, unless it is behind.
 func (f *Follower) Restore(cp Checkpoint) error {
 	f.mu.Lock()
--- a/pkg/fold/reader.go
+++ b/pkg/fold/reader.go
@@ -9,11 +9,9 @@
 
 import (
 	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
 )
@@ -23,43 +21,9 @@
 // not be used for decisions until the gap is closed.
 var ErrGap = errors.New("records expired before they were read")
 
-// checkpointKind is the kind of the items that carry a checkpoint's chunks.
-const checkpointKind = "checkpoint-chunk"
-
-// chunkBytes bounds the state bytes in one checkpoint chunk, so that the
-// encoded record stays under logsvc.MaxRecord.
-const chunkBytes = 96 << 10
-
-// digestHistory is the number of recent offsets whose digests a reader keeps to
-// verify checkpoints made by others.
-const digestHistory = 4096
-
-// Checkpoint is the state of a reader after the record at offset At.
-type Checkpoint struct {
-	At logsvc.Offset `json:"at"`
-	// Digest is a hash chain over all records up to At.
-	Digest string `json:"digest"`
-	// Writers holds the highest Seq folded for each writer.
-	Writers map[string]uint64 `json:"writers"`
-	State   []byte            `json:"state"`
-}
-
-// chunk is a part of an encoded checkpoint.
-type chunk struct {
-	At     logsvc.Offset `json:"at"`
-	Digest string        `json:"digest"`
-	Part   int           `json:"part"`
-	Parts  int           `json:"parts"`
-	Data   []byte        `json:"data"`
-}
-
-// chunkKey names the checkpoint that a chunk belongs to. Racing writers produce
-// equal chunks for the same key, so their chunks complete each other.
-type chunkKey struct {
-	at     logsvc.Offset
-	digest string
-	parts  int
-}
+// ErrRewound reports that the stream ends before the records that the reader
+// folded. The state is as it was; reading on would skip what comes next.
+var ErrRewound = errors.New("stream ends before the records that were folded")
 
 // Stats counts what a reader ignored or found wrong.
 type Stats struct {
@@ -87,7 +51,7 @@
 	digest  [sha256.Size]byte
 	writers map[string]uint64
 	digests map[logsvc.Offset][sha256.Size]byte
-	partial map[chunkKey]map[int][]byte
+	partial partials
 	// lastCheckpoint is the At of the newest complete checkpoint seen.
 	lastCheckpoint logsvc.Offset
 }
@@ -110,6 +74,10 @@
 // offset and the page expired; the reader is stale then, keeps looking for a
 // checkpoint in the pages that follow, and recovers when one is complete.
 func (r *Reader) Feed(page logsvc.Page) error {
+	page.First = max(page.First, 1)
+	if page.Next != 0 && page.Next <= r.offset {
+		return fmt.Errorf("%w: folded up to offset %d, the next is %d", ErrRewound, r.offset, page.Next)
+	}
 	r.end = max(r.end, page.Next)
 	if page.First > r.offset+1 {
 		r.enterGap()
@@ -144,67 +112,6 @@
 // atEnd reports whether all records up to the known end were read.
 func (r *Reader) atEnd() bool { return r.nextRead() >= r.end }
 
-// feedStale looks for a checkpoint in the page. Where one completes that every
-// record after it is still retained for, it is restored and the page's records
-// after it are folded; the caller reads on from NextRead.
-func (r *Reader) feedStale(page logsvc.Page) error {
-	for _, rec := range page.Records {
-		r.scanned = rec.Offset
-		for _, item := range decodeBatch(rec.Data).Items {
-			cp, ok := r.collect(item)
-			if !ok || cp.At+1 < page.First || cp.At < r.offset {
-				continue
-			}
-			if r.Restore(cp) == nil {
-				return nil
-			}
-		}
-	}
-	return fmt.Errorf("%w: folded up to offset %d, first retained is %d", ErrGap, r.offset, page.First)
-}
-
-// Restore moves the reader to a checkpoint, made by this or another reader of
-// the same stream. It refuses one behind the reader's offset, so that a reader
-// never goes back.
-func (r *Reader) Restore(cp Checkpoint) error {
-	if cp.At < r.offset {
-		return fmt.Errorf("checkpoint at offset %d is behind the reader at %d", cp.At, r.offset)
-	}
-	digest, err := hex.DecodeString(cp.Digest)
-	if err != nil || len(digest) != sha256.Size {
-		return fmt.Errorf("checkpoint at offset %d has the malformed digest %q", cp.At, cp.Digest)
-	}
-	if err := r.Machine.Restore(cp.State); err != nil {
-		return fmt.Errorf("checkpoint at offset %d: %w", cp.At, err)
-	}
-	r.offset = cp.At
-	r.digest = [sha256.Size]byte(digest)
-	r.writers = maps.Clone(cp.Writers)
-	r.digests = nil
-	r.partial = nil
-	r.stale = false
-	r.lastCheckpoint = max(r.lastCheckpoint, cp.At)
-	r.Stats.Restores++
-	return nil
-}
-
-// Checkpoint returns the reader's state. It fails while the reader is stale.
-func (r *Reader) Checkpoint() (Checkpoint, error) {
-	if r.stale {
-		return Checkpoint{}, ErrGap
-	}
-	state, err := r.Machine.Snapshot()
-	if err != nil {
-		return Checkpoint{}, err
-	}
-	return Checkpoint{
-		At:      r.offset,
-		Digest:  hex.EncodeToString(r.digest[:]),
-		Writers: maps.Clone(r.writers),
-		State:   state,
-	}, nil
-}
-
 // feedRecord folds the record if it is the next one.
 func (r *Reader) feedRecord(rec logsvc.Record) {
 	if rec.Offset != r.offset+1 {
@@ -213,7 +120,7 @@
 	r.offset = rec.Offset
 	r.chain(rec.Data)
 	batch := decodeBatch(rec.Data)
-	if batch.Writer == "" {
+	if !batch.valid() {
 		r.Stats.Malformed++
 		return
 	}
@@ -233,7 +140,7 @@
 func (r *Reader) applyItems(offset logsvc.Offset, batch Batch) {
 	for i, item := range batch.Items {
 		if item.Kind == checkpointKind {
-			r.verify(item)
+			r.verify(offset, item)
 			continue
 		}
 		r.Machine.Apply(Position{Offset: offset, Index: i, Writer: batch.Writer}, item)
@@ -255,59 +162,8 @@
 	}
 }
 
-// verify compares a checkpoint's digest with the reader's own for that offset,
-// and notes the checkpoint when it is complete.
-func (r *Reader) verify(item Item) {
-	var c chunk
-	if json.Unmarshal(item.Body, &c) != nil {
-		r.Stats.Malformed++
-		return
-	}
-	own, known := r.digests[c.At]
-	if known && hex.EncodeToString(own[:]) != c.Digest {
-		r.Stats.CheckpointConflicts++
-		return
-	}
-	if cp, ok := r.collect(item); ok {
-		r.lastCheckpoint = max(r.lastCheckpoint, cp.At)
-	}
-}
-
-// collect stores a chunk and returns the checkpoint that it completes.
-func (r *Reader) collect(item Item) (Checkpoint, bool) {
-	var c chunk
-	if item.Kind != checkpointKind || json.Unmarshal(item.Body, &c) != nil {
-		return Checkpoint{}, false
-	}
-	if c.Parts < 1 || c.Part < 0 || c.Part >= c.Parts {
-		return Checkpoint{}, false
-	}
-	key := chunkKey{at: c.At, digest: c.Digest, parts: c.Parts}
-	if r.partial == nil {
-		r.partial = make(map[chunkKey]map[int][]byte)
-	}
-	if r.partial[key] == nil {
-		r.partial[key] = make(map[int][]byte)
-	}
-	r.partial[key][c.Part] = c.Data
-	if len(r.partial[key]) < c.Parts {
-		return Checkpoint{}, false
-	}
-	cp, err := joinChunks(r.partial[key], c.Parts)
-	r.dropPartial(c.At)
-	return cp, err == nil
-}
-
-// dropPartial forgets the chunks of checkpoints up to the given offset.
-func (r *Reader) dropPartial(upTo logsvc.Offset) {
-	for key := range r.partial {
-		if key.at <= upTo {
-			delete(r.partial, key)
-		}
-	}
-}
-
-// decodeBatch decodes a record; a malformed one yields a batch without writer.
+// decodeBatch decodes a record; a malformed one yields a batch that is not
+// valid.
 func decodeBatch(data []byte) Batch {
 	var b Batch
 	if json.Unmarshal(data, &b) != nil {
@@ -315,29 +171,3 @@
 	}
 	return b
 }
-
-// Chunks encodes a checkpoint as items for a Writer, one item for each record.
-func (cp Checkpoint) Chunks() ([]Item, error) {
-	raw, err := json.Marshal(cp)
-	if err != nil {
-		return nil, err
-	}
-	parts := max(1, (len(raw)+chunkBytes-1)/chunkBytes)
-	items := make([]Item, 0, parts)
-	for i := range parts {
-		data := raw[i*chunkBytes : min(len(raw), (i+1)*chunkBytes)]
-		items = append(items, NewItem(checkpointKind, chunk{At: cp.At, Digest: cp.Digest, Part: i, Parts: parts, Data: data}))
-	}
-	return items, nil
-}
-
-// joinChunks decodes a checkpoint from all of its chunks.
-func joinChunks(chunks map[int][]byte, parts int) (Checkpoint, error) {
-	var raw []byte
-	for i := range parts {
-		raw = append(raw, chunks[i]...)
-	}
-	var cp Checkpoint
-	err := json.Unmarshal(raw, &cp)
-	return cp, err
-}
