pkg/logsvc: client gives up silent connections, and its proofs

A call that timed out closes the idle connections, which may be silent as well, so that the next call gets a fresh one. Calls with a deadline of their own keep it; only those without are bounded by the client.

--- a/pkg/logsvc/client.go
+++ b/pkg/logsvc/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,8 +15,8 @@
 )
 
 const (
-	// answerTimeout bounds a call beyond the time that a read waits, so that a
-	// connection that went silent is given up.
+	// answerTimeout bounds a call without a deadline, beyond the time that a read
+	// waits, so that a connection that went silent is given up.
 	answerTimeout = 5 * time.Second
 	// maxAnswer bounds an answer's body in bytes: a page in base64, with room
 	// for its offsets.
@@ -45,7 +46,7 @@
 	if len(data) > MaxRecord {
 		return 0, fmt.Errorf("%w: %d bytes, at most %d", ErrTooLarge, len(data), MaxRecord)
 	}
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	ctx, cancel := withDeadline(ctx, answerTimeout)
 	defer cancel()
 	// A request that never got a connection cannot have had an effect.
 	connected := false
@@ -56,7 +57,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	resp, err := c.client().Do(req)
+	resp, err := c.do(req)
 	if err != nil {
 		return 0, sendError(err, connected)
 	}
@@ -69,7 +70,7 @@
 
 // Read returns records from the given offset on. See Service.
 func (c *Client) Read(ctx context.Context, stream string, from Offset, limit int, wait time.Duration) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
+	ctx, cancel := withDeadline(ctx, wait+answerTimeout)
 	defer cancel()
 	query := url.Values{
 		"from":    {strconv.FormatUint(uint64(from), 10)},
@@ -80,7 +81,7 @@
 	if err != nil {
 		return Page{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	resp, err := c.client().Do(req)
+	resp, err := c.do(req)
 	if err != nil {
 		return Page{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
@@ -91,6 +92,24 @@
 	return decodePage(resp.Body, from, limit)
 }
 
+// do sends a request. After one that timed out, the idle connections may be
+// silent as well, so that the next request gets a fresh one.
+func (c *Client) do(req *http.Request) (*http.Response, error) {
+	resp, err := c.client().Do(req)
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.client().CloseIdleConnections()
+	}
+	return resp, err
+}
+
+// withDeadline bounds a context that has no deadline.
+func withDeadline(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, d)
+}
+
 func (c *Client) client() *http.Client {
 	if c.HTTP != nil {
 		return c.HTTP
--- /dev/null
+++ b/pkg/logsvc/client_test.go
@@ -0,0 +1,219 @@
+package logsvc_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
+	"github.com/beryllanding/beryllanding/pkg/logsvc"
+)
+
+// serve returns a client of the handler over loopback.
+func serve(t *testing.T, h http.Handler) *logsvc.Client {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return &logsvc.Client{Addr: server.URL}
+}
+
+func TestClient(t *testing.T) {
+	store := &logd.Store{}
+	c := serve(t, store.Handler())
+	for i, data := range []string{"a", "", "\x00\xff"} {
+		at, err := c.Append(t.Context(), "odd name %?", []byte(data))
+		if err != nil || at != logsvc.Offset(i+1) {
+			t.Fatalf("append %d: offset %d, %v", i, at, err)
+		}
+	}
+	page, err := c.Read(t.Context(), "odd name %?", 2, 10, 0)
+	want := logsvc.Page{First: 1, Next: 4, Records: []logsvc.Record{{Offset: 2, Data: []byte{}}, {Offset: 3, Data: []byte("\x00\xff")}}}
+	if diff := cmp.Diff(want, page); diff != "" || err != nil {
+		t.Error(err, diff)
+	}
+	if page, err := c.Read(t.Context(), "empty", 1, 10, 0); err != nil || page.Next != 1 {
+		t.Errorf("empty stream: %+v, %v", page, err)
+	}
+	if _, err := c.Append(t.Context(), "s", make([]byte, logsvc.MaxRecord+1)); !errors.Is(err, logsvc.ErrTooLarge) {
+		t.Errorf("error is %v, want ErrTooLarge", err)
+	}
+}
+
+// TestPagesAreBounded reads large records, which take several pages.
+func TestPagesAreBounded(t *testing.T) {
+	store := &logd.Store{}
+	c := serve(t, store.Handler())
+	for range 9 {
+		if _, err := store.Append(t.Context(), "s", make([]byte, logsvc.MaxRecord)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var sizes []int
+	for from := logsvc.Offset(1); from < 10; {
+		page, err := c.Read(t.Context(), "s", from, 100, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sizes = append(sizes, len(page.Records))
+		from += logsvc.Offset(len(page.Records))
+	}
+	if diff := cmp.Diff([]int{4, 4, 1}, sizes); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestAppendErrors shows which failures of an append had no effect.
+func TestAppendErrors(t *testing.T) {
+	answer := func(status int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, body)
+		}
+	}
+	for name, c := range map[string]struct {
+		handler http.HandlerFunc
+		want    error
+	}{
+		"429":            {answer(429, "slow down"), logsvc.ErrRateLimited},
+		"503":            {answer(503, ""), logsvc.ErrUnavailable},
+		"413":            {answer(413, ""), logsvc.ErrTooLarge},
+		"500":            {answer(500, ""), logsvc.ErrOutcomeUnknown},
+		"404":            {answer(404, ""), logsvc.ErrOutcomeUnknown},
+		"empty answer":   {answer(200, ""), logsvc.ErrOutcomeUnknown},
+		"no offset":      {answer(200, "{}"), logsvc.ErrOutcomeUnknown},
+		"offset of text": {answer(200, `{"offset":"1"}`), logsvc.ErrOutcomeUnknown},
+		"endless answer": {answer(200, strings.Repeat(" ", 1<<20)+`{"offset":1}`), logsvc.ErrOutcomeUnknown},
+		"cut":            {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, logsvc.ErrOutcomeUnknown},
+	} {
+		client := serve(t, c.handler)
+		for range 2 { // the second time on a connection used before, where it was kept
+			if _, err := client.Append(t.Context(), "s", []byte("x")); !errors.Is(err, c.want) {
+				t.Errorf("%s: error is %v, want %v", name, err, c.want)
+			}
+		}
+	}
+	closed := httptest.NewServer(nil)
+	closed.Close()
+	client := &logsvc.Client{Addr: closed.Listener.Addr().String()}
+	if _, err := client.Append(t.Context(), "s", nil); !errors.Is(err, logsvc.ErrUnavailable) {
+		t.Errorf("refused: error is %v, want ErrUnavailable", err)
+	}
+	if _, err := client.Read(t.Context(), "s", 1, 1, 0); !errors.Is(err, logsvc.ErrUnavailable) {
+		t.Errorf("refused: error is %v, want ErrUnavailable", err)
+	}
+}
+
+// pipes is a network in memory whose connections can go silent.
+type pipes struct {
+	mu     sync.Mutex
+	conns  []*pipe
+	accept chan net.Conn
+}
+
+// pipe is the client's end of a connection. A silent one loses what is written.
+type pipe struct {
+	net.Conn
+	mu     sync.Mutex
+	silent bool
+}
+
+func (p *pipe) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	silent := p.silent
+	p.mu.Unlock()
+	if silent {
+		return len(b), nil
+	}
+	return p.Conn.Write(b)
+}
+
+func (n *pipes) dial(context.Context, string, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	p := &pipe{Conn: client}
+	n.mu.Lock()
+	n.conns = append(n.conns, p)
+	n.mu.Unlock()
+	n.accept <- server
+	return p, nil
+}
+
+// silence makes all open connections silent for good.
+func (n *pipes) silence() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range n.conns {
+		p.mu.Lock()
+		p.silent = true
+		p.mu.Unlock()
+	}
+}
+
+// Accept implements net.Listener.
+func (n *pipes) Accept() (net.Conn, error) {
+	conn, ok := <-n.accept
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+// Close implements net.Listener.
+func (n *pipes) Close() error {
+	close(n.accept)
+	return nil
+}
+
+// Addr implements net.Listener.
+func (n *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// TestSilentConnections lets all open connections go silent. The call that meets
+// the first one fails, and the next gets a fresh connection.
+func TestSilentConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &pipes{accept: make(chan net.Conn)}
+		server := &http.Server{Handler: (&logd.Store{}).Handler()}
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = server.Serve(network) })
+		c := &logsvc.Client{Addr: "log:1", HTTP: &http.Client{
+			Transport: &http.Transport{DialContext: network.dial, MaxIdleConnsPerHost: 8},
+		}}
+		wait := func() {
+			if _, err := c.Read(t.Context(), "s", 1, 1, time.Second); err != nil {
+				t.Error(err)
+			}
+		}
+		var readers sync.WaitGroup
+		for range 5 {
+			readers.Go(wait)
+		}
+		readers.Wait()
+		network.silence()
+		start := time.Now()
+		if _, err := c.Append(t.Context(), "s", []byte("x")); !errors.Is(err, logsvc.ErrOutcomeUnknown) {
+			t.Errorf("error is %v, want ErrOutcomeUnknown", err)
+		}
+		if d := time.Since(start); d != 5*time.Second {
+			t.Errorf("the silent connection was given up after %v, want 5s", d)
+		}
+		if at, err := c.Append(t.Context(), "s", []byte("x")); err != nil || at != 1 {
+			t.Errorf("on a fresh connection: offset %d, %v", at, err)
+		}
+		c.HTTP.CloseIdleConnections()
+		for _, p := range network.conns {
+			_ = p.Conn.Close()
+		}
+		_ = server.Close()
+		wg.Wait()
+	})
+}
