pkg/fold: fuzz targets for records and peers' states

FuzzReader compares with the naive fold wherever writers keep the order of Seq, and checks that a stale reader either restores or stays stale.

--- /dev/null
+++ b/pkg/fold/fuzz_test.go
@@ -0,0 +1,92 @@
+package fold
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"github.com/beryllanding/beryllanding/pkg/logsvc"
+)
+
+// FuzzReader folds records of any content, and offers them to a stale reader. It
+// must agree with the naive fold, or stay stale.
+func FuzzReader(f *testing.F) {
+	note := mustJSON(Batch{Writer: "w", Seq: 1, Items: []Item{NewItem("note", 1)}})
+	source := &Reader{Machine: &journal{}}
+	_ = source.Feed(logsvc.Page{First: 1, Next: 2, Records: []logsvc.Record{{Offset: 1, Data: note}}})
+	cp, err := source.Checkpoint()
+	if err != nil {
+		f.Fatal(err)
+	}
+	items, err := cp.split(len(mustJSON(cp))/2 + 1)
+	if err != nil {
+		f.Fatal(err)
+	}
+	whole := mustJSON(Batch{Writer: "c", Seq: 1, Items: items})
+	half := mustJSON(Batch{Writer: "c", Seq: 2, Items: items[1:]})
+	for _, seed := range [][]byte{
+		note, whole, half, nil,
+		[]byte(`{"writer":"w","seq":18446744073709551615,"items":[{"kind":"note"}]}`),
+		[]byte(`{"writer":"w","seq":-1}`),
+		[]byte(`{"writer":"c","seq":1,"items":[{"kind":"checkpoint-chunk","body":{"parts":1000000000}}]}`),
+		[]byte(`{"writer":"c","seq":1,"items":[{"kind":"checkpoint-chunk","body":{"at":1,"parts":1,"data":"e30="}}]}`),
+	} {
+		f.Add(note, seed, whole)
+		f.Add(seed, note, half)
+	}
+	f.Fuzz(func(t *testing.T, a, b, c []byte) {
+		h := newHistory()
+		for _, data := range [][]byte{a, b, c} {
+			h.add(data)
+		}
+		s := newSubject()
+		if err := s.r.Feed(h.page(1, 9)); err != nil || s.r.Offset() != 3 {
+			t.Fatalf("offset %d, %v", s.r.Offset(), err)
+		}
+		if diff := cmp.Diff(h.lines, s.m.lines, cmpopts.EquateEmpty()); diff != "" && inOrder(a, b, c) {
+			t.Fatal(diff)
+		}
+		late := newSubject()
+		h.first = 2
+		err := late.r.Feed(h.page(1, 9))
+		if late.r.Stale() != errors.Is(err, ErrGap) || late.r.Stale() == (late.r.Offset() > 0) {
+			t.Fatalf("offset %d, stale %v, %v", late.r.Offset(), late.r.Stale(), err)
+		}
+	})
+}
+
+// inOrder reports whether each writer's batches come in the order of Seq, as its
+// writer sends them. Only then does the highest Seq stand for the set of all.
+func inOrder(records ...[]byte) bool {
+	last := make(map[string]uint64)
+	for _, data := range records {
+		b := decodeBatch(data)
+		if b.Seq < last[b.Writer] {
+			return false
+		}
+		last[b.Writer] = b.Seq
+	}
+	return true
+}
+
+// FuzzRestore decodes states as they come from a peer.
+func FuzzRestore(f *testing.F) {
+	digest := "0000000000000000000000000000000000000000000000000000000000000000"
+	f.Add(uint64(0), digest, []byte("[]"))
+	f.Add(uint64(7), digest, []byte(`["a"]`))
+	f.Add(uint64(7), digest[1:], []byte(`["a"]`))
+	f.Add(uint64(7), "zz", []byte(`{`))
+	f.Fuzz(func(t *testing.T, at uint64, digest string, state []byte) {
+		s := newSubject()
+		_ = s.r.Feed(newHistory().page(1, 9))
+		err := s.r.Restore(Checkpoint{At: logsvc.Offset(at), Digest: digest, State: state})
+		if err != nil && (s.r.Offset() != 0 || s.m.lines != nil) {
+			t.Fatalf("refused state took effect: offset %d, %q", s.r.Offset(), s.m.lines)
+		}
+		if err == nil && s.r.Offset() != logsvc.Offset(at) {
+			t.Fatalf("offset %d, want %d", s.r.Offset(), at)
+		}
+	})
+}
