--- a/pkg/catal/naive_test.go
+++ b/pkg/catal/naive_test.go
@@ -23,6 +23,8 @@
 // naiveEntry is the latest accepted change of a name.
 type naiveEntry struct {
 	placed
+	// index counts the changes, several of which may have one offset.
+	index     int
 	forgotten bool
 }
 
@@ -35,14 +37,14 @@
 
 func (n *naive) walk() naiveState {
 	st := naiveState{latest: map[string]naiveEntry{}, verdicts: map[string]Verdict{}}
-	for _, c := range n.changes {
+	for i, c := range n.changes {
 		if st.verdicts[c.ID] != nil {
 			continue
 		}
 		st.verdicts[c.ID] = st.judge(c)
 		st.ids = append(st.ids, c.ID)
 		if st.verdicts[c.ID] == Verdict(Accepted{At: c.at}) {
-			st.latest[c.Name()] = naiveEntry{placed: c}
+			st.latest[c.Name()] = naiveEntry{placed: c, index: i}
 		}
 		st.forgetDeletions(n.memory)
 		if len(st.ids) > n.memory {
@@ -67,6 +69,9 @@
 		return Conflict{}
 	}
 	var faults []string
+	if known && old.at == c.at {
+		return Invalid{Faults: []string{fmt.Sprintf("base %d is not an offset before the change", c.Base)}}
+	}
 	if c.Entry == nil && (!known || old.Entry == nil) {
 		faults = append(faults, fmt.Sprintf("entry %q does not exist", c.Delete))
 	}
@@ -111,7 +116,7 @@
 			deleted = append(deleted, e)
 		}
 	}
-	slices.SortFunc(deleted, func(a, b naiveEntry) int { return int(a.at) - int(b.at) })
+	slices.SortFunc(deleted, func(a, b naiveEntry) int { return a.index - b.index })
 	for _, e := range deleted[:max(0, len(deleted)-limit)] {
 		e.forgotten = true
 		st.latest[e.Name()] = e
--- a/pkg/catal/state_test.go
+++ b/pkg/catal/state_test.go
@@ -16,13 +16,15 @@
 )
 
 func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20261203"); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	os.Exit(m.Run())
 }
 
-const testMemory = 4
+const testMemory = 3
 
 var (
 	testNames = []string{"a", "b", "c", "d", "e", "f", "g", "h"}
@@ -39,12 +41,11 @@
 	views   [3]*fold.Reader
 	readers [3]*State
 	ids     []string
-	written map[string]bool
 	seq     uint64
 }
 
 func newRace() *race {
-	r := &race{model: naive{memory: testMemory}, written: map[string]bool{}}
+	r := &race{model: naive{memory: testMemory}}
 	r.reader, r.state = newReader()
 	for i := range r.views {
 		r.views[i], r.readers[i] = newReader()
@@ -62,8 +63,17 @@
 	return logsvc.Page{First: 1, Next: logsvc.Offset(len(r.log) + 1), Records: r.log}
 }
 
+// write draws the changes of one record.
+func (r *race) write(t *rapid.T) {
+	var list []Change
+	for range rapid.SampledFrom([]int{1, 1, 2, 3}).Draw(t, "changes") {
+		list = append(list, r.change(t))
+	}
+	r.append(t, list...)
+}
+
 // change draws a change that an operator makes from its own, old view.
-func (r *race) change(t *rapid.T) {
+func (r *race) change(t *rapid.T) Change {
 	i := rapid.IntRange(0, len(r.views)-1).Draw(t, "operator")
 	c := Change{
 		ID:       fmt.Sprintf("c%d", len(r.ids)),
@@ -77,10 +87,10 @@
 	rec, _ := r.readers[i].Get(c.Name())
 	c.Base = rec.At
 	if rapid.IntRange(0, 9).Draw(t, "guess") == 0 {
-		c.Base = logsvc.Offset(rapid.IntRange(0, len(r.log)).Draw(t, "base"))
+		c.Base = logsvc.Offset(rapid.IntRange(0, len(r.log)+1).Draw(t, "base"))
 	}
 	r.ids = append(r.ids, c.ID)
-	r.append(t, c)
+	return c
 }
 
 // fill draws what the change is about.
@@ -102,15 +112,19 @@
 	}
 }
 
-// append appends the change, or loses it, or appends it twice.
-func (r *race) append(t *rapid.T, c Change) {
+// append appends a record with the changes, or loses it, or appends it twice.
+func (r *race) append(t *rapid.T, list ...Change) {
 	r.seq++
-	data, _ := json.Marshal(fold.Batch{Writer: "w", Seq: r.seq, Items: []fold.Item{Encode(c)}})
+	batch := fold.Batch{Writer: "w", Seq: r.seq}
+	for _, c := range list {
+		batch.Items = append(batch.Items, Encode(c))
+	}
+	data, _ := json.Marshal(batch)
 	copies := rapid.SampledFrom([]int{1, 1, 1, 1, 0, 2}).Draw(t, "copies")
 	for n := range copies {
 		at := logsvc.Offset(len(r.log) + 1)
 		r.log = append(r.log, logsvc.Record{Offset: at, Data: data})
-		if n == 0 {
+		for _, c := range list[:len(list)*(1-n)] {
 			r.model.changes = append(r.model.changes, placed{at: at, Change: c})
 		}
 	}
@@ -180,7 +194,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		r := newRace()
 		t.Repeat(map[string]func(*rapid.T){
-			"change": r.change, "change again": r.change, "refresh": r.refresh, "restart": r.restart, "": r.check,
+			"write": r.write, "write again": r.write, "refresh": r.refresh, "restart": r.restart, "": r.check,
 		})
 	})
 }
