--- a/cmd/beryl/main.go
+++ b/cmd/beryl/main.go
@@ -8,11 +8,12 @@
 	"syscall"
 
 	"github.com/beryllanding/beryllanding/internal/cmds"
+	"github.com/beryllanding/beryllanding/internal/opsvc"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	p := cmds.Program{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Extra: extra}
+	p := cmds.Program{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Connect: opsvc.Dial, Extra: extra}
 	code := p.Run(ctx, os.Args[1:])
 	stop()
 	os.Exit(code)
--- a/internal/cmds/exit.go
+++ b/internal/cmds/exit.go
@@ -63,7 +63,7 @@
 		return ExitOK
 	case errors.As(err, &told):
 		return told.code
-	case errors.Is(err, ErrCheckFailed):
+	case errors.Is(err, ErrCheckFailed), errors.Is(err, opsvc.ErrStillListed):
 		return ExitCheckFailed
 	case errors.Is(err, opsvc.ErrNotFound):
 		return ExitNotFound
--- a/internal/cmds/tools.go
+++ b/internal/cmds/tools.go
@@ -19,6 +19,12 @@
 func Builtin() []Command {
 	return []Command{
 		catalogueCommand(),
+		budgetCommand(),
+		usageCommand(),
+		targetsCommand(),
+		instancesCommand(),
+		holdingsCommand(),
+		fleetCommand(),
 		keyCommand(),
 		settingsCommand(),
 		{
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,9 +35,9 @@
 
 // Operator is the settings of the operators' command line, beryl.
 type Operator struct {
-	PeerTLS  PeerTLS  `section:"peer-tls" doc:"Mutual TLS towards the entry instances that are asked for their holdings."`
-	Platform Platform `section:"platform" doc:"The platform's services."`
-	Budget   Shards   `section:"budget" doc:"Where tokens are topped up."`
+	PeerTLS  PeerTLS   `section:"peer-tls" doc:"Mutual TLS towards the entry instances that are asked for their holdings."`
+	Platform Addresses `section:"platform" doc:"The platform's services."`
+	Budget   Shards    `section:"budget" doc:"Where tokens are topped up."`
 }
 
 // Family is the settings of one program.
@@ -77,7 +77,8 @@
 // Enabled reports whether the processes speak TLS.
 func (p PeerTLS) Enabled() bool { return p.Cert != "" }
 
-// Platform holds the URLs of the platform's services.
+// Platform holds the URLs of the platform's services, and how often the
+// instance list is used.
 type Platform struct {
 	LogService    string        `key:"log-service" type:"url" required:"yes" doc:"Base URL of the log service."`
 	InstanceList  string        `key:"instance-list" type:"url" required:"yes" doc:"Base URL of the instance list."`
@@ -85,6 +86,13 @@
 	ListEvery     time.Duration `key:"list-every" min:"100ms" max:"10m" default:"1s" doc:"Pause between two reads of the instance list."`
 }
 
+// Addresses holds the URLs of the platform's services, for a program that is on
+// no list itself.
+type Addresses struct {
+	LogService   string `key:"log-service" type:"url" required:"yes" doc:"Base URL of the log service."`
+	InstanceList string `key:"instance-list" type:"url" required:"yes" doc:"Base URL of the instance list."`
+}
+
 // Shards tells how budgets are spread over streams.
 type Shards struct {
 	Shards int `key:"shards" min:"1" max:"1024" default:"1" doc:"Number of budget streams. It must be equal everywhere and can't be changed once budgets exist."`
--- a/internal/opsvc/opsvc.go
+++ b/internal/opsvc/opsvc.go
@@ -9,8 +9,10 @@
 	"fmt"
 	"sync"
 
+	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/fold"
 	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/insts"
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
 )
 
@@ -21,6 +23,11 @@
 // answer. Test for it with errors.Is.
 var ErrPlatform = errors.New("no answer")
 
+// Lister reads the instance list.
+type Lister interface {
+	List(ctx context.Context) ([]insts.Instance, error)
+}
+
 // Service does the operators' queries and commands. Log is required, the other
 // fields as the methods say. It is safe for concurrent use.
 type Service struct {
@@ -29,6 +36,11 @@
 	Operator string
 	// Shards is the number of budget streams; 0 stands for 1.
 	Shards int
+	// List is the instance list.
+	List Lister
+	// Peer connects to an entry instance. The function it returns ends the
+	// connection.
+	Peer func(addr string) (wire.PeerClient, func(), error)
 	// NewID makes the ids of proposals; nil stands for ident.NewRequest.
 	NewID func() string
 }
@@ -61,6 +73,9 @@
 
 // catchUp folds a stream into the machine up to its present end.
 func (s *Service) catchUp(ctx context.Context, stream string, m fold.Machine) (*fold.Follower, error) {
+	if s.Log == nil {
+		return nil, fmt.Errorf("log service: %w", ErrNoAddress)
+	}
 	f := &fold.Follower{Log: s.Log, Stream: stream, Reader: fold.Reader{Machine: m}}
 	if err := f.CatchUp(ctx); err != nil {
 		return nil, fmt.Errorf("stream %q: %w", stream, err)
