--- a/internal/cmds/app.go
+++ b/internal/cmds/app.go
@@ -67,7 +67,7 @@
 		settings.Platform.InstanceList = g.InstanceList
 	}
 	if g.Shards < 0 {
-		return settings, fmt.Errorf("%w: --shards is %d, expected at least 1", errUsage, g.Shards)
+		return settings, fmt.Errorf("%w: --shards is %d, expected at least 1", errInput, g.Shards)
 	}
 	if g.Shards > 0 {
 		settings.Budget.Shards = g.Shards
--- a/internal/cmds/budget.go
+++ b/internal/cmds/budget.go
@@ -58,7 +58,7 @@
 // Run tops the budget up.
 func (c *budgetTopUp) Run(ctx context.Context, app *App) error {
 	if c.Args.Tokens == 0 {
-		return fmt.Errorf("%w: TOKENS is 0", errUsage)
+		return fmt.Errorf("%w: TOKENS is 0", errInput)
 	}
 	s, err := app.Service()
 	if err != nil {
@@ -162,7 +162,7 @@
 // Run shows the bills.
 func (c *usage) Run(ctx context.Context, app *App) error {
 	if c.Request != "" && c.Budget != "" {
-		return fmt.Errorf("%w: --request and --budget exclude each other", errUsage)
+		return fmt.Errorf("%w: --request and --budget exclude each other", errInput)
 	}
 	s, err := app.Service()
 	if err != nil {
--- a/internal/cmds/catal.go
+++ b/internal/cmds/catal.go
@@ -265,10 +265,10 @@
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&body); err != nil {
-		return opsvc.Change{}, fmt.Errorf("%w: %w", errUsage, err)
+		return opsvc.Change{}, fmt.Errorf("%w: %w", errInput, err)
 	}
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return opsvc.Change{}, fmt.Errorf("%w: more than one JSON value", errUsage)
+		return opsvc.Change{}, fmt.Errorf("%w: more than one JSON value", errInput)
 	}
 	ask := opsvc.Change{Base: body.At}
 	switch {
@@ -277,10 +277,10 @@
 	case body.Budget != nil && body.Service == nil:
 		ask.Entry = body.Budget
 	default:
-		return ask, fmt.Errorf(`%w: expected one of "service" and "budget"`, errUsage)
+		return ask, fmt.Errorf(`%w: expected one of "service" and "budget"`, errInput)
 	}
 	if body.Name != "" && body.Name != ask.Entry.EntryName() {
-		return ask, fmt.Errorf("%w: the file is about %q, but its entry is named %q", errUsage, body.Name, ask.Entry.EntryName())
+		return ask, fmt.Errorf("%w: the file is about %q, but its entry is named %q", errInput, body.Name, ask.Entry.EntryName())
 	}
 	return ask, nil
 }
--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -69,6 +69,9 @@
 	if len(rest) > 0 {
 		return p.usage(node, fmt.Errorf("unexpected argument %q", rest[0]))
 	}
+	if t.globals.Timeout <= 0 {
+		return p.usage(node, fmt.Errorf("--timeout is %s, expected more than 0s", t.globals.Timeout))
+	}
 	app := &App{Globals: *t.globals, In: p.In, Out: p.Out, connect: p.Connect, tree: t}
 	return p.finish(node, p.run(ctx, app, node))
 }
--- a/internal/cmds/exit.go
+++ b/internal/cmds/exit.go
@@ -42,8 +42,8 @@
 // Int returns the code as os.Exit takes it.
 func (c ExitCode) Int() int { return int(c) }
 
-// errUsage is matched by errors about how the command was called.
-var errUsage = errors.New("wrong usage")
+// errInput is matched by errors about what the command was given.
+var errInput = errors.New("bad input")
 
 // ErrCheckFailed is matched by errors that say that the thing that was checked
 // is not in order.
--- a/internal/cmds/fleet.go
+++ b/internal/cmds/fleet.go
@@ -236,6 +236,7 @@
 	case opsvc.NotAppended:
 		row(w, fmt.Sprintf("not-appended: the log service refused the declaration about %s; nothing was changed", r.Side))
 	default:
-		row(w, fmt.Sprintf("unknown: the declaration about %s may or may not take effect; it is safe to repeat", r.Side))
+		row(w, fmt.Sprintf("unknown: the declaration about %s may or may not take effect", r.Side))
+		row(w, "repeat it until the answer is \"accepted\" or \"not found\": the side process is gone then")
 	}
 }
--- a/internal/cmds/tools.go
+++ b/internal/cmds/tools.go
@@ -101,7 +101,7 @@
 	}
 	key := string(bytes.TrimRight(data, "\r\n"))
 	if key == "" || len(data) > maxKey || bytes.ContainsAny([]byte(key), " \t\r\n") {
-		return fmt.Errorf("%w: expected one key of up to %d bytes, without blanks, on standard input", errUsage, maxKey)
+		return fmt.Errorf("%w: expected one key of up to %d bytes, without blanks, on standard input", errInput, maxKey)
 	}
 	body := struct {
 		Hash string `json:"hash"`
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,167 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// golden compares the text with a file of testdata.
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	path := filepath.Join("testdata", name)
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("%s (-golden +got):\n%s", name, diff)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	for _, name := range []string{"router-faults", "side-faults", "operator-empty"} {
+		familyName, _, _ := strings.Cut(name, "-")
+		err := Check(familyName, filepath.Join("testdata", name+".ini"))
+		if !errors.Is(err, ErrInvalid) {
+			t.Errorf("%s has no faults: %v", name, err)
+			continue
+		}
+		golden(t, name+".golden", err.Error()+"\n")
+	}
+}
+
+func TestWhole(t *testing.T) {
+	got, err := Load[Router](filepath.Join("testdata", "router-whole.ini"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Defaults[Router]()
+	want.Instance = Instance{Name: "chc-a-r1", DataCentre: "chc-a", Region: "nz-south"}
+	want.Listen.HTTP, want.Listen.GRPC = "0.0.0.0:8443", "[::1]:8081"
+	want.Listen.TLSCert, want.Listen.TLSKey = "/etc/beryl/cert.pem", "/etc/beryl/key.pem"
+	want.PeerTLS = PeerTLS{Cert: "c", Key: "k", CA: "a"}
+	want.Platform.LogService = "http://127.0.0.1:7000"
+	want.Platform.InstanceList = "https://127.0.0.1:7001/base"
+	want.Budget.Shards = 4
+	want.Budget.Horizon = 90 * time.Second
+	want.Budget.LowWater = 0.125
+	want.Budget.Weight = "refusals"
+	want.Limits.HeaderBytes = 16 << 10
+	want.Limits.Queue = 0
+	want.Log = Log{Level: "warn", Format: "json", Layers: Layers{"entry": "debug", "budget": "info"}}
+	want.Trace = Trace{Exporter: "stdout", Sampled: 1}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("settings (-want +got):\n%s", diff)
+	}
+}
+
+// TestLoopback keeps every listener on loopback unless a file says otherwise.
+func TestLoopback(t *testing.T) {
+	router, side := Defaults[Router]().Listen, Defaults[Side]().Listen
+	for _, addr := range []string{router.HTTP, router.GRPC, router.Debug, side.GRPC, side.Debug} {
+		if !strings.HasPrefix(addr, "127.0.0.1:") {
+			t.Errorf("the default address %q is not on loopback", addr)
+		}
+	}
+}
+
+// TestDefaultsFile checks that the file that is written is read as the defaults.
+func TestDefaultsFile(t *testing.T) {
+	for _, name := range FamilyNames() {
+		var file bytes.Buffer
+		if err := WriteDefaults(&file, name); err != nil {
+			t.Fatal(err)
+		}
+		golden(t, name+"-defaults.ini", file.String())
+	}
+	required := "[instance]\nname=a\ndata-centre=b\n[platform]\nlog-service=http://a\ninstance-list=http://b\n"
+	file, err := os.ReadFile(filepath.Join("testdata", "router-defaults.ini"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := Parse[Router]("want", []byte(required))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Parse[Router]("got", append(file, []byte("\n"+required)...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("settings (-want +got):\n%s", diff)
+	}
+}
+
+// TestReference checks that docs/SETTINGS.md was generated from these structs.
+func TestReference(t *testing.T) {
+	var page bytes.Buffer
+	if err := WriteReference(&page); err != nil {
+		t.Fatal(err)
+	}
+	committed, err := os.ReadFile(filepath.Join("..", "..", "docs", "SETTINGS.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(committed), page.String()); diff != "" {
+		t.Errorf("docs/SETTINGS.md is out of date, run \"go run ./cmd/beryl docs\" (-committed +generated):\n%s", diff)
+	}
+}
+
+func TestOtherErrors(t *testing.T) {
+	if err := Check("router", filepath.Join("testdata", "missing.ini")); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("a missing file gives %v", err)
+	}
+	if err := Check("engine", "x"); err == nil || errors.Is(err, ErrInvalid) {
+		t.Errorf("an unknown family gives %v", err)
+	}
+	if _, err := Parse[Side]("big", make([]byte, maxFile+1)); !errors.Is(err, ErrInvalid) {
+		t.Errorf("a file over the limit gives %v", err)
+	}
+	if _, err := (PeerTLS{Cert: "missing", Key: "missing", CA: "missing"}).Load(); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("a missing certificate gives %v", err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, name := range []string{"router-whole.ini", "router-faults.ini", "side-faults.ini", "router-defaults.ini"} {
+		data, err := os.ReadFile(filepath.Join("testdata", name))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Add([]byte("[instance]\nname = \"\"\"a\nb\"\"\"\n[instance.sub]\n- = 1\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		settings, err := Parse[Router]("fuzz", data)
+		if err == nil {
+			if settings.Instance.Name == "" || settings.Platform.LogService == "" || settings.Budget.Shards < 1 {
+				t.Fatalf("incomplete settings were accepted: %+v", settings)
+			}
+			return
+		}
+		var faults Faults
+		if !errors.As(err, &faults) || len(faults) == 0 {
+			t.Fatalf("the error lists no faults: %v", err)
+		}
+		for _, fault := range faults {
+			if fault.File != "fuzz" || fault.Found == "" || fault.Expected == "" {
+				t.Fatalf("fault %+v is incomplete", fault)
+			}
+		}
+	})
+}
--- a/internal/config/lines.go
+++ b/internal/config/lines.go
@@ -49,3 +49,9 @@
 	}
 	return 0
 }
+
+// without blanks the line, and returns the file as it is then.
+func (l lines) without(n int) []byte {
+	l.text[n-1] = ""
+	return []byte(strings.Join(l.text, "\n"))
+}
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/url"
 	"os"
 	"reflect"
 	"slices"
@@ -83,21 +84,34 @@
 	p.pairs(settings)
 }
 
-// read parses the INI form. Where a line has none, it is reported, and the
-// others are read nevertheless.
+// maxBadLines bounds the lines without form that are reported one by one.
+const maxBadLines = 100
+
+// read parses the INI form. A line that has none is reported and left out.
 func (p *parser) read(data []byte) *ini.File {
-	options := ini.LoadOptions{AllowShadows: true, AllowDuplicateShadowValues: true, IgnoreContinuation: true}
-	file, err := ini.LoadSources(options, data)
-	if err == nil {
-		return file
+	options := ini.LoadOptions{
+		AllowShadows:               true,
+		AllowDuplicateShadowValues: true,
+		IgnoreContinuation:         true,
+		SpaceBeforeInlineComment:   true,
 	}
-	p.fault(Fault{Line: p.lines.find(err.Error()), Found: err.Error(), Expected: "lines of [section], key = value or ; comment"})
-	options.SkipUnrecognizableLines = true
-	file, err = ini.LoadSources(options, data)
-	if err != nil {
-		return nil
+	for range maxBadLines {
+		file, err := ini.LoadSources(options, data)
+		if err == nil {
+			return file
+		}
+		n := p.lines.find(err.Error())
+		p.fault(Fault{
+			Line:     n,
+			Found:    fmt.Sprintf("%q", strings.TrimSpace(err.Error())),
+			Expected: "lines of [section], key = value or ; comment",
+		})
+		if n == 0 {
+			return nil
+		}
+		data = p.lines.without(n)
 	}
-	return file
+	return nil
 }
 
 func (p *parser) parseSection(s *ini.Section, settings reflect.Value) {
@@ -151,7 +165,7 @@
 		return // reported with those missing
 	}
 	if err := d.set(settings, text); err != nil {
-		f.Found = fmt.Sprintf("%q", text)
+		f.Found = fmt.Sprintf("%q", withoutPassword(text))
 		p.fault(f)
 	}
 }
@@ -181,6 +195,9 @@
 func (p *parser) pairs(settings reflect.Value) {
 	for _, group := range together {
 		s := p.section(group.section)
+		if s == nil {
+			continue
+		}
 		set, unset := p.split(s, group.keys, settings)
 		if len(set) == 0 {
 			continue
@@ -262,6 +279,15 @@
 	return keys
 }
 
+// withoutPassword hides the password of a URL.
+func withoutPassword(text string) string {
+	u, err := url.Parse(text)
+	if err != nil || u.User == nil {
+		return text
+	}
+	return u.Redacted()
+}
+
 // expectedName suggests the nearest of the known names, or lists them all.
 func expectedName(name string, known []string) string {
 	if near := nearest(name, known); near != "" {
--- a/internal/opsvc/budget.go
+++ b/internal/opsvc/budget.go
@@ -138,7 +138,7 @@
 		return err
 	}
 	if _, ok := state.BudgetEntry(ask.Budget); !ok {
-		return fmt.Errorf("catalogue entry of budget %q: %w", ask.Budget, ErrNotFound)
+		return fmt.Errorf("catalogue entry of budget %q: %w; put it first, or allow an unlisted budget", ask.Budget, ErrNotFound)
 	}
 	return nil
 }
--- a/internal/opsvc/fleet.go
+++ b/internal/opsvc/fleet.go
@@ -63,7 +63,10 @@
 			continue
 		}
 		out.Closings = append(out.Closings, Closing{
-			Holder: holder, Final: final, Waiting: state.Waiting(holder), Gone: state.Gone(holder),
+			Holder:  holder,
+			Final:   final,
+			Waiting: append([]ident.Incarnation{}, state.Waiting(holder)...),
+			Gone:    state.Gone(holder),
 		})
 	}
 	return out, nil
