internal/entry: random histories against the ends of requests

Change: mayMove is the one rule for going elsewhere; not-run counts only from an incarnation that was known before the attempt was sent; rejoining attempts only join; a cancelled run is no answer. Watch asks idle targets for their status, which makes their incarnations known.

The tables of steps and settlements are golden files.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -28,7 +28,10 @@
 // attempt makes one attempt at the target that was acquired. The error is that
 // the caller has gone; each other end is returned as an End.
 func (r *run) attempt(ctx context.Context) (End, error) {
-	a := &Attempt{ID: ident.NewRequest(), Target: r.target, Hold: len(r.flow.Holds) - 1}
+	a := &Attempt{
+		ID: ident.NewRequest(), Target: r.target, Side: r.g.side(r.target.Name),
+		Hold: len(r.flow.Holds) - 1, Join: r.join,
+	}
 	r.flow.Attempts = append(r.flow.Attempts, a)
 	r.e.Counts.Attempts.Add(1)
 	r.rewind()
@@ -62,7 +65,7 @@
 	if err != nil {
 		return Broken{Cause: err}, r.gone(ctx)
 	}
-	watch := time.AfterFunc(r.e.Timeouts.FirstEvent, func() { cancel(ErrSilent) })
+	watch := time.AfterFunc(r.firstEvent(), func() { cancel(ErrSilent) })
 	defer watch.Stop()
 	for {
 		event, err := stream.Recv()
@@ -82,6 +85,14 @@
 	}
 }
 
+// firstEvent returns the time until the side process confirms the start.
+func (r *run) firstEvent() time.Duration {
+	if r.req.Once {
+		return r.e.Timeouts.Claim
+	}
+	return r.e.Timeouts.FirstEvent
+}
+
 // open starts the attempt's stream.
 func (r *run) open(ctx context.Context, a *Attempt) (wire.Side_RunClient, context.CancelCauseFunc, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -120,6 +131,7 @@
 		a.Started = true
 		a.joined = e.Started.GetJoined()
 		r.result.Joined = a.joined
+		r.g.seen(a.Target.Name, e.Started.GetSide())
 		r.g.report(a.Target.Name, e.Started.GetStatus())
 		return nil, nil
 	case *wire.RunEvent_Head:
@@ -175,11 +187,15 @@
 }
 
 // finish ends the attempt. A joined run that ended before it repeated what the
-// caller has is another answer.
+// caller has is another answer, and one that was cancelled is not whole.
 func (r *run) finish(a *Attempt, f *wire.Finish) End {
 	r.g.report(a.Target.Name, f.GetStatus())
 	end := Finished{Joined: a.joined, Charges: chargesOf(f.GetCharges())}
-	if !r.whole() {
+	switch {
+	case f.GetFinishReason() == reasonCancelled:
+		a.finished(end)
+		return Broken{Cause: errCancelled}
+	case !r.whole():
 		a.finished(end)
 		return Broken{Cause: errDiffers}
 	}
@@ -210,6 +226,7 @@
 		Once:            r.req.Once,
 		CatalogueOffset: r.e.Catalogue.Offset(),
 		Fingerprint:     r.req.Fingerprint,
+		Join:            a.Join,
 	}
 	if r.e.FleetOffset != nil {
 		m.FleetOffset = r.e.FleetOffset()
--- a/internal/entry/do.go
+++ b/internal/entry/do.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/ident"
@@ -25,6 +28,8 @@
 	// target and client are those of the last attempt.
 	target route.Target
 	client wire.SideClient
+	// join is set where the next attempt may only join a run.
+	join bool
 }
 
 // Do serves one request and passes the answer to the sink. The error is a
@@ -81,7 +86,7 @@
 	case Refuse:
 		return true, &s.Refusal
 	case Probe:
-		return r.probe(ctx)
+		return r.probe(ctx, s.Cause)
 	case Rehold:
 		return r.rehold(ctx, s)
 	case Retry:
@@ -99,7 +104,7 @@
 	r.result.Reserved += time.Since(start)
 	if err != nil {
 		span.RecordError(err)
-		return r.honest(err)
+		return r.honest(r.orGone(ctx, err))
 	}
 	r.flow.Holds = append(r.flow.Holds, t)
 	return nil
@@ -118,10 +123,11 @@
 	t, err := r.g.acquire(ctx, r.e.Targets, ask, r.req.Account.Class, r.e.Timeouts.Queue)
 	r.result.Queued += time.Since(start)
 	if err != nil {
-		return err
+		return r.orGone(ctx, err)
 	}
 	r.target = t
 	r.client = nil
+	r.join = false
 	return nil
 }
 
@@ -130,6 +136,7 @@
 	if s.Same {
 		r.e.Counts.Resumes.Add(1)
 		r.g.sent(r.target.Name)
+		r.join = true
 		return false, nil
 	}
 	if !s.Free && !r.g.mayRetry() {
@@ -166,22 +173,42 @@
 
 // probe asks the target's side process what became of the last attempt. Where
 // it cannot be reached on a fresh connection either, the target is blamed.
-func (r *run) probe(ctx context.Context) (bool, error) {
+func (r *run) probe(ctx context.Context, cause error) (bool, error) {
 	r.e.Counts.Probes.Add(1)
 	ctx, span := r.e.Tracer.Start(ctx, "probe")
 	defer span.End()
-	fact := r.e.ask(ctx, r.req.ID, r.flow.last(), r.client)
+	fact := r.fact(ctx, cause)
 	span.SetAttributes(attribute.String("state", string(fact.State)))
-	if ctx.Err() != nil {
-		return true, ctx.Err()
+	if err := r.gone(ctx); err != nil {
+		return true, err
 	}
 	if fact.State == StateUnreachable {
 		r.g.blame(r.target.Name)
 	}
-	r.client = nil
 	return r.follow(ctx, r.flow.Probed(fact))
 }
 
+// fact asks about the last attempt. A connection that went silent or was lost
+// is not asked over again, since grpc would wait for it or for its backoff.
+func (r *run) fact(ctx context.Context, cause error) Fact {
+	last := r.flow.last()
+	switch {
+	case r.client == nil:
+		return Fact{State: StateUnreachable}
+	case errors.Is(cause, ErrSilent), status.Code(cause) == codes.Unavailable:
+		return r.e.askFresh(ctx, r.req.ID, last, r.client)
+	}
+	return r.e.askAny(ctx, r.req.ID, last)
+}
+
+// orGone returns err, or ErrHungUp where the caller has gone.
+func (r *run) orGone(ctx context.Context, err error) error {
+	if gone := r.gone(ctx); gone != nil {
+		return gone
+	}
+	return err
+}
+
 // honest makes a refusal say what holds for the request as a whole.
 func (r *run) honest(err error) error {
 	refusal, ok := refuse.As(err)
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -23,6 +23,9 @@
 type Timeouts struct {
 	// FirstEvent is the time until the side process confirms the start.
 	FirstEvent time.Duration
+	// Claim is FirstEvent for work that must run at most once, which the side
+	// process claims on the log before it confirms the start.
+	Claim time.Duration
 	// Progress is the time between two events of a run.
 	Progress time.Duration
 	// Probe bounds one question to a side process about an attempt.
@@ -35,7 +38,8 @@
 
 // Defaults of Timeouts.
 const (
-	defaultFirstEvent = 5 * time.Second
+	defaultFirstEvent = 2 * time.Second
+	defaultClaim      = 10 * time.Second
 	defaultProgress   = 30 * time.Second
 	defaultProbe      = time.Second
 	defaultQueue      = 10 * time.Second
@@ -59,6 +63,9 @@
 	Policy      route.Policy
 	// Tracer is optional.
 	Tracer trace.Tracer
+	// Seed makes the choice of targets repeatable. Where it is 0, the choice is
+	// random.
+	Seed uint64
 	// Counts only grow.
 	Counts Counts
 
@@ -89,6 +96,7 @@
 		def   time.Duration
 	}{
 		{&t.FirstEvent, defaultFirstEvent},
+		{&t.Claim, defaultClaim},
 		{&t.Progress, defaultProgress},
 		{&t.Probe, defaultProbe},
 		{&t.Queue, defaultQueue},
@@ -103,6 +111,7 @@
 
 // gate returns the routing state of a service.
 func (e *Engine) gate(service string) *gate {
+	e.init()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	g := e.gates[service]
@@ -110,13 +119,21 @@
 		g = &gate{
 			service: service,
 			picker:  route.Picker{DataCentre: e.DataCentre, Policy: e.Policy},
-			rnd:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			rnd:     rand.New(rand.NewPCG(e.seed(), 0)),
 		}
 		e.gates[service] = g
 	}
 	return g
 }
 
+// seed returns the seed of a gate's source of randomness.
+func (e *Engine) seed() uint64 {
+	if e.Seed != 0 {
+		return e.Seed
+	}
+	return rand.Uint64()
+}
+
 // enter counts a request of an organisation, unless that is at its limit.
 func (e *Engine) enter(a Account) error {
 	e.mu.Lock()
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -21,8 +21,13 @@
 	// errDiffers reports that a joined run repeats another answer than the one
 	// that the caller has a part of.
 	errDiffers = errors.New("joined run gives another answer")
+	// errCancelled reports that the run which was joined had been cut short.
+	errCancelled = errors.New("joined run was cancelled")
 )
 
+// reasonCancelled is the finish reason of a run that was cut short.
+const reasonCancelled = "cancelled"
+
 // accept checks that the event is the attempt's next one. An event that is
 // errForeign is dropped; one that is errLost breaks the attempt.
 func (a *Attempt) accept(e *wire.RunEvent) error {
--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/beryllanding/beryllanding/pkg/ident"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 	"github.com/beryllanding/beryllanding/pkg/route"
@@ -41,9 +40,14 @@
 type Attempt struct {
 	ID     string
 	Target route.Target
+	// Side is the incarnation of the target's side process that was known before
+	// the attempt was sent; it may be empty.
+	Side string
 	// Hold is the index of the ticket that is charged.
 	Hold int
 	Fate Fate
+	// Join is set where the attempt may only join the run of an earlier one.
+	Join bool
 	// Started is set once the side process confirmed the start.
 	Started bool
 	// Charges were billed, for FateBilled.
@@ -68,84 +72,6 @@
 	resumes int
 }
 
-// End says how an attempt ended: Finished, Refused or Broken.
-type End interface{ end() }
-
-// Finished is an end with the whole answer.
-type Finished struct {
-	Joined  bool
-	Charges []ledger.Charge
-}
-
-// Refused is an end by the side process's refusal.
-type Refused struct {
-	Refusal refuse.Refusal
-	// Holder is the closed holder, for CodeHolderClosed; it may be empty.
-	Holder ident.Incarnation
-}
-
-// Broken is an end without an answer: the connection was lost, went silent or
-// carried events that do not belong together.
-type Broken struct{ Cause error }
-
-func (Finished) end() {}
-func (Refused) end()  {}
-func (Broken) end()   {}
-
-// Step is what to do next: Done, Refuse, Retry, Rehold or Probe.
-type Step interface{ step() }
-
-// Done says that the caller has the whole answer.
-type Done struct{}
-
-// Refuse says that the caller gets this refusal.
-type Refuse struct{ Refusal refuse.Refusal }
-
-// Retry says to make another attempt, at the same target to join the run there, or at
-// another. Free attempts put no load on the targets and cost no retry budget.
-type Retry struct {
-	Same    bool
-	Free    bool
-	Refusal refuse.Refusal
-}
-
-// Rehold says that a slice charged belongs to a closed holder: reserve anew and
-// retry.
-type Rehold struct {
-	Refusal refuse.Refusal
-	// Holder is the closed holder, or empty where it was not named.
-	Holder ident.Incarnation
-}
-
-// Probe says to ask the target's side process, on a fresh connection, what
-// became of the last attempt, and to pass its answer to Probed.
-type Probe struct{}
-
-func (Done) step()   {}
-func (Refuse) step() {}
-func (Retry) step()  {}
-func (Rehold) step() {}
-func (Probe) step()  {}
-
-// Fact is a side process's answer to what became of an attempt.
-type Fact struct {
-	State   State
-	Charges []ledger.Charge
-}
-
-// State is the state of an attempt as its side process tells it.
-type State string
-
-// The states of attempts.
-const (
-	StateRunning  State = "running"
-	StateFinished State = "finished"
-	StateNotRun   State = "not-run"
-	StateUnknown  State = "unknown"
-	// StateUnreachable: the side process gave no answer.
-	StateUnreachable State = "unreachable"
-)
-
 // last returns the attempt in progress.
 func (f *Flow) last() *Attempt { return f.Attempts[len(f.Attempts)-1] }
 
@@ -159,10 +85,7 @@
 	case Refused:
 		return f.refused(a, e)
 	case Broken:
-		if errors.Is(e.Cause, errDiffers) {
-			return Refuse{Refusal: f.Interrupted("the run that was joined gives another answer")}
-		}
-		return Probe{}
+		return f.broken(e.Cause)
 	}
 	return Refuse{Refusal: f.Interrupted("the attempt ended in an unknown way")}
 }
@@ -177,6 +100,20 @@
 	a.Fate, a.Charges = FateBilled, e.Charges
 }
 
+// broken decides what follows a broken attempt. Where the run itself cannot give
+// the answer, there is nothing to ask.
+func (f *Flow) broken(cause error) Step {
+	switch {
+	case errors.Is(cause, errDiffers):
+		return Refuse{Refusal: f.Interrupted("the run that was joined gives another answer")}
+	case !errors.Is(cause, errCancelled):
+		return Probe{Cause: cause}
+	case f.mayMove():
+		return Retry{Refusal: f.Interrupted("the run was cancelled")}
+	}
+	return Refuse{Refusal: f.Interrupted("the run was cancelled before its answer was complete")}
+}
+
 // refused decides what follows a refusal by the side process. Only a refusal
 // that proves that the attempt did not run, before any output, is tried again.
 func (f *Flow) refused(a *Attempt, e Refused) Step {
@@ -189,7 +126,7 @@
 		return Refuse{Refusal: f.honest(r)}
 	}
 	a.Fate = FateNotRun
-	if f.Output || !f.mayContinue() {
+	if !f.mayMove() {
 		return Refuse{Refusal: f.honest(r)}
 	}
 	switch r.Code {
@@ -209,35 +146,59 @@
 func (f *Flow) Probed(fact Fact) Step {
 	a := f.last()
 	f.Learn(a, fact)
-	switch fact.State {
-	case StateRunning, StateFinished:
-		if f.resumes < maxResumes && f.mayContinue() {
-			f.resumes++
-			return Retry{Same: true, Free: true, Refusal: f.Interrupted("the run could not be joined")}
-		}
-	case StateNotRun:
-		if !f.Output && f.mayContinue() {
-			return Retry{Refusal: f.Interrupted("the attempt did not run")}
-		}
+	if f.mayResume(a, fact.State) {
+		f.resumes++
+		return Retry{Same: true, Free: true, Refusal: f.Interrupted("the run could not be joined")}
 	}
-	if f.Rerunnable && !f.Output && f.mayContinue() {
+	if f.mayMove() {
 		return Retry{Refusal: f.Interrupted("the target gave no answer")}
 	}
 	return Refuse{Refusal: f.Interrupted("the target stopped answering before the answer was complete")}
 }
 
-// Learn notes what a side process said about an attempt. An attempt that
-// started cannot have the fate not-run, whatever is said later.
+// mayResume reports whether the run can be joined at the last attempt's target:
+// the attempt's own, or that of an earlier attempt there that this one was to
+// join.
+func (f *Flow) mayResume(a *Attempt, state State) bool {
+	if f.resumes >= maxResumes || !f.mayContinue() {
+		return false
+	}
+	switch state {
+	case StateRunning, StateFinished:
+		return true
+	case StateNotRun:
+		return slices.ContainsFunc(f.Attempts, func(other *Attempt) bool {
+			return other != a && other.Started && other.Target.Name == a.Target.Name
+		})
+	}
+	return false
+}
+
+// mayMove reports whether the request may go to another target: the caller has
+// no part of an answer, and a second run does no harm or no attempt, the last
+// or one before it, may have run.
+func (f *Flow) mayMove() bool {
+	if f.Output || !f.mayContinue() {
+		return false
+	}
+	return f.Rerunnable || f.Outcome() == refuse.NotRun
+}
+
+// Learn notes what a side process said about an attempt.
+//
+// "Not run" is believed only of an incarnation that was known before the
+// attempt was sent. Another one may have taken its place after that and cannot
+// know what ran before its time. Neither can an attempt that started have the
+// fate not-run, whatever is said later.
 func (f *Flow) Learn(a *Attempt, fact Fact) {
 	if a.Fate != FateOpen {
 		return
 	}
 	switch fact.State {
 	case StateFinished:
-		a.Started = true
-		a.Fate, a.Charges = FateBilled, fact.Charges
+		a.finished(Finished{Joined: total(fact.Charges) == 0, Charges: fact.Charges})
 	case StateNotRun:
-		if !a.Started {
+		if !a.Started && a.Side != "" && a.Side == fact.Side {
 			a.Fate = FateNotRun
 		}
 	case StateRunning:
@@ -274,73 +235,6 @@
 	return refuse.NotRun
 }
 
-// Open returns the attempts whose fate is not known.
-func (f *Flow) Open() []*Attempt {
-	var open []*Attempt
-	for _, a := range f.Attempts {
-		if a.Fate == FateOpen {
-			open = append(open, a)
-		}
-	}
-	return open
-}
-
-// Settlement is what to do with one ticket: Settle, Cancel or Defer.
-type Settlement interface{ settlement() }
-
-// Settle charges the ticket.
-type Settle struct{ Charges []ledger.Charge }
-
-// Cancel puts the ticket's tokens back.
-type Cancel struct{}
-
-// Defer leaves the ticket to what the log says about the request.
-type Defer struct{}
-
-func (Settle) settlement() {}
-func (Cancel) settlement() {}
-func (Defer) settlement()  {}
-
-// Settlements returns what to do with each ticket, in the order of Holds.
-//
-// The fold bills the first usage on the log under the request's id. Where one
-// attempt at most was billed and all others are known not to be, its charges
-// are that usage. Where two were billed or the fate of one is open, only the
-// log tells which usage was first, so that each ticket that may be charged is
-// deferred; putting tokens back on a guess could overspend the budget.
-func (f *Flow) Settlements() []Settlement {
-	certain := len(f.Open()) == 0 && f.billed() <= 1
-	list := make([]Settlement, len(f.Holds))
-	for i := range f.Holds {
-		list[i] = f.settlement(i, certain)
-	}
-	return list
-}
-
-func (f *Flow) settlement(hold int, certain bool) Settlement {
-	var result Settlement = Cancel{}
-	for _, a := range f.Attempts {
-		if a.Hold != hold || a.Fate == FateNotRun || a.Fate == FateJoined {
-			continue
-		}
-		if !certain {
-			return Defer{}
-		}
-		result = Settle{Charges: a.Charges}
-	}
-	return result
-}
-
-func (f *Flow) billed() int {
-	n := 0
-	for _, a := range f.Attempts {
-		if a.Fate == FateBilled {
-			n++
-		}
-	}
-	return n
-}
-
 // tried returns the names of the targets that were tried.
 func (f *Flow) tried() []string {
 	var names []string
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -25,12 +25,14 @@
 type gate struct {
 	service string
 
-	mu        sync.Mutex
-	picker    route.Picker
-	queue     route.Queue
-	retry     route.RetryBudget
-	rnd       *rand.Rand
-	waiting   map[uint64]*waiting
+	mu      sync.Mutex
+	picker  route.Picker
+	queue   route.Queue
+	retry   route.RetryBudget
+	rnd     *rand.Rand
+	waiting map[uint64]*waiting
+	// sides holds the last known incarnation of each target's side process.
+	sides     map[string]string
 	lastID    uint64
 	refreshed time.Time
 }
@@ -157,6 +159,7 @@
 	if s == nil {
 		return
 	}
+	g.seen(name, s.GetSide())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.picker.Report(time.Now(), name, route.Status{
@@ -166,6 +169,26 @@
 	})
 }
 
+// seen records the incarnation of a target's side process.
+func (g *gate) seen(name, side string) {
+	if side == "" {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.sides == nil {
+		g.sides = make(map[string]string)
+	}
+	g.sides[name] = side
+}
+
+// side returns the last known incarnation of a target's side process.
+func (g *gate) side(name string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.sides[name]
+}
+
 // blame records that a target gave no answer on a fresh connection either.
 func (g *gate) blame(name string) {
 	g.mu.Lock()
@@ -231,6 +254,20 @@
 	g.pump(now)
 }
 
+// refreshNow takes over the target list.
+func (g *gate) refreshNow(list Targets) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refresh(time.Now(), list)
+}
+
+// stalest returns up to n targets whose load was reported longest ago.
+func (g *gate) stalest(n int) []route.Target {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.picker.Stalest(n)
+}
+
 func (g *gate) noTarget() *refuse.Refusal {
 	return &refuse.Refusal{
 		Code:       refuse.CodeNoTarget,
--- a/internal/entry/settle.go
+++ b/internal/entry/settle.go
@@ -39,24 +39,28 @@
 func (r *run) resolve(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, r.e.Timeouts.Resolve)
 	defer cancel()
+	var orphan *Attempt
 	for _, a := range r.flow.Open() {
 		state := r.resolveOne(ctx, a)
-		if state == StateUnreachable && a.Started && r.tokens > 0 {
-			r.billOrphan(a)
+		if state == StateUnreachable && a.Started {
+			orphan = a
 		}
 	}
+	if orphan != nil && r.tokens > 0 {
+		r.billOrphan(orphan)
+	}
 }
 
 // resolveOne asks about one attempt, and returns the last state told.
 func (r *run) resolveOne(ctx context.Context, a *Attempt) State {
 	state := StateUnreachable
 	for pause := firstAskPause; ; pause = min(2*pause, lastAskPause) {
-		fact := r.e.ask(ctx, r.req.ID, a, nil)
+		fact := r.e.askAny(ctx, r.req.ID, a)
 		r.flow.Learn(a, fact)
 		if ctx.Err() == nil || fact.State != StateUnreachable {
 			state = fact.State
 		}
-		if a.Fate != FateOpen || state == StateUnknown {
+		if a.Fate != FateOpen || state == StateUnknown || state == StateNotRun {
 			return state
 		}
 		select {
@@ -98,34 +102,45 @@
 	return charged
 }
 
-// ask asks the target's side process what became of an attempt. Where client is
-// given, the question goes over another connection than that client's.
+// ask asks the target's side process what became of an attempt.
 func (e *Engine) ask(ctx context.Context, request string, a *Attempt, client wire.SideClient) Fact {
 	ctx, cancel := context.WithTimeout(ctx, e.Timeouts.Probe)
 	defer cancel()
-	fresh, err := e.connect(a, client)
+	reply, err := client.Outcome(ctx, &wire.OutcomeRequest{RequestId: request, AttemptId: a.ID})
 	if err != nil {
 		return Fact{State: StateUnreachable}
 	}
-	reply, err := fresh.Outcome(ctx, &wire.OutcomeRequest{RequestId: request, AttemptId: a.ID})
+	return factOf(reply)
+}
+
+// askFresh asks over another connection than old.
+func (e *Engine) askFresh(ctx context.Context, request string, a *Attempt, old wire.SideClient) Fact {
+	client, err := e.Dialer.Fresh(a.Target, old)
 	if err != nil {
 		return Fact{State: StateUnreachable}
 	}
-	return factOf(reply)
+	return e.ask(ctx, request, a, client)
 }
 
-func (e *Engine) connect(a *Attempt, old wire.SideClient) (wire.SideClient, error) {
-	if old == nil {
-		return e.Dialer.Side(a.Target)
+// askAny asks over the shared connection, and over a fresh one where that
+// gives no answer.
+func (e *Engine) askAny(ctx context.Context, request string, a *Attempt) Fact {
+	client, err := e.Dialer.Side(a.Target)
+	if err != nil {
+		return Fact{State: StateUnreachable}
+	}
+	fact := e.ask(ctx, request, a, client)
+	if fact.State != StateUnreachable {
+		return fact
 	}
-	return e.Dialer.Fresh(a.Target, old)
+	return e.askFresh(ctx, request, a, client)
 }
 
 // factOf returns what a reply says. A state that is not known is unknown.
 func factOf(reply *wire.OutcomeReply) Fact {
 	switch s := State(reply.GetState()); s {
 	case StateRunning, StateFinished, StateNotRun:
-		return Fact{State: s, Charges: chargesOf(reply.GetCharges())}
+		return Fact{State: s, Side: reply.GetSide(), Charges: chargesOf(reply.GetCharges())}
 	}
 	return Fact{State: StateUnknown}
 }
--- /dev/null
+++ b/internal/entry/side_test.go
@@ -0,0 +1,334 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+)
+
+// tokenPause is the time that a fake engine takes for a token.
+const tokenPause = 10 * time.Millisecond
+
+// fault is what happens to one attempt on its way.
+type fault struct {
+	// Kind is one of the faults below.
+	Kind string
+	// After is the number of events that pass before the fault.
+	After int
+	// Noise adds foreign and repeated events.
+	Noise bool
+}
+
+// The faults of attempts.
+var faults = []string{
+	"none", "none", "none",
+	"lost-request", // never reaches the side process
+	"cut",          // the connection ends; the run goes on
+	"silent",       // the connection stays open and carries nothing
+	"gap",          // an event is left out
+	"die",          // the side process dies with its runs
+	"restart",      // so it does, and another takes its place
+	"leaving", "busy", "holder-closed", "log-unavailable", "in-progress", "unknown",
+}
+
+// world is what all side processes and the budgets share.
+type world struct {
+	mu     sync.Mutex
+	sides  map[string]*fakeSide
+	faults []fault
+	// usage holds the first bill of each request id, as the log's fold would.
+	usage map[string][]ledger.Charge
+	// runs counts the runs of each request id.
+	runs map[string]int
+	// answers holds the whole answers of the runs of each request id.
+	answers map[string][]string
+	tickets map[uint64]*ticketState
+	lastID  uint64
+}
+
+// ticketState is what became of a ticket.
+type ticketState struct {
+	Ticket
+	ends []string
+	used []ledger.Charge
+}
+
+// nextFault returns the fault of the next attempt.
+func (w *world) nextFault() fault {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.faults) == 0 {
+		return fault{Kind: "none"}
+	}
+	f := w.faults[0]
+	w.faults = w.faults[1:]
+	return f
+}
+
+// bill records a usage; only the first of a request takes effect.
+func (w *world) bill(request string, charges []ledger.Charge) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if _, ok := w.usage[request]; !ok {
+		w.usage[request] = charges
+	}
+}
+
+// fakeSide is a side process with its target. It keeps what it is told, and
+// each connection to it may fail.
+type fakeSide struct {
+	w    *world
+	name string
+
+	mu   sync.Mutex
+	dead bool
+	// life counts the incarnations.
+	life int
+	// runs holds the run of each request id, and byAttempt that of each
+	// attempt; joined holds the attempts that joined one.
+	runs      map[string]*fakeRun
+	byAttempt map[string]*fakeRun
+	joined    map[string]bool
+	// fenced holds the attempts that were answered as not run.
+	fenced map[string]bool
+}
+
+// fakeRun is one run at a target.
+type fakeRun struct {
+	s       *fakeSide
+	request *wire.RunRequest
+	chunks  []string
+
+	life      int
+	side      string
+	produced  int
+	finished  bool
+	cancelled bool
+	changed   chan struct{}
+}
+
+// client is one connection to a side process.
+type client struct{ s *fakeSide }
+
+// Run starts an attempt, with the next fault.
+func (c *client) Run(ctx context.Context, in *wire.RunRequest, _ ...grpc.CallOption) (wire.Side_RunClient, error) {
+	f := c.s.w.nextFault()
+	st := &fakeStream{ctx: ctx, events: make(chan *wire.RunEvent), end: make(chan struct{})}
+	go func() {
+		defer close(st.end)
+		c.s.serve(ctx, in, f, &fakeSender{st: st, attempt: in.GetAttemptId(), f: f})
+	}()
+	return st, nil
+}
+
+// Outcome tells the fate of an attempt.
+func (c *client) Outcome(_ context.Context, in *wire.OutcomeRequest, _ ...grpc.CallOption) (*wire.OutcomeReply, error) {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	if c.s.dead {
+		return nil, status.Error(codes.Unavailable, "dead")
+	}
+	reply := c.s.outcome(in)
+	reply.Side = c.s.incarnation()
+	return reply, nil
+}
+
+// outcome returns what the side process knows of an attempt. The caller holds
+// the lock.
+func (s *fakeSide) outcome(in *wire.OutcomeRequest) *wire.OutcomeReply {
+	run := s.byAttempt[in.GetAttemptId()]
+	switch {
+	case run == nil:
+		s.fenced[in.GetAttemptId()] = true
+		return &wire.OutcomeReply{State: "not-run"}
+	case !run.finished:
+		return &wire.OutcomeReply{State: "running"}
+	case s.joined[in.GetAttemptId()]:
+		return &wire.OutcomeReply{State: "finished"}
+	}
+	return &wire.OutcomeReply{State: "finished", Billed: run.cost(), Charges: run.charges()}
+}
+
+// Status names the incarnation.
+func (c *client) Status(context.Context, *wire.StatusRequest, ...grpc.CallOption) (*wire.TargetStatus, error) {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	return &wire.TargetStatus{Side: c.s.incarnation()}, nil
+}
+
+func (s *fakeSide) incarnation() string { return fmt.Sprintf("%s~%d", s.name, s.life) }
+
+// restart replaces the side process by another that knows nothing. Where bill
+// is set, the old one billed the run before its end.
+func (s *fakeSide) restart(run *fakeRun, bill bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if run.life != s.life {
+		return
+	}
+	if bill {
+		s.w.bill(run.request.GetRequestId(), chargesOf(run.charges()))
+	}
+	s.life++
+	s.runs = make(map[string]*fakeRun)
+	s.byAttempt = make(map[string]*fakeRun)
+	s.joined = make(map[string]bool)
+	s.fenced = make(map[string]bool)
+}
+
+// serve takes one attempt.
+func (s *fakeSide) serve(ctx context.Context, in *wire.RunRequest, f fault, out *fakeSender) {
+	switch f.Kind {
+	case "lost-request":
+		return
+	case "leaving", "busy", "holder-closed", "log-unavailable":
+		if in.GetJoin() {
+			break
+		}
+		out.refuse(f.Kind, "not-run")
+		return
+	case "unknown":
+		if f.Noise {
+			s.begin(in)
+		}
+		out.refuse("interrupted", "unknown")
+		return
+	case "in-progress":
+		out.refuse("in-progress", "unknown")
+		return
+	}
+	run, joined := s.begin(in)
+	if run == nil {
+		out.refuse("interrupted", "not-run")
+		return
+	}
+	if !in.GetKeyed() && f.Kind != "silent" && f.Kind != "cut" {
+		defer context.AfterFunc(ctx, run.cancel)()
+	}
+	s.follow(run, joined, out)
+}
+
+// begin starts a run, or joins the request's.
+func (s *fakeSide) begin(in *wire.RunRequest) (*fakeRun, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dead || s.fenced[in.GetAttemptId()] {
+		return nil, false
+	}
+	if run := s.runs[in.GetRequestId()]; run != nil {
+		s.byAttempt[in.GetAttemptId()] = run
+		s.joined[in.GetAttemptId()] = true
+		return run, true
+	}
+	if in.GetJoin() {
+		return nil, false
+	}
+	run := s.newRun(in)
+	s.runs[in.GetRequestId()] = run
+	s.byAttempt[in.GetAttemptId()] = run
+	go run.produce()
+	return run, false
+}
+
+// newRun records a run. Its answer differs from those of all other runs.
+func (s *fakeSide) newRun(in *wire.RunRequest) *fakeRun {
+	s.w.mu.Lock()
+	defer s.w.mu.Unlock()
+	id := in.GetRequestId()
+	s.w.runs[id]++
+	run := &fakeRun{s: s, request: in, life: s.life, side: s.incarnation(), changed: make(chan struct{})}
+	whole := ""
+	for i := range 5 - min(3, s.w.runs[id]) {
+		chunk := fmt.Sprintf("<%s %s run %d part %d>", id, s.name, s.w.runs[id], i)
+		run.chunks = append(run.chunks, chunk)
+		whole += chunk
+	}
+	s.w.answers[id] = append(s.w.answers[id], whole)
+	return run
+}
+
+// produce makes the answer, and bills it at its end.
+func (r *fakeRun) produce() {
+	for {
+		time.Sleep(tokenPause)
+		r.s.mu.Lock()
+		if r.s.dead || r.s.life != r.life {
+			close(r.changed)
+			r.changed = make(chan struct{})
+			r.s.mu.Unlock()
+			return
+		}
+		if r.produced < len(r.chunks) && !r.cancelled {
+			r.produced++
+		}
+		r.finished = r.cancelled || r.produced == len(r.chunks)
+		close(r.changed)
+		r.changed = make(chan struct{})
+		done := r.finished
+		r.s.mu.Unlock()
+		if done {
+			r.s.w.bill(r.request.GetRequestId(), chargesOf(r.charges()))
+			return
+		}
+	}
+}
+
+func (r *fakeRun) cancel() {
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	r.cancelled = true
+}
+
+func (r *fakeRun) cost() int64 { return 1 + int64(r.produced) }
+
+func (r *fakeRun) charges() []*wire.Charge {
+	return wireCharges(drain(chargesOf(r.request.GetCharges()), r.cost()))
+}
+
+// follow sends a run's events as they come.
+func (s *fakeSide) follow(run *fakeRun, joined bool, out *fakeSender) {
+	out.send(&wire.RunEvent{Event: &wire.RunEvent_Started{Started: &wire.Started{Side: run.side, Joined: joined}}})
+	var cancelled bool
+	for next := 0; ; {
+		if out.f.Kind == "restart" && out.sent > out.f.After {
+			s.restart(run, out.f.Noise)
+		}
+		s.mu.Lock()
+		if out.f.Kind == "die" && out.sent > out.f.After {
+			s.dead = true
+		}
+		dead, produced, finished, changed := s.dead || s.life != run.life, run.produced, run.finished, run.changed
+		cancelled = run.cancelled
+		s.mu.Unlock()
+		for ; next < produced && !dead; next++ {
+			out.send(&wire.RunEvent{Event: &wire.RunEvent_Chunk{Chunk: &wire.Chunk{Data: []byte(run.chunks[next]), Tokens: 1}}})
+		}
+		if dead || out.broken {
+			return
+		}
+		if finished {
+			break
+		}
+		select {
+		case <-changed:
+		case <-out.st.ctx.Done():
+			return
+		}
+	}
+	finish := &wire.Finish{}
+	if cancelled {
+		finish.FinishReason = "cancelled"
+	}
+	if !joined {
+		finish.Billed, finish.Charges = run.cost(), run.charges()
+	}
+	out.send(&wire.RunEvent{Event: &wire.RunEvent_Finish{Finish: finish}})
+}
--- /dev/null
+++ b/internal/entry/table_test.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+	"github.com/beryllanding/beryllanding/pkg/refuse"
+	"github.com/beryllanding/beryllanding/pkg/route"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// golden compares text with a golden file.
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	path := filepath.Join("testdata", name)
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("%s differs (-want +got):\n%s", path, diff)
+	}
+}
+
+// notRun returns a side process's refusal that proves that nothing ran.
+func notRun(code refuse.Code) End {
+	return Refused{Refusal: refuse.Refusal{Code: code, Outcome: refuse.NotRun}}
+}
+
+// TestSteps writes down what follows each end of an attempt.
+func TestSteps(t *testing.T) {
+	ends := []struct {
+		name string
+		end  End
+		fact Fact
+	}{
+		{"finished", Finished{}, Fact{}},
+		{"refused leaving", notRun(refuse.CodeLeaving), Fact{}},
+		{"refused busy", notRun(refuse.CodeBusy), Fact{}},
+		{"refused holder-closed", notRun(refuse.CodeHolderClosed), Fact{}},
+		{"refused log-unavailable", notRun(refuse.CodeLogDown), Fact{}},
+		{"refused unknown", Refused{Refusal: refuse.Refusal{Code: refuse.CodeInterrupted, Outcome: refuse.Unknown}}, Fact{}},
+		{"other answer", Broken{Cause: errDiffers}, Fact{}},
+		{"cancelled", Broken{Cause: errCancelled}, Fact{}},
+		{"broken, running", Broken{}, Fact{State: StateRunning, Side: "s~1"}},
+		{"broken, finished", Broken{}, Fact{State: StateFinished, Side: "s~1"}},
+		{"broken, not-run", Broken{}, Fact{State: StateNotRun, Side: "s~1"}},
+		{"broken, not-run by successor", Broken{}, Fact{State: StateNotRun, Side: "s~2"}},
+		{"broken, unknown", Broken{}, Fact{State: StateUnknown, Side: "s~1"}},
+		{"broken, unreachable", Broken{}, Fact{State: StateUnreachable}},
+	}
+	var b strings.Builder
+	for _, e := range ends {
+		for _, rerunnable := range []bool{true, false} {
+			for _, state := range []string{"sent", "started", "output", "after-open"} {
+				f := flowIn(state, rerunnable)
+				step := f.Ended(e.end)
+				if _, ok := step.(Probe); ok {
+					step = f.Probed(e.fact)
+				}
+				fmt.Fprintf(&b, "%-29s rerunnable=%-5v %-10s %s\n", e.name, rerunnable, state, stepName(step))
+			}
+		}
+	}
+	golden(t, "steps.golden", b.String())
+}
+
+// flowIn returns a flow whose last attempt is in the named state.
+func flowIn(state string, rerunnable bool) *Flow {
+	f := &Flow{Rerunnable: rerunnable, Holds: make([]Ticket, 1)}
+	if state == "after-open" {
+		f.Attempts = append(f.Attempts, &Attempt{Target: route.Target{Name: "other"}, Side: "o~1"})
+	}
+	f.Attempts = append(f.Attempts, &Attempt{Target: route.Target{Name: "s"}, Side: "s~1", Started: state == "started" || state == "output"})
+	f.Output = state == "output"
+	return f
+}
+
+func stepName(step Step) string {
+	switch s := step.(type) {
+	case Refuse:
+		return fmt.Sprintf("refuse %s %s", s.Refusal.Code, s.Refusal.Outcome)
+	case Retry:
+		if s.Same {
+			return "join the run"
+		}
+		return fmt.Sprintf("retry elsewhere free=%v", s.Free)
+	case Rehold:
+		return "reserve anew"
+	case Done:
+		return "done"
+	}
+	return fmt.Sprintf("%T", step)
+}
+
+// TestSettlements writes down how tickets are settled.
+func TestSettlements(t *testing.T) {
+	billed := []ledger.Charge{{Holder: "h~1", Tokens: 9}}
+	open := &Attempt{}
+	not := &Attempt{Fate: FateNotRun}
+	joined := &Attempt{Fate: FateJoined}
+	bill := &Attempt{Fate: FateBilled, Charges: billed}
+	second := &Attempt{Fate: FateBilled, Charges: billed, Hold: 1}
+	cases := []struct {
+		name     string
+		attempts []*Attempt
+		holds    int
+	}{
+		{"no attempt", nil, 1},
+		{"not run", []*Attempt{not}, 1},
+		{"billed", []*Attempt{not, bill}, 1},
+		{"joined another request's run", []*Attempt{joined}, 1},
+		{"joined own run", []*Attempt{bill, joined}, 1},
+		{"joined own run of unknown bill", []*Attempt{open, joined}, 1},
+		{"billed with one open", []*Attempt{open, bill}, 1},
+		{"billed twice", []*Attempt{bill, bill}, 1},
+		{"holder closed, then billed", []*Attempt{not, second}, 2},
+		{"open, then billed to the next ticket", []*Attempt{open, second}, 2},
+	}
+	var b strings.Builder
+	for _, c := range cases {
+		f := &Flow{Attempts: c.attempts, Holds: make([]Ticket, c.holds)}
+		fmt.Fprintf(&b, "%-38s", c.name)
+		for _, s := range f.Settlements() {
+			fmt.Fprintf(&b, " %s%v", strings.TrimPrefix(fmt.Sprintf("%T", s), "entry."), s)
+		}
+		b.WriteString("\n")
+	}
+	golden(t, "settlements.golden", b.String())
+}
+
+// TestProgress repeats an answer whole, in other pieces, changed and shortened.
+func TestProgress(t *testing.T) {
+	cases := []struct {
+		name   string
+		pieces []string
+		want   string
+		whole  bool
+		err    error
+	}{
+		{"same", []string{"ab", "cd", "ef"}, "ef", true, nil},
+		{"other pieces", []string{"abc", "def"}, "ef", true, nil},
+		{"changed", []string{"ab", "xd", "ef"}, "", true, errDiffers},
+		{"shortened", []string{"ab", "c"}, "", false, nil},
+	}
+	for _, c := range cases {
+		var p progress
+		_, _ = p.fresh([]byte("ab"))
+		_, _ = p.fresh([]byte("cd"))
+		p.rewind()
+		got := ""
+		var err error
+		for _, piece := range c.pieces {
+			var data []byte
+			if data, err = p.fresh([]byte(piece)); err != nil {
+				break
+			}
+			got += string(data)
+		}
+		if got != c.want || p.whole() != c.whole || !errors.Is(err, c.err) {
+			t.Errorf("%s: got %q, whole %v, %v", c.name, got, p.whole(), err)
+		}
+	}
+}
+
+// TestFinishBeforeDelivered ends a joined run before it repeated all that the
+// caller has.
+func TestFinishBeforeDelivered(t *testing.T) {
+	r := &run{g: &gate{}}
+	_, _ = r.fresh([]byte("abcd"))
+	r.rewind()
+	_, _ = r.fresh([]byte("ab"))
+	end := r.finish(&Attempt{joined: true}, &wire.Finish{})
+	if b, ok := end.(Broken); !ok || !errors.Is(b.Cause, errDiffers) {
+		t.Errorf("got %#v", end)
+	}
+}
--- /dev/null
+++ b/internal/entry/watch.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/route"
+)
+
+const (
+	// watchEvery is the pause between two rounds of status questions.
+	watchEvery = time.Second
+	// watchTargets is the targets of each service that are asked in a round.
+	watchTargets = 4
+)
+
+// Watch asks targets for their status until the context ends: a few at a time,
+// those first that were silent longest. Targets with traffic report on their
+// answers and are hardly asked. It is how a target without traffic becomes
+// known as leaving, or as fit for traffic again.
+func (e *Engine) Watch(ctx context.Context) {
+	e.init()
+	ticker := time.NewTicker(watchEvery)
+	defer ticker.Stop()
+	for {
+		e.watchOnce(ctx, watchTargets)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// watchOnce asks up to n targets of each service.
+func (e *Engine) watchOnce(ctx context.Context, n int) {
+	var asked sync.WaitGroup
+	for _, g := range e.gateList() {
+		g.refreshNow(e.Targets)
+		for _, t := range g.stalest(n) {
+			asked.Go(func() { e.askStatus(ctx, g, t) })
+		}
+	}
+	asked.Wait()
+}
+
+// askStatus asks one target. One that does not answer is blamed only by the
+// requests that fail there.
+func (e *Engine) askStatus(ctx context.Context, g *gate, t route.Target) {
+	ctx, cancel := context.WithTimeout(ctx, e.Timeouts.Probe)
+	defer cancel()
+	client, err := e.Dialer.Side(t)
+	if err != nil {
+		return
+	}
+	status, err := client.Status(ctx, &wire.StatusRequest{CatalogueOffset: e.Catalogue.Offset()})
+	if err != nil {
+		return
+	}
+	g.report(t.Name, status)
+}
+
+func (e *Engine) gateList() []*gate {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := make([]*gate, 0, len(e.gates))
+	for _, g := range e.gates {
+		list = append(list, g)
+	}
+	return list
+}
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -155,3 +156,15 @@
 	}
 	return first
 }
+
+// Stalest returns up to n targets whose load was reported longest ago.
+func (p *Picker) Stalest(n int) []Target {
+	byAge := slices.SortedStableFunc(slices.Values(p.targets), func(a, b *target) int {
+		return a.reported.Compare(b.reported)
+	})
+	var list []Target
+	for _, t := range byAge[:min(n, len(byAge))] {
+		list = append(list, t.Target)
+	}
+	return list
+}
--- a/pkg/route/picker.go
+++ b/pkg/route/picker.go
@@ -26,6 +26,8 @@
 	Target
 	hash   uint64
 	status Status
+	// reported is when the status was, or was last asked for.
+	reported time.Time
 	// leavingUntil is set when the side process says that it is leaving, which
 	// it says before the instance list does.
 	leavingUntil time.Time
@@ -117,6 +119,7 @@
 		return
 	}
 	t.status = status
+	t.reported = now
 	t.sinceReport = 0
 	if status.Leaving {
 		t.leavingUntil = now.Add(leavingMemory)
