pkg/route: queue model that measures the time to the first token

18 targets in three data centres, three entry instances, load reported 500 ms late, a deadline of 3 s for silent targets. Before a probing request goes to an ejected target, that must have reported its load again: requests are not risked on a target that is still silent.

--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -261,11 +261,11 @@
 	g.refresh(time.Now(), list)
 }
 
-// stalest returns up to n targets whose load was reported longest ago.
+// stalest returns up to n targets to be asked for their status.
 func (g *gate) stalest(n int) []route.Target {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.picker.Stalest(n)
+	return g.picker.Stalest(time.Now(), n)
 }
 
 func (g *gate) noTarget() *refuse.Refusal {
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -57,6 +57,7 @@
 	}
 	status, err := client.Status(ctx, &wire.StatusRequest{CatalogueOffset: e.Catalogue.Offset()})
 	if err != nil {
+		_, _ = e.Dialer.Fresh(t, client) // for the next round
 		return
 	}
 	g.report(t.Name, status)
--- /dev/null
+++ b/pkg/route/model_test.go
@@ -0,0 +1,288 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// tick is the step of the model.
+	tick = 5 * time.Millisecond
+	// modelTime is the time modelled, and warmUp the part not counted.
+	modelTime = 90 * time.Second
+	warmUp    = 10 * time.Second
+	// reportLag is the age of the load that a target reports.
+	reportLag = 500 * time.Millisecond
+	// silence is the time until a request that went to a silent target is
+	// tried elsewhere: the deadline of the first event and that of the probe.
+	silence = 3 * time.Second
+	// slots is the requests that a target runs at once.
+	slots = 8
+	// cachedPrefixes is the prefixes that fit in a target's cache.
+	cachedPrefixes = 6
+	// coldPrefill and warmPrefill are the prefill times of a long prompt.
+	coldPrefill = 600 * time.Millisecond
+	warmPrefill = 60 * time.Millisecond
+	// shortPrefill is that of a prompt without a shared prefix.
+	shortPrefill = 50 * time.Millisecond
+	// meanDecode is the mean time from the first token to the last.
+	meanDecode = time.Second
+)
+
+// scenario is a load and its failures.
+type scenario struct {
+	name string
+	// rate is the requests a second.
+	rate float64
+	// prefixes is the number of long prompts; 0 is none.
+	prefixes int
+	// slow is the speed of target 0 in place of 1; silent stops target 1.
+	slow   float64
+	silent bool
+}
+
+// chooser is a policy of one entry instance.
+type chooser interface {
+	pick(now time.Time, rnd *rand.Rand, ask Ask) string
+	sent(name string)
+	done(name string)
+	fail(now time.Time, name string)
+	report(now time.Time, name string, s Status)
+}
+
+// job is one request.
+type job struct {
+	router  int
+	arrived int
+	prefix  int
+	decode  float64
+	tried   []string
+
+	sentAt   int
+	prefill  float64
+	progress float64
+	first    bool
+}
+
+// engine is a target with continuous batching and a prefix cache.
+type engine struct {
+	name     string
+	speed    float64
+	waiting  []*job
+	running  []*job
+	history  []int64
+	prefixes []int
+}
+
+// outcome is what a scenario gave under one policy.
+type outcome struct {
+	p50, p95, p99 time.Duration
+	warm          float64
+}
+
+// model runs a scenario with one chooser for each of three data centres.
+type model struct {
+	scenario
+	rnd      *rand.Rand
+	now      int
+	engines  []*engine
+	byName   map[string]*engine
+	choosers []chooser
+	retries  map[int][]*job
+	ttft     []time.Duration
+	warm     int
+	long     int
+}
+
+// modelTargets returns n targets, spread over three data centres.
+func modelTargets(n int) []Target {
+	var list []Target
+	for i := range n {
+		list = append(list, Target{Name: fmt.Sprintf("t%03d", i), DataCentre: fmt.Sprintf("dc%d", i%3), Address: "a"})
+	}
+	return list
+}
+
+func play(s scenario, policy func(dc string, list []Target) chooser) outcome {
+	m := &model{scenario: s, rnd: rand.New(rand.NewPCG(1, 2)), byName: make(map[string]*engine), retries: make(map[int][]*job)}
+	list := modelTargets(18)
+	for i, t := range list {
+		e := &engine{name: t.Name, speed: 1, history: make([]int64, int(reportLag/tick))}
+		if i == 0 && s.slow > 0 {
+			e.speed = s.slow
+		}
+		if i == 1 && s.silent {
+			e.speed = 0
+		}
+		m.engines = append(m.engines, e)
+		m.byName[t.Name] = e
+	}
+	for dc := range 3 {
+		m.choosers = append(m.choosers, policy(fmt.Sprintf("dc%d", dc), list))
+	}
+	for m.now = range int(modelTime / tick) {
+		m.step()
+	}
+	slices.Sort(m.ttft)
+	at := func(q float64) time.Duration { return m.ttft[int(q*float64(len(m.ttft)-1))] }
+	return outcome{p50: at(0.5), p95: at(0.95), p99: at(0.99), warm: float64(m.warm) / float64(max(1, m.long))}
+}
+
+// step models one tick.
+func (m *model) step() {
+	for range m.poisson(m.rate * tick.Seconds()) {
+		m.send(m.arrival())
+	}
+	for _, j := range m.retries[m.now] {
+		m.send(j)
+	}
+	delete(m.retries, m.now)
+	for _, e := range m.engines {
+		if e.speed == 0 {
+			m.giveUp(e)
+			continue
+		}
+		m.run(e)
+	}
+}
+
+// poisson returns a Poisson number by counting exponential intervals.
+func (m *model) poisson(mean float64) int {
+	n := 0
+	for sum := m.rnd.ExpFloat64(); sum < mean; sum += m.rnd.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// arrival returns a new request. Small prefixes are the most frequent ones.
+func (m *model) arrival() *job {
+	j := &job{router: m.rnd.IntN(3), arrived: m.now, decode: ticks(meanDecode) * m.rnd.ExpFloat64()}
+	if m.prefixes > 0 {
+		j.prefix = 1 + int(float64(m.prefixes)*m.rnd.Float64()*m.rnd.Float64())
+	}
+	return j
+}
+
+func (m *model) send(j *job) {
+	ask := Ask{Exclude: j.tried}
+	if j.prefix > 0 {
+		ask.Prefix = HashPrefix([]byte{byte(j.prefix), byte(j.prefix >> 8)})
+	}
+	c := m.choosers[j.router]
+	e := m.byName[c.pick(m.time(), m.rnd, ask)]
+	c.sent(e.name)
+	j.sentAt, j.progress = m.now, 0
+	if e.speed > 0 {
+		m.report(j, e)
+	}
+	e.waiting = append(e.waiting, j)
+}
+
+// report passes the engine's load of some time ago to the job's router.
+func (m *model) report(j *job, e *engine) {
+	load := e.history[m.now%len(e.history)]
+	m.choosers[j.router].report(m.time(), e.name, Status{Running: load})
+}
+
+// run moves the engine's requests on by one tick.
+func (m *model) run(e *engine) {
+	e.history[m.now%len(e.history)] = int64(len(e.waiting) + len(e.running))
+	for len(e.running) < slots && len(e.waiting) > 0 {
+		j := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		j.prefill = m.prefill(e, j)
+		e.running = append(e.running, j)
+	}
+	e.running = slices.DeleteFunc(e.running, func(j *job) bool {
+		j.progress += e.speed
+		if !j.first && j.progress >= j.prefill {
+			j.first = true
+			m.count(j)
+		}
+		if j.progress < j.prefill+j.decode {
+			return false
+		}
+		m.choosers[j.router].done(e.name)
+		m.report(j, e)
+		return true
+	})
+}
+
+// prefill returns the prefill time, and keeps the prefix in the cache.
+func (m *model) prefill(e *engine, j *job) float64 {
+	if j.prefix == 0 {
+		return ticks(shortPrefill)
+	}
+	m.long++
+	i := slices.Index(e.prefixes, j.prefix)
+	cost := coldPrefill
+	if i >= 0 {
+		m.warm++
+		cost = warmPrefill
+		e.prefixes = slices.Delete(e.prefixes, i, i+1)
+	}
+	e.prefixes = append(e.prefixes, j.prefix)
+	if len(e.prefixes) > cachedPrefixes {
+		e.prefixes = e.prefixes[1:]
+	}
+	return ticks(cost)
+}
+
+// giveUp takes the requests away that a silent engine has had for too long.
+func (m *model) giveUp(e *engine) {
+	e.waiting = slices.DeleteFunc(e.waiting, func(j *job) bool {
+		if m.now-j.sentAt < int(silence/tick) {
+			return false
+		}
+		c := m.choosers[j.router]
+		c.done(e.name)
+		c.fail(m.time(), e.name)
+		j.tried = append(j.tried, e.name)
+		m.retries[m.now+1] = append(m.retries[m.now+1], j)
+		return true
+	})
+}
+
+func (m *model) count(j *job) {
+	if m.now >= int(warmUp/tick) {
+		m.ttft = append(m.ttft, time.Duration(m.now-j.arrived)*tick)
+	}
+}
+
+func (m *model) time() time.Time { return time.Unix(0, 0).Add(time.Duration(m.now) * tick) }
+
+func ticks(d time.Duration) float64 { return float64(d) / float64(tick) }
+
+// randomChoice is the naive policy.
+type randomChoice struct{ list []Target }
+
+func (r randomChoice) pick(_ time.Time, rnd *rand.Rand, ask Ask) string {
+	for {
+		t := r.list[rnd.IntN(len(r.list))]
+		if !slices.Contains(ask.Exclude, t.Name) {
+			return t.Name
+		}
+	}
+}
+func (randomChoice) sent(string)                      {}
+func (randomChoice) done(string)                      {}
+func (randomChoice) fail(time.Time, string)           {}
+func (randomChoice) report(time.Time, string, Status) {}
+
+// picked is the policy under test.
+type picked struct{ *Picker }
+
+func (p picked) pick(now time.Time, rnd *rand.Rand, ask Ask) string {
+	t, err := p.Pick(now, rnd, ask)
+	if err != nil {
+		panic(err)
+	}
+	return t.Name
+}
+func (p picked) sent(name string)                            { p.Sent(name) }
+func (p picked) done(name string)                            { p.Done(name, Abandoned) }
+func (p picked) fail(now time.Time, name string)             { p.Fail(now, name) }
+func (p picked) report(now time.Time, name string, s Status) { p.Report(now, name, s) }
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -26,15 +26,16 @@
 	return p.twoChoices(rnd).Target, nil
 }
 
-// probe returns an ejected target whose time is over. One request at a time is
-// sent there; its result ends the ejection or prolongs it. A request with
-// failed attempts behind it is never a probe.
+// probe returns an ejected target whose time is over and that has reported its
+// load since. One request at a time is sent there; its result ends the ejection
+// or prolongs it. Without the report a request would be risked on a target that
+// is still silent. A request with failed attempts behind it is never a probe.
 func (p *Picker) probe(now time.Time, ask Ask) *target {
 	if len(ask.Exclude) > 0 {
 		return nil
 	}
 	for _, t := range p.targets {
-		if t.ejected && !t.probing && !t.leaving(now) && !now.Before(t.ejectedUntil) {
+		if t.ejected && !t.probing && !t.leaving(now) && !now.Before(t.ejectedUntil) && t.reported.After(t.ejectedAt) {
 			return t
 		}
 	}
@@ -157,14 +158,24 @@
 	return first
 }
 
-// Stalest returns up to n targets whose load was reported longest ago.
-func (p *Picker) Stalest(n int) []Target {
+// Stalest returns up to n targets to be asked for their status: those that have
+// neither reported it nor been named here for the longest time.
+func (p *Picker) Stalest(now time.Time, n int) []Target {
 	byAge := slices.SortedStableFunc(slices.Values(p.targets), func(a, b *target) int {
-		return a.reported.Compare(b.reported)
+		return a.lastHeard().Compare(b.lastHeard())
 	})
 	var list []Target
 	for _, t := range byAge[:min(n, len(byAge))] {
+		t.asked = now
 		list = append(list, t.Target)
 	}
 	return list
 }
+
+// lastHeard returns when the target reported its load, or was last asked to.
+func (t *target) lastHeard() time.Time {
+	if t.asked.After(t.reported) {
+		return t.asked
+	}
+	return t.reported
+}
--- a/pkg/route/picker.go
+++ b/pkg/route/picker.go
@@ -26,8 +26,10 @@
 	Target
 	hash   uint64
 	status Status
-	// reported is when the status was, or was last asked for.
+	// reported is when the status came, and asked when Stalest last named the
+	// target.
 	reported time.Time
+	asked    time.Time
 	// leavingUntil is set when the side process says that it is leaving, which
 	// it says before the instance list does.
 	leavingUntil time.Time
@@ -37,6 +39,7 @@
 	failures    int
 	// ejections counts ejections since the last success.
 	ejections    int
+	ejectedAt    time.Time
 	ejectedUntil time.Time
 	ejected      bool
 	// probing is set while the one request that may end an ejection runs.
@@ -139,6 +142,7 @@
 	}
 	t.ejections++
 	t.ejected = true
+	t.ejectedAt = now
 	t.ejectedUntil = now.Add(pause)
 }
 
--- /dev/null
+++ b/pkg/route/report_test.go
@@ -0,0 +1,80 @@
+package route
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// TestReport measures the time to the first token in a queue model, under the
+// picker and under naive policies, and holds the table against a golden file.
+func TestReport(t *testing.T) {
+	scenarios := []scenario{
+		{name: "steady", rate: 90},
+		{name: "one slow target", rate: 90, slow: 0.25},
+		{name: "one silent target", rate: 90, silent: true},
+		{name: "slow and silent", rate: 90, slow: 0.25, silent: true},
+		{name: "shared prefixes", rate: 75, prefixes: 60},
+		{name: "shared prefixes, slow", rate: 75, prefixes: 60, slow: 0.25},
+	}
+	policies := []struct {
+		name string
+		make func(dc string, list []Target) chooser
+	}{
+		{"random", func(_ string, list []Target) chooser { return randomChoice{list} }},
+		{"two choices", pickerWith(Policy{NoAffinity: true})},
+		{"picker", pickerWith(Policy{})},
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%-22s %-12s %8s %8s %8s %6s\n", "scenario", "policy", "p50 ms", "p95 ms", "p99 ms", "warm")
+	got := make(map[string]outcome)
+	for _, s := range scenarios {
+		for _, p := range policies {
+			o := play(s, p.make)
+			got[s.name+"/"+p.name] = o
+			fmt.Fprintf(&b, "%-22s %-12s %8d %8d %8d %5.0f%%\n", s.name, p.name,
+				o.p50.Milliseconds(), o.p95.Milliseconds(), o.p99.Milliseconds(), 100*o.warm)
+		}
+	}
+	t.Log("\n" + b.String())
+	golden(t, "report.golden", b.String())
+	for _, s := range scenarios {
+		naive, own := got[s.name+"/random"], got[s.name+"/picker"]
+		if own.p95 > naive.p95 || own.p99 > naive.p99 {
+			t.Errorf("%s: picker's tail is longer than random choice's: %v and %v", s.name, own, naive)
+		}
+	}
+}
+
+func pickerWith(policy Policy) func(string, []Target) chooser {
+	return func(dc string, list []Target) chooser {
+		p := &Picker{DataCentre: dc, Policy: policy}
+		p.Update(list)
+		return picked{p}
+	}
+}
+
+// golden compares text with a golden file.
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	path := filepath.Join("testdata", name)
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("%s differs (-want +got):\n%s", path, diff)
+	}
+}
