pkg/route: own requests exact, others' load as a moving average

Cause: a report that lags by 500 ms counts the own requests of that time. The load was the larger of the own requests and the report plus the difference since, which resets with every report, so that what was sent during the lag was missing; with 12 entry instances the tail was worse than without reports.

--- a/pkg/route/picker.go
+++ b/pkg/route/picker.go
@@ -24,8 +24,9 @@
 // target is what the picker knows of one target.
 type target struct {
 	Target
-	hash   uint64
-	status Status
+	hash uint64
+	// others is the moving average of the load that is not this instance's own.
+	others float64
 	// reported is when the status came, and asked when Stalest last named the
 	// target.
 	reported time.Time
@@ -33,10 +34,8 @@
 	// leavingUntil is set when the side process says that it is leaving, which
 	// it says before the instance list does.
 	leavingUntil time.Time
-	// sinceReport is the requests sent less those ended since the last report.
-	sinceReport int64
-	inFlight    int64
-	failures    int
+	inFlight     int64
+	failures     int
 	// ejections counts ejections since the last success.
 	ejections    int
 	ejectedAt    time.Time
@@ -46,10 +45,11 @@
 	probing bool
 }
 
-// load is the number of requests that the target is taken to have.
-func (t *target) load() float64 {
-	return float64(max(t.inFlight, t.status.Running+t.status.Waiting+t.sinceReport))
-}
+// load is the number of requests that the target is taken to have. This
+// instance's own are counted as they are; only those of others are taken from
+// the reports, which lag. A lagging report that included the own requests would
+// count them twice or not at all.
+func (t *target) load() float64 { return float64(t.inFlight) + t.others }
 
 // leaving reports whether the target takes no new work. What the side process
 // said is forgotten after a time: a target that was replaced under its name and
@@ -84,7 +84,6 @@
 		return
 	}
 	t.inFlight++
-	t.sinceReport++
 	if t.ejected {
 		t.probing = true
 	}
@@ -97,7 +96,6 @@
 		return
 	}
 	t.inFlight = max(0, t.inFlight-1)
-	t.sinceReport--
 	switch result {
 	case Answered:
 		t.failures, t.ejections = 0, 0
@@ -121,9 +119,9 @@
 	if t == nil {
 		return
 	}
-	t.status = status
+	others := float64(max(0, status.Running+status.Waiting-t.inFlight))
+	t.others += reportWeight * (others - t.others)
 	t.reported = now
-	t.sinceReport = 0
 	if status.Leaving {
 		t.leavingUntil = now.Add(leavingMemory)
 	}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -91,6 +91,9 @@
 	defaultEjectAfter     = 3
 	defaultEjectBase      = time.Second
 	defaultEjectMax       = 30 * time.Second
+	// reportWeight is the weight of the newest report in the moving average of
+	// the load.
+	reportWeight = 0.2
 	// leavingMemory is how long a target's word that it is leaving holds.
 	leavingMemory = 30 * time.Second
 )
