--- /dev/null
+++ b/pkg/route/bench_test.go
@@ -0,0 +1,32 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkPick chooses a target of 18, 60 and 600, by two choices, by prefix
+// and by key.
+func BenchmarkPick(b *testing.B) {
+	asks := []struct {
+		name string
+		ask  Ask
+	}{
+		{"two-choices", Ask{}},
+		{"prefix", Ask{Prefix: 12345}},
+		{"key", Ask{Key: "org/0123456789abcdef"}},
+	}
+	for _, n := range []int{18, 60, 600} {
+		for _, a := range asks {
+			b.Run(fmt.Sprintf("targets=%d/%s", n, a.name), func(b *testing.B) {
+				p, rnd := newPicker(n, Policy{})
+				b.ReportAllocs()
+				for b.Loop() {
+					if _, err := p.Pick(start, rnd, a.ask); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
