--- a/internal/procs/fleet_test.go
+++ b/internal/procs/fleet_test.go
@@ -76,6 +76,9 @@
 
 	logURL, listURL string
 	writers         int
+	// advertise is the address that the next side processes announce; empty is
+	// their own.
+	advertise string
 }
 
 // newWorld starts the platform and publishes the sample entries and a top-up.
@@ -153,8 +156,12 @@
 
 // side starts a side process beside a target.
 func (w *world) side(name, service, kind, target string, extra ...string) *proc {
-	return w.start("beryl-side", name, fmt.Sprintf(
-		"[listen]\ngrpc = 127.0.0.1:0\ndebug = 127.0.0.1:0\n[target]\nurl = %s\nslot = %s\nservice = %s\nkind = %s\n%s",
+	listen := "[listen]\ngrpc = 127.0.0.1:0\ndebug = 127.0.0.1:0\n"
+	if w.advertise != "" {
+		listen += "advertise = " + w.advertise + "\n"
+	}
+	return w.start("beryl-side", name, listen+fmt.Sprintf(
+		"[target]\nurl = %s\nslot = %s\nservice = %s\nkind = %s\n%s",
 		target, name, service, kind, strings.Join(extra, "\n")))
 }
 
