--- /dev/null
+++ b/internal/procs/bench_test.go
@@ -0,0 +1,180 @@
+package procs
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/beryllanding/beryllanding/internal/stand/engd"
+)
+
+const (
+	// benchPaid is enough for all benchmarks.
+	benchPaid = 1 << 40
+	// benchAnswer is the tokens of a streamed answer.
+	benchAnswer = 500
+	// benchStreams is the number of streams at one time.
+	benchStreams = 50
+	// benchTokenMicros is the token time of a stream: 100 tokens a second.
+	benchTokenMicros = 10_000
+	// tick is the unit of the CPU times in /proc.
+	tick = 10 * time.Millisecond
+)
+
+// BenchmarkFirstByte measures the time to the first byte of a streamed answer,
+// with the engine's stand-in called directly and through an entry instance and
+// a side process, in turns.
+func BenchmarkFirstByte(b *testing.B) {
+	w := newBenchWorld(b)
+	e := engd.New(engd.Switches{AnswerTokens: 2})
+	url := w.serve(e.Handler())
+	w.side("engine-0", model, "model", url)
+	r := w.router("router-a")
+	w.ready(r)
+	client := &http.Client{}
+	ask := func(base string) time.Duration { return firstByte(b, client, base) }
+	for range 50 {
+		ask(url)
+		ask(r.http)
+	}
+	var direct, through []time.Duration
+	b.ResetTimer()
+	for range b.N {
+		direct = append(direct, ask(url))
+		through = append(through, ask(r.http))
+	}
+	b.StopTimer()
+	d, t := median(direct), median(through)
+	b.ReportMetric(float64(d.Microseconds()), "direct-µs")
+	b.ReportMetric(float64(t.Microseconds()), "through-µs")
+	b.ReportMetric(float64((t - d).Microseconds()), "added-µs")
+	b.ReportMetric(float64(t)/float64(d), "ratio")
+}
+
+// BenchmarkRequests measures whole short requests a second from many callers,
+// directly and through the system.
+func BenchmarkRequests(b *testing.B) {
+	w := newBenchWorld(b)
+	e := engd.New(engd.Switches{AnswerTokens: 2, Slots: 256})
+	url := w.serve(e.Handler())
+	side := w.side("engine-0", model, "model", url, "concurrent = 256")
+	r := w.router("router-a")
+	w.ready(r)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchStreams}}
+	run := func(b *testing.B, base string) {
+		b.SetParallelism(5)
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				firstByte(b, client, base)
+			}
+		})
+		b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+	}
+	b.Run("direct", func(b *testing.B) { run(b, url) })
+	b.Run("through", func(b *testing.B) {
+		before, beforeSide := r.cpu(), side.cpu()
+		run(b, r.http)
+		b.ReportMetric(float64((r.cpu()-before).Microseconds())/float64(b.N), "router-µs/request")
+		b.ReportMetric(float64((side.cpu()-beforeSide).Microseconds())/float64(b.N), "side-µs/request")
+	})
+}
+
+// BenchmarkStreamedTokens measures the CPU time that the processes spend on
+// streamed tokens, at 5,000 tokens a second over 50 streams. b.N counts rounds
+// of 50 streams of 500 tokens.
+func BenchmarkStreamedTokens(b *testing.B) {
+	w := newBenchWorld(b)
+	e := engd.New(engd.Switches{AnswerTokens: benchAnswer, Slots: 2 * benchStreams, TokenMicros: benchTokenMicros / (1 + benchStreams/25)})
+	side := w.side("engine-0", model, "model", w.serve(e.Handler()))
+	r := w.router("router-a")
+	w.ready(r)
+	routerCPU, sideCPU := r.cpu(), side.cpu()
+	b.ResetTimer()
+	for range b.N {
+		var wg sync.WaitGroup
+		for range benchStreams {
+			wg.Go(func() {
+				s, err := r.openStream("", "question", benchAnswer)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				s.rest()
+			})
+		}
+		wg.Wait()
+	}
+	b.StopTimer()
+	n := float64(b.N * benchStreams * benchAnswer)
+	routerCPU, sideCPU = r.cpu()-routerCPU, side.cpu()-sideCPU
+	b.ReportMetric(n/b.Elapsed().Seconds(), "tokens/s")
+	b.ReportMetric(float64(routerCPU.Microseconds())/n, "router-µs/token")
+	b.ReportMetric(float64(sideCPU.Microseconds())/n, "side-µs/token")
+	b.ReportMetric(routerCPU.Seconds()/b.Elapsed().Seconds(), "router-cores")
+}
+
+// newBenchWorld is newWorld for a benchmark, with a long-lived budget.
+func newBenchWorld(b *testing.B) *world {
+	b.Helper()
+	return newWorld(b, benchPaid)
+}
+
+// firstByte sends a streamed chat, returns the time to its first byte and reads
+// the rest.
+func firstByte(b *testing.B, client *http.Client, base string) time.Duration {
+	req, err := http.NewRequestWithContext(b.Context(), http.MethodPost, base+"/v1/chat/completions",
+		strings.NewReader(chatBody("question", 2, true)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+apiKey)
+	start := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		b.Error(err)
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var first [1]byte
+	if _, err := io.ReadFull(resp.Body, first[:]); err != nil || resp.StatusCode != http.StatusOK {
+		b.Errorf("%s: %v", resp.Status, err)
+		return 0
+	}
+	took := time.Since(start)
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return took
+}
+
+func median(d []time.Duration) time.Duration {
+	slices.Sort(d)
+	return d[len(d)/2]
+}
+
+// cpu returns the CPU time that the process has used.
+func (p *proc) cpu() time.Duration {
+	p.t.Helper()
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	// The fields after the name in brackets; user and system time are the 14th
+	// and 15th of all.
+	fields := strings.Fields(string(raw[bytes.LastIndexByte(raw, ')')+1:]))
+	user, err := strconv.Atoi(fields[11])
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	system, err := strconv.Atoi(fields[12])
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return time.Duration(user+system) * tick
+}
--- a/internal/procs/fleet_test.go
+++ b/internal/procs/fleet_test.go
@@ -69,7 +69,7 @@
 
 // world is the platform's stand-ins, in this process, and the fleet's processes.
 type world struct {
-	t    *testing.T
+	t    testing.TB
 	dir  string
 	log  *logd.Store
 	list *instd.List
@@ -82,7 +82,7 @@
 }
 
 // newWorld starts the platform and publishes the sample entries and a top-up.
-func newWorld(t *testing.T, paid ledger.Tokens) *world {
+func newWorld(t testing.TB, paid ledger.Tokens) *world {
 	w := &world{t: t, dir: t.TempDir(), log: logd.New(logd.Switches{}), list: instd.New(instd.Switches{TTLMS: 2000})}
 	w.logURL = w.serve(w.log.Handler())
 	w.listURL = w.serve(w.list.Handler())
@@ -134,7 +134,7 @@
 
 // proc is a process of the fleet.
 type proc struct {
-	t    *testing.T
+	t    testing.TB
 	name string
 	cmd  *exec.Cmd
 	// http and grpc are the addresses that it serves.
--- a/internal/procs/relay_test.go
+++ b/internal/procs/relay_test.go
@@ -117,7 +117,7 @@
 	return state
 }
 
-func writeFile(t *testing.T, path, content string) {
+func writeFile(t testing.TB, path, content string) {
 	t.Helper()
 	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
 		t.Fatal(err)
