pkg/fold: checkpoints are compressed

Every 96 KiB are an append, of which there are several hundred a second for all.

Change: a chunk carries a part of the compressed checkpoint, a line of JSON and then the state as it is. The size before compression is bounded.

Encoding takes longer than before, on the one instance that makes a checkpoint; all that start restore.

Seen failing: without either bound of the size, TestLargeState fails. go test -fuzz FuzzDecodeCheckpoint -fuzztime 10s: no finding.

--- a/pkg/fold/ckpt_test.go
+++ b/pkg/fold/ckpt_test.go
@@ -1,6 +1,8 @@
 package fold
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
@@ -41,7 +43,7 @@
 
 func splitCheckpoint(t *testing.T, cp Checkpoint, parts int) []Item {
 	t.Helper()
-	items, err := cp.split((len(mustJSON(cp)) + parts - 1) / parts)
+	items, err := cp.split((len(mustEncode(cp)) + parts - 1) / parts)
 	if err != nil || len(items) != parts {
 		t.Fatalf("%d chunks, want %d: %v", len(items), parts, err)
 	}
@@ -277,3 +279,24 @@
 		}
 	})
 }
+
+// TestLargeState refuses a state over the bound, also where it is small on the
+// log.
+func TestLargeState(t *testing.T) {
+	if _, err := (Checkpoint{State: make([]byte, maxState)}).encode(); err == nil {
+		t.Error("encoded a state over the bound")
+	}
+	var raw bytes.Buffer
+	zip := gzip.NewWriter(&raw)
+	for _, part := range [][]byte{[]byte("{}\n"), make([]byte, maxState)} {
+		if _, err := zip.Write(part); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := zip.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := decodeCheckpoint(&raw); err == nil {
+		t.Error("decoded a state over the bound")
+	}
+}
--- a/pkg/fold/fuzz_test.go
+++ b/pkg/fold/fuzz_test.go
@@ -1,6 +1,7 @@
 package fold
 
 import (
+	"bytes"
 	"errors"
 	"testing"
 
@@ -20,7 +21,7 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	items, err := cp.split(len(mustJSON(cp))/2 + 1)
+	items, err := cp.split(len(mustEncode(cp))/2 + 1)
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -90,3 +91,22 @@
 		}
 	})
 }
+
+// FuzzDecodeCheckpoint decodes encoded checkpoints of any content. What is
+// accepted encodes and decodes to the same.
+func FuzzDecodeCheckpoint(f *testing.F) {
+	f.Add(mustEncode(Checkpoint{At: 7, Digest: "00", Writers: map[string]uint64{"w": 1}, State: []byte("{}\n\x00")}))
+	f.Add(mustEncode(Checkpoint{}))
+	f.Add(mustEncode(Checkpoint{State: []byte("x")})[:20])
+	f.Add([]byte("x"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		cp, err := decodeCheckpoint(bytes.NewReader(raw))
+		if err != nil {
+			return
+		}
+		again, err := decodeCheckpoint(bytes.NewReader(mustEncode(cp)))
+		if diff := cmp.Diff(cp, again, cmpopts.EquateEmpty()); diff != "" || err != nil {
+			t.Fatal(err, diff)
+		}
+	})
+}
--- a/pkg/fold/main_test.go
+++ b/pkg/fold/main_test.go
@@ -52,6 +52,14 @@
 	return fmt.Sprintf("%d.%d %s %s %s", at.Offset, at.Index, at.Writer, item.Kind, item.Body)
 }
 
+func mustEncode(cp Checkpoint) []byte {
+	raw, err := cp.encode()
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
 // history is a stream with all its records, and the naive fold of it, which has
 // seen them all and remembers each batch by writer and Seq.
 type history struct {
--- a/pkg/fold/reader_test.go
+++ b/pkg/fold/reader_test.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	size := len(mustJSON(cp))/rapid.IntRange(1, 3).Draw(t, "parts") + 1
+	size := len(mustEncode(cp))/rapid.IntRange(1, 3).Draw(t, "parts") + 1
 	items, err := cp.split(size)
 	if err != nil {
 		t.Fatal(err)
