--- a/internal/opsvc/opsvc.go
+++ b/internal/opsvc/opsvc.go
@@ -91,7 +91,12 @@
 // The outcome is "" where it was decided, else NotAppended or Unknown.
 func (s *Service) decide(ctx context.Context, f *fold.Follower, item fold.Item, decided func() bool) Outcome {
 	watched := &appendWatch{Service: s.Log}
-	w := &fold.Writer{Log: watched, Stream: f.Stream, Name: string(ident.NewIncarnation("beryl"))}
+	w := &fold.Writer{
+		Log:    watched,
+		Stream: f.Stream,
+		Name:   string(ident.NewIncarnation("beryl")),
+		Folded: f.Folded,
+	}
 	running, stop := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	wg.Go(func() { f.Run(running) })
