internal/entry: a refused retry is not told that nothing ran

Cause: a keyed request whose first exchange had run, and whose retry was refused before it reached a side process, was answered not-run. The retry itself did not run, but the work with that key had. Found by random histories with several requests under one key: go test ./internal/entry, log-unavailable after a run.

What an instance has neither seen nor read on the log it cannot know.

A ticket is settled also where the sink panics.

--- a/internal/entry/do.go
+++ b/internal/entry/do.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -30,6 +31,10 @@
 	client wire.SideClient
 	// join is set where the next attempt may only join a run.
 	join bool
+	// remembered is 1 once the engine's memory counts this request.
+	remembered int
+	// cause is why the last broken attempt broke.
+	cause error
 }
 
 // Do serves one request and passes the answer to the sink. The error is a
@@ -39,16 +44,15 @@
 func (e *Engine) Do(ctx context.Context, req *Request, sink Sink) (Result, error) {
 	e.init()
 	e.Counts.Requests.Add(1)
+	r := &run{e: e, g: e.gate(req.Service.Name), req: req, sink: sink, arrived: time.Now()}
+	r.flow.Rerunnable = req.rerunnable()
 	if err := e.enter(req.Account); err != nil {
 		e.Counts.Refused.Add(1)
-		return Result{}, err
+		return Result{}, r.honest(err)
 	}
 	defer e.exit(req.Account)
-	r := &run{e: e, g: e.gate(req.Service.Name), req: req, sink: sink, arrived: time.Now()}
-	r.flow.Rerunnable = req.rerunnable()
 	r.g.arrived()
-	err := r.serve(ctx)
-	r.settle(ctx)
+	err := r.serveAndSettle(ctx)
 	r.result.Target = r.target.Name
 	r.result.Attempts = len(r.flow.Attempts)
 	if err != nil {
@@ -59,6 +63,30 @@
 	return r.result, nil
 }
 
+// serveAndSettle settles the tickets also where the sink panics.
+func (r *run) serveAndSettle(ctx context.Context) error {
+	defer r.settle(ctx)
+	if r.req.Keyed {
+		r.e.memory.add(r.req.ID)
+		r.remembered = 1
+		defer r.forget() // before settle, which goes on with the flow by itself
+	}
+	return r.serve(ctx)
+}
+
+// lookBack notes whether an earlier request with the same id may have run. It
+// comes before each decision that may end in a refusal.
+func (r *run) lookBack() {
+	r.flow.Prior = r.req.Keyed && r.e.mayHaveRun(r.req.ID, r.remembered)
+}
+
+// forget takes the request back where no attempt of it may have run.
+func (r *run) forget() {
+	if !r.flow.mayHaveRun() {
+		r.e.memory.forget(r.req.ID)
+	}
+}
+
 // serve reserves and makes attempts until the request is answered or refused.
 func (r *run) serve(ctx context.Context) error {
 	if err := r.reserve(ctx); err != nil {
@@ -72,6 +100,7 @@
 		if err != nil {
 			return err
 		}
+		r.lookBack()
 		if done, err := r.follow(ctx, r.flow.Ended(end)); done {
 			return err
 		}
@@ -84,7 +113,7 @@
 	case Done:
 		return true, nil
 	case Refuse:
-		return true, &s.Refusal
+		return true, r.because(&s.Refusal)
 	case Probe:
 		return r.probe(ctx, s.Cause)
 	case Rehold:
@@ -140,8 +169,7 @@
 		return false, nil
 	}
 	if !s.Free && !r.g.mayRetry() {
-		refusal := r.flow.honest(s.Refusal)
-		return true, &refusal
+		return true, r.honest(&s.Refusal)
 	}
 	r.e.Counts.Retries.Add(1)
 	if err := r.choose(ctx); err != nil {
@@ -175,6 +203,7 @@
 // it cannot be reached on a fresh connection either, the target is blamed.
 func (r *run) probe(ctx context.Context, cause error) (bool, error) {
 	r.e.Counts.Probes.Add(1)
+	r.cause = cause
 	ctx, span := r.e.Tracer.Start(ctx, "probe")
 	defer span.End()
 	fact := r.fact(ctx, cause)
@@ -185,6 +214,7 @@
 	if fact.State == StateUnreachable {
 		r.g.blame(r.target.Name)
 	}
+	r.lookBack()
 	return r.follow(ctx, r.flow.Probed(fact))
 }
 
@@ -201,6 +231,15 @@
 	return r.e.askAny(ctx, r.req.ID, last)
 }
 
+// because returns the refusal as an error that wraps ErrSilent where the last
+// attempt ended by silence.
+func (r *run) because(refusal *refuse.Refusal) error {
+	if errors.Is(r.cause, ErrSilent) {
+		return fmt.Errorf("%w: %w", refusal, ErrSilent)
+	}
+	return refusal
+}
+
 // orGone returns err, or ErrHungUp where the caller has gone.
 func (r *run) orGone(ctx context.Context, err error) error {
 	if gone := r.gone(ctx); gone != nil {
@@ -215,6 +254,7 @@
 	if !ok {
 		return err
 	}
+	r.lookBack()
 	copied := r.flow.honest(*refusal)
 	return &copied
 }
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -59,8 +59,11 @@
 	Orphans Orphans
 	// FleetOffset returns the offset held of the fleet stream. It is optional.
 	FleetOffset func() uint64
-	Timeouts    Timeouts
-	Policy      route.Policy
+	// Ran reports whether the log shows that the request with this id ran or
+	// was claimed. It is optional, and is asked for keyed requests only.
+	Ran      func(id string) bool
+	Timeouts Timeouts
+	Policy   route.Policy
 	// Tracer is optional.
 	Tracer trace.Tracer
 	// Seed makes the choice of targets repeatable. Where it is 0, the choice is
@@ -74,6 +77,7 @@
 	gates map[string]*gate
 	// inProgress counts the requests of each organisation.
 	inProgress map[string]int
+	memory     memory
 	// settling counts the settlements in the background.
 	settling sync.WaitGroup
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -232,13 +232,20 @@
 
 // RunsOnce reports whether the service's rules say that a call must run at most
 // once. The path is below /apps/{service} and has no query. It is compared as a
-// target could read it: decoded, and without repeated or trailing slashes.
+// target could read it: decoded, without parameters after a semicolon, and
+// without repeated or trailing slashes.
 func (s Service) RunsOnce(method, encoded string) bool {
 	path, err := url.PathUnescape(encoded)
 	if err != nil {
 		path = encoded
 	}
-	path = "/" + strings.Join(strings.FieldsFunc(path, isSlash), "/")
+	var segments []string
+	for segment := range strings.SplitSeq(path, "/") {
+		if name, _, _ := strings.Cut(segment, ";"); name != "" {
+			segments = append(segments, name)
+		}
+	}
+	path = "/" + strings.Join(segments, "/")
 	for _, rule := range s.Once {
 		if rule.matches(method, path) {
 			return true
@@ -257,5 +264,3 @@
 	}
 	return path == prefix
 }
-
-func isSlash(c rune) bool { return c == '/' }
--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -62,6 +62,9 @@
 type Flow struct {
 	// Rerunnable is set where the work may run twice.
 	Rerunnable bool
+	// Prior is set where an earlier request with the same id may have run. The
+	// caller is then not told that the work did not happen.
+	Prior bool
 	// Attempts are in the order in which they were made.
 	Attempts []*Attempt
 	// Holds are the tickets, in the order in which they were reserved.
@@ -181,7 +184,7 @@
 	if f.Output || !f.mayContinue() {
 		return false
 	}
-	return f.Rerunnable || f.Outcome() == refuse.NotRun
+	return f.Rerunnable || !f.mayHaveRun()
 }
 
 // Learn notes what a side process said about an attempt.
@@ -227,14 +230,17 @@
 
 // Outcome returns what may be promised about the request as a whole.
 func (f *Flow) Outcome() refuse.Outcome {
-	for _, a := range f.Attempts {
-		if a.Fate != FateNotRun {
-			return refuse.Unknown
-		}
+	if f.Prior || f.mayHaveRun() {
+		return refuse.Unknown
 	}
 	return refuse.NotRun
 }
 
+// mayHaveRun reports whether an attempt of this request may have run.
+func (f *Flow) mayHaveRun() bool {
+	return slices.ContainsFunc(f.Attempts, func(a *Attempt) bool { return a.Fate != FateNotRun })
+}
+
 // tried returns the names of the targets that were tried.
 func (f *Flow) tried() []string {
 	var names []string
--- a/internal/entry/flow_test.go
+++ b/internal/entry/flow_test.go
@@ -53,7 +53,8 @@
 	ID string
 	// Kind is "chat", "get", "post" or "once".
 	Kind string
-	// Keyed requests go on running when their stream ends.
+	// Keyed is set where the caller gave the id. Other requests have ids of
+	// their own.
 	Keyed bool
 	// HangUp is the number of chunks after which the caller goes; 0 is never.
 	HangUp int
@@ -70,18 +71,25 @@
 	})
 	drawRequest := rapid.Custom(func(t *rapid.T) planned {
 		return planned{
-			ID:     rapid.SampledFrom([]string{"org/a", "org/a", "org/b"}).Draw(t, "id"),
+			ID:     rapid.SampledFrom([]string{"org/a", "org/a", "org/b", ""}).Draw(t, "id"),
 			Kind:   rapid.SampledFrom([]string{"chat", "get", "post", "once"}).Draw(t, "kind"),
-			Keyed:  rapid.Bool().Draw(t, "keyed"),
 			HangUp: rapid.SampledFrom([]int{0, 0, 0, 1, 3}).Draw(t, "hang-up"),
 			Delay:  rapid.SampledFrom([]time.Duration{0, 25 * time.Millisecond, time.Minute}).Draw(t, "delay"),
 		}
 	})
-	return plan{
+	p := plan{
 		Known:    rapid.Bool().Draw(t, "known"),
 		Requests: rapid.SliceOfN(drawRequest, 1, 3).Draw(t, "requests"),
 		Faults:   rapid.SliceOfN(drawFault, 0, 8).Draw(t, "faults"),
 	}
+	for i := range p.Requests {
+		r := &p.Requests[i]
+		r.Keyed = r.ID != ""
+		if !r.Keyed {
+			r.ID = fmt.Sprintf("org/~%d", i)
+		}
+	}
+	return p
 }
 
 // TestWholeAnswerOrTrueRefusal runs random histories and holds their ends
@@ -112,6 +120,7 @@
 			time.Sleep(r.Delay)
 			ends[i].hangUp = r.HangUp
 			_, ends[i].err = e.Do(context.Background(), r.request(), &ends[i])
+			ends[i].ranAtEnd = w.ran(r.ID)
 		})
 	}
 	wg.Wait()
@@ -189,6 +198,8 @@
 	chunks int
 	hangUp int
 	err    error
+	// ranAtEnd is set where a run of the id had begun before the request ended.
+	ranAtEnd bool
 }
 
 func (c *callerEnd) Head(int, []*wire.Header) error { return nil }
@@ -213,7 +224,7 @@
 		wrong = append(wrong, fmt.Sprintf("request %+v got %q, which is no part of an answer", r, got))
 	case c.err != nil && !refused && !errors.Is(c.err, ErrHungUp):
 		wrong = append(wrong, fmt.Sprintf("request %+v ended with %v, which is no refusal", r, c.err))
-	case refused && refusal.Outcome == refuse.NotRun && w.runs[r.ID] > 0 && p.alone(r.ID):
+	case refused && refusal.Outcome == refuse.NotRun && c.ranAtEnd:
 		wrong = append(wrong, fmt.Sprintf("request %+v ran and was refused as not run: %v", r, refusal))
 	}
 	if w.runs[r.ID] > 1 && p.alone(r.ID) && (r.Kind == "once" || r.Kind == "post") {
@@ -275,6 +286,7 @@
 		faults:  slices.Clone(faults),
 		usage:   make(map[string][]ledger.Charge),
 		runs:    make(map[string]int),
+		began:   make(map[string]time.Time),
 		answers: make(map[string][]string),
 		tickets: make(map[uint64]*ticketState),
 	}
@@ -288,6 +300,14 @@
 	return w
 }
 
+// ran reports whether a run of the id began before now. One that begins at the
+// very time of a refusal may come after it.
+func (w *world) ran(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[id] > 0 && w.began[id].Before(time.Now())
+}
+
 // Targets lists the three targets.
 func (w *world) Targets(string) []route.Target {
 	return []route.Target{{Name: "t1", DataCentre: "dc"}, {Name: "t2", DataCentre: "dc"}, {Name: "t3", DataCentre: "dc2"}}
--- a/internal/entry/side_test.go
+++ b/internal/entry/side_test.go
@@ -46,8 +46,10 @@
 	faults []fault
 	// usage holds the first bill of each request id, as the log's fold would.
 	usage map[string][]ledger.Charge
-	// runs counts the runs of each request id.
-	runs map[string]int
+	// runs counts the runs of each request id, and began holds the time of the
+	// first.
+	runs  map[string]int
+	began map[string]time.Time
 	// answers holds the whole answers of the runs of each request id.
 	answers map[string][]string
 	tickets map[uint64]*ticketState
@@ -243,7 +245,9 @@
 	s.w.mu.Lock()
 	defer s.w.mu.Unlock()
 	id := in.GetRequestId()
-	s.w.runs[id]++
+	if s.w.runs[id]++; s.w.runs[id] == 1 {
+		s.w.began[id] = time.Now()
+	}
 	run := &fakeRun{s: s, request: in, life: s.life, side: s.incarnation(), changed: make(chan struct{})}
 	whole := ""
 	for i := range 5 - min(3, s.w.runs[id]) {
