--- a/internal/front/apps.go
+++ b/internal/front/apps.go
@@ -117,6 +117,8 @@
 	switch name {
 	case "Authorization", "Content-Length", "Cookie", "Expect", headerKey, headerRequestID:
 		return true
+	case "X-Http-Method", "X-Http-Method-Override", "X-Method-Override":
+		return true // would make the call another one than the rules were held against
 	}
 	return slices.Contains(hopHeaders, name)
 }
--- a/internal/front/chat.go
+++ b/internal/front/chat.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"reflect"
 
 	"github.com/beryllanding/beryllanding/internal/entry"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
@@ -28,13 +29,13 @@
 // chatBody is what is read of a chat-completion request. All other fields go to
 // the engine as they are.
 type chatBody struct {
-	Model    string            `json:"model"`
-	Messages []json.RawMessage `json:"messages"`
-	Stream   bool              `json:"stream"`
-	N        *int64            `json:"n"`
+	Model    string
+	Messages []json.RawMessage
+	Stream   bool
+	N        *int64
 	// MaxTokens is the older name of MaxCompletionTokens.
-	MaxTokens           *int64 `json:"max_tokens"`
-	MaxCompletionTokens *int64 `json:"max_completion_tokens"`
+	MaxTokens           *int64
+	MaxCompletionTokens *int64
 }
 
 // chat prepares a chat completion.
@@ -57,9 +58,9 @@
 
 // decodeChat parses and checks the body.
 func decodeChat(data []byte) (chatBody, error) {
-	var body chatBody
-	if err := json.Unmarshal(data, &body); err != nil {
-		return body, malformed(err)
+	body, err := parseChat(data)
+	if err != nil {
+		return body, err
 	}
 	switch {
 	case body.Model == "":
@@ -78,6 +79,36 @@
 	return body, checkCounts(body)
 }
 
+// parseChat reads the fields by their exact names. Decoding into a struct would
+// take "Stream" for "stream", which the engine does not.
+func parseChat(data []byte) (chatBody, error) {
+	var body chatBody
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return body, malformed("", err)
+	}
+	for _, f := range []struct {
+		name string
+		into any
+	}{
+		{"model", &body.Model},
+		{"messages", &body.Messages},
+		{"stream", &body.Stream},
+		{"n", &body.N},
+		{"max_tokens", &body.MaxTokens},
+		{"max_completion_tokens", &body.MaxCompletionTokens},
+	} {
+		raw, ok := fields[f.name]
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal(raw, f.into); err != nil {
+			return body, malformed(f.name, err)
+		}
+	}
+	return body, nil
+}
+
 // checkCounts checks the numbers in the body.
 func checkCounts(body chatBody) error {
 	for _, f := range []struct {
@@ -174,19 +205,35 @@
 	return route.HashPrefix(prefix)
 }
 
-// malformed returns the refusal of a body that is not the JSON expected.
-func malformed(err error) error {
+// malformed returns the refusal of a body, or of a field of it, that is not the
+// JSON expected.
+func malformed(field string, err error) error {
 	var syntax *json.SyntaxError
 	var kind *json.UnmarshalTypeError
 	switch {
 	case errors.As(err, &syntax):
-		return reject(http.StatusBadRequest, refuse.CodeBadRequest, "the body is not valid JSON at byte %d", syntax.Offset)
+		return reject(http.StatusBadRequest, refuse.CodeBadRequest, "the body is not valid JSON at byte %d: %v", syntax.Offset, syntax)
+	case errors.As(err, &kind) && field == "":
+		return reject(http.StatusBadRequest, refuse.CodeBadRequest, "the body is a JSON %s where an object is expected", clip(kind.Value))
 	case errors.As(err, &kind):
-		return reject(http.StatusBadRequest, refuse.CodeBadRequest, "field %q cannot be %s", clip(kind.Field), clip(kind.Value))
+		return reject(http.StatusBadRequest, refuse.CodeBadRequest, "field %q is a JSON %s where %s is expected", field, clip(kind.Value), kindName(kind))
 	}
 	return reject(http.StatusBadRequest, refuse.CodeBadRequest, "the body is not valid JSON")
 }
 
+// kindName names the JSON type that a field has.
+func kindName(err *json.UnmarshalTypeError) string {
+	switch err.Type.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "a boolean"
+	case reflect.Int64:
+		return "a whole number"
+	}
+	return "an array"
+}
+
 // clip bounds what is repeated of a caller's input.
 func clip(s string) string {
 	const most = 64
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,6 +22,7 @@
 type Doer interface {
 	Do(ctx context.Context, req *entry.Request, sink entry.Sink) (entry.Result, error)
 	Drain(ctx context.Context) error
+	MayHaveRun(id string) bool
 }
 
 // Limits bounds what callers may send. A zero field stands for its default.
@@ -88,7 +89,7 @@
 		Handler:           h,
 		ReadHeaderTimeout: s.Limits.HeaderRead,
 		IdleTimeout:       s.Limits.Idle,
-		MaxHeaderBytes:    s.Limits.HeaderBytes,
+		MaxHeaderBytes:    2 * s.Limits.HeaderBytes,
 	}
 }
 
--- a/internal/front/refuse.go
+++ b/internal/front/refuse.go
@@ -103,6 +103,9 @@
 	if errors.As(err, &f) {
 		return f.status
 	}
+	if r.Code == refuse.CodeInterrupted && errors.Is(err, entry.ErrSilent) {
+		return http.StatusGatewayTimeout
+	}
 	if status := statusOf[r.Code]; status != 0 {
 		return status
 	}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -38,6 +38,8 @@
 	keyed bool
 	body  []byte
 	sink  *sink
+	// inside is set while the request counts as in progress.
+	inside bool
 }
 
 // fault is a refusal by this package, with the status that its code alone does
@@ -72,7 +74,11 @@
 		defer span.End()
 		s.Counts.Requests.Add(1)
 		x := &exchange{s: s, w: w, r: r.WithContext(ctx), arrived: time.Now()}
+		if s.door.leaving() {
+			w.Header().Set("Connection", "close")
+		}
 		x.sink = &sink{x: x, control: http.NewResponseController(w)}
+		defer x.leave()
 		req, result, err := x.run(ctx, p)
 		span.SetAttributes(attribute.String("request", x.id))
 		if err != nil {
@@ -88,18 +94,14 @@
 
 // run takes the request through its checks to its end.
 func (x *exchange) run(ctx context.Context, p prepare) (*entry.Request, entry.Result, error) {
-	if err := x.admit(); err != nil {
-		return nil, entry.Result{}, err
-	}
-	defer x.s.door.exit()
-	for _, check := range []func() error{x.checkHeaders, x.authenticate, x.identify, x.readBody} {
+	for _, check := range []func() error{x.checkHeaders, x.authenticate, x.identify, x.admit, x.readBody} {
 		if err := check(); err != nil {
-			return nil, entry.Result{}, err
+			return nil, entry.Result{}, x.honest(err)
 		}
 	}
 	req, err := p(x)
 	if err != nil {
-		return nil, entry.Result{}, err
+		return nil, entry.Result{}, x.honest(err)
 	}
 	x.complete(req)
 	result, err := x.s.Engine.Do(ctx, req, x.sink)
@@ -109,9 +111,20 @@
 	return req, result, err
 }
 
+// honest takes the promise out of a refusal that the work did not happen, where
+// an earlier request with the same key may have done it.
+func (x *exchange) honest(err error) error {
+	var f *fault
+	if x.keyed && errors.As(err, &f) && x.s.Engine.MayHaveRun(x.id) {
+		f.Outcome = refuse.Unknown
+	}
+	return err
+}
+
 // admit lets the request in unless the instance is leaving or full.
 func (x *exchange) admit() error {
 	err := x.s.door.enter()
+	x.inside = err == nil
 	switch {
 	case errors.Is(err, errLeaving):
 		f := reject(http.StatusServiceUnavailable, refuse.CodeLeaving, "this instance is leaving; ask another")
@@ -125,15 +138,31 @@
 	return nil
 }
 
-// checkHeaders bounds the number of header lines.
+// leave ends what admit began, when the last byte was written.
+func (x *exchange) leave() {
+	if x.inside {
+		x.s.door.exit()
+	}
+}
+
+// checkHeaders bounds the number and the size of the header lines. net/http
+// bounds the size as well, but its own refusal has no body that callers can
+// read; it is the second line of defence.
 func (x *exchange) checkHeaders() error {
-	n := 0
-	for _, values := range x.r.Header {
-		n += len(values)
+	count, size := 0, len(x.r.RequestURI)
+	for name, values := range x.r.Header {
+		count += len(values)
+		for _, v := range values {
+			size += len(name) + len(v)
+		}
+	}
+	if limit := x.s.Limits.HeaderCount; count > limit {
+		return reject(http.StatusRequestHeaderFieldsTooLarge, refuse.CodeTooLarge,
+			"request has %d header lines; the limit is %d", count, limit)
 	}
-	if n > x.s.Limits.HeaderCount {
+	if limit := x.s.Limits.HeaderBytes; size > limit {
 		return reject(http.StatusRequestHeaderFieldsTooLarge, refuse.CodeTooLarge,
-			"request has %d header lines; the limit is %d", n, x.s.Limits.HeaderCount)
+			"request line and headers have %d bytes; the limit is %d", size, limit)
 	}
 	return nil
 }
--- a/internal/front/sink.go
+++ b/internal/front/sink.go
@@ -36,8 +36,12 @@
 	buf       []byte
 }
 
-// Head writes the status and headers of an application's answer.
+// Head writes the status and headers of an application's answer. A status that
+// is no final one, which net/http would not accept, becomes 502.
 func (k *sink) Head(status int, headers []*wire.Header) error {
+	if status < http.StatusOK || status > 599 {
+		status = http.StatusBadGateway
+	}
 	h := k.x.w.Header()
 	for _, header := range headers {
 		if dropResponseHeader(header.GetName()) {
