--- /dev/null
+++ b/internal/entry/bench_test.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"context"
+	"testing"
+
+	"google.golang.org/grpc"
+
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/route"
+)
+
+// fixedStream gives a started event, n chunks and a finish without any cost.
+type fixedStream struct {
+	grpc.ClientStream
+	ctx     context.Context
+	attempt string
+	n       uint64
+	next    uint64
+	event   wire.RunEvent
+	chunk   wire.RunEvent_Chunk
+}
+
+func (s *fixedStream) Context() context.Context { return s.ctx }
+
+func (s *fixedStream) Recv() (*wire.RunEvent, error) {
+	s.event.AttemptId, s.event.Index = s.attempt, s.next
+	s.next++
+	switch s.event.Index {
+	case 0:
+		s.event.Event = &wire.RunEvent_Started{Started: &wire.Started{}}
+	case s.n:
+		s.event.Event = &wire.RunEvent_Finish{Finish: &wire.Finish{}}
+	default:
+		s.event.Event = &s.chunk
+	}
+	return &s.event, nil
+}
+
+// fixedSide gives streams of n events.
+type fixedSide struct {
+	wire.SideClient
+	n uint64
+}
+
+func (s fixedSide) Run(ctx context.Context, in *wire.RunRequest, _ ...grpc.CallOption) (wire.Side_RunClient, error) {
+	st := &fixedStream{ctx: ctx, attempt: in.GetAttemptId(), n: s.n}
+	st.chunk.Chunk = &wire.Chunk{Data: []byte(`{"choices":[{"delta":{"content":"token"}}]}`), Tokens: 1}
+	return st, nil
+}
+
+func (s fixedSide) Side(route.Target) (wire.SideClient, error) { return s, nil }
+
+func (s fixedSide) Fresh(route.Target, wire.SideClient) (wire.SideClient, error) { return s, nil }
+
+// discard is a caller that takes all at once.
+type discard struct{}
+
+func (discard) Head(int, []*wire.Header) error { return nil }
+func (discard) Chunk([]byte) error             { return nil }
+
+// BenchmarkPass passes chunks from an attempt's stream to the caller, without
+// gRPC and HTTP; an operation is one chunk.
+func BenchmarkPass(b *testing.B) {
+	w := newWorld(nil)
+	e := &Engine{DataCentre: "dc", Catalogue: w, Budgets: w, Targets: w, Dialer: fixedSide{n: uint64(b.N + 1)}, Seed: 1}
+	r := planned{ID: "org/~1", Kind: "chat"}
+	b.ReportAllocs()
+	b.ResetTimer()
+	if _, err := e.Do(context.Background(), r.request(), discard{}); err != nil {
+		b.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/front/bench_test.go
@@ -0,0 +1,51 @@
+package front_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// BenchmarkToken streams answers of 1000 chunks through front, entry and gRPC in
+// memory; an operation is one chunk, with the work of the fake side process.
+func BenchmarkToken(b *testing.B) {
+	const chunks = 1000
+	f := newFleet(b, &side{chunks: chunks})
+	b.ReportAllocs()
+	for n := 0; n < b.N; n += chunks {
+		f.budgets.mu.Lock()
+		f.budgets.free = 100000
+		f.budgets.mu.Unlock()
+		drainAnswer(b, f, streamRequest)
+	}
+}
+
+// BenchmarkRequest sends plain chats, one after another, by the same way.
+func BenchmarkRequest(b *testing.B) {
+	f := newFleet(b, &side{})
+	b.ReportAllocs()
+	for b.Loop() {
+		drainAnswer(b, f, chatRequest)
+		f.budgets.mu.Lock()
+		f.budgets.free = 100000
+		f.budgets.mu.Unlock()
+	}
+}
+
+func drainAnswer(b *testing.B, f *fleet, body string) {
+	b.Helper()
+	req, err := http.NewRequest(http.MethodPost, f.url+chatPath, strings.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer good")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil || res.StatusCode != http.StatusOK {
+		b.Fatal(res.StatusCode, err)
+	}
+}
--- a/internal/front/fake_test.go
+++ b/internal/front/fake_test.go
@@ -186,7 +186,7 @@
 	url     string
 }
 
-func newFleet(t testing.TB, s *side) *fleet {
+func newFleet(t testing.TB, s *side, limits ...front.Limits) *fleet {
 	t.Helper()
 	listener := bufconn.Listen(1 << 20)
 	server := grpc.NewServer()
@@ -201,6 +201,9 @@
 	f := &fleet{budgets: &budgets{free: 100000}}
 	f.engine = &entry.Engine{DataCentre: "dc", Catalogue: catalogue{}, Budgets: f.budgets, Targets: targets{}, Dialer: conns}
 	f.front = &front.Server{Engine: f.engine, Catalogue: catalogue{}}
+	if len(limits) > 0 {
+		f.front.Limits = limits[0]
+	}
 	web := httptest.NewUnstartedServer(nil)
 	web.Config = f.front.HTTP("")
 	web.Start()
--- /dev/null
+++ b/internal/front/fuzz_test.go
@@ -0,0 +1,107 @@
+package front_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"testing"
+
+	"github.com/beryllanding/beryllanding/internal/entry"
+	"github.com/beryllanding/beryllanding/internal/front"
+)
+
+// catcher is an engine that keeps the request.
+type catcher struct {
+	doer
+	req *entry.Request
+}
+
+func (c *catcher) Do(_ context.Context, req *entry.Request, _ entry.Sink) (entry.Result, error) {
+	c.req = req
+	return entry.Result{}, nil
+}
+
+// checkRefusal expects an answer that a caller can read, unless the engine was
+// reached.
+func checkRefusal(t *testing.T, c *catcher, res *httptest.ResponseRecorder) {
+	t.Helper()
+	if c.req != nil {
+		return
+	}
+	var body struct {
+		Error struct{ Code, Outcome, Message string }
+	}
+	if res.Code < 400 || res.Code > 499 || json.Unmarshal(res.Body.Bytes(), &body) != nil ||
+		body.Error.Code == "" || body.Error.Outcome != "not-run" || body.Error.Message == "" {
+		t.Fatalf("got %d %s", res.Code, res.Body)
+	}
+}
+
+// FuzzChat sends any body: it reaches the engine unchanged and within bounds,
+// or is refused.
+func FuzzChat(f *testing.F) {
+	f.Add([]byte(chatRequest))
+	f.Add([]byte(streamRequest))
+	for _, in := range badInputs {
+		f.Add([]byte(in.body))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		c := &catcher{}
+		s := &front.Server{Engine: c, Catalogue: catalogue{}, Limits: front.Limits{Body: 64 << 10}}
+		r := httptest.NewRequest(http.MethodPost, chatPath, bytes.NewReader(body))
+		r.Header.Set("Authorization", "Bearer good")
+		res := httptest.NewRecorder()
+		s.Handler().ServeHTTP(res, r)
+		checkRefusal(t, c, res)
+		if c.req == nil {
+			return
+		}
+		chat := c.req.Work.(entry.Chat)
+		if !bytes.Equal(chat.Body, body) || chat.PromptBound < int64(len(body)) || chat.OutputBound < 1 || chat.OutputBound > 16000 {
+			t.Fatalf("got bounds %d and %d for %q", chat.PromptBound, chat.OutputBound, body)
+		}
+	})
+}
+
+// FuzzCall sends any path, key and header: a once-only call needs a key, and no
+// credential is passed on.
+func FuzzCall(f *testing.F) {
+	f.Add("reserve", "", "X-A", "1")
+	f.Add("reserve", "k", "Connection", "X-A")
+	f.Add("stock?q=1", "a/b", "authorization", "Bearer good")
+	for _, in := range badInputs {
+		f.Add(strings.TrimPrefix(in.path, "/apps/stores/"), "", "X-A", "")
+	}
+	f.Fuzz(func(t *testing.T, path, key, name, value string) {
+		u, err := url.Parse("http://x/apps/stores/" + path)
+		if err != nil {
+			t.Skip()
+		}
+		c := &catcher{}
+		s := &front.Server{Engine: c, Catalogue: catalogue{}}
+		r := (&http.Request{Method: http.MethodPost, URL: u, RequestURI: u.RequestURI(), Header: http.Header{}, Body: http.NoBody}).WithContext(t.Context())
+		r.Header.Set(name, value)
+		r.Header.Set("Authorization", "Bearer good")
+		if key != "" {
+			r.Header.Set("Idempotency-Key", key)
+		}
+		res := httptest.NewRecorder()
+		s.Handler().ServeHTTP(res, r)
+		checkRefusal(t, c, res)
+		if c.req == nil {
+			return
+		}
+		if plain := strings.Trim(u.Path, "/"); plain == "apps/stores/reserve" && (!c.req.Once || !c.req.Keyed) {
+			t.Fatalf("path %q reached the engine as %+v", path, c.req)
+		}
+		for _, h := range c.req.Work.(entry.Call).Headers {
+			if strings.EqualFold(h.GetName(), "Authorization") || strings.EqualFold(h.GetName(), "Connection") {
+				t.Fatalf("header %q was passed on", h.GetName())
+			}
+		}
+	})
+}
