--- a/internal/boot/router.go
+++ b/internal/boot/router.go
@@ -66,6 +66,8 @@
 	peers     peerConns
 	planner   reaper.Planner
 	fleetLog  *fold.Writer
+	// catalogueLog is for checkpoints alone.
+	catalogueLog *fold.Writer
 
 	// base ends after the stop is complete; loops run under it.
 	base    context.Context
@@ -133,6 +135,7 @@
 	r.fleetFold = new(fleet.State)
 	r.fleet = &fold.Follower{Log: log, Stream: ledger.FleetStream, Reader: fold.Reader{Machine: r.fleetFold}}
 	r.fleetLog = &fold.Writer{Log: log, Stream: ledger.FleetStream, Name: string(holder) + "/fleet"}
+	r.catalogueLog = &fold.Writer{Log: log, Stream: ledger.CatalogueStream, Name: string(holder) + "/catalogue"}
 	r.budget = budget.New(budget.Options{
 		Log: log, Instance: settings.Instance.Name, Holder: holder, Shards: settings.Budget.Shards,
 		Policy: policy(settings.Budget), Wait: settings.Budget.Wait, Peers: r.otherRouters,
@@ -242,11 +245,19 @@
 	run(r.catalogue.follower.Run)
 	run(r.fleet.Run)
 	run(r.fleetLog.Run)
+	run(r.catalogueLog.Run)
 	run(r.budget.Run)
+	run(r.keeper(r.catalogue.follower, r.catalogueLog).Run)
+	run(r.keeper(r.fleet, r.fleetLog).Run)
 	run(r.seed)
 	run(func(ctx context.Context) { every(ctx, reapEvery, r.reap) })
 }
 
+// keeper returns the keeper of a stream's checkpoints.
+func (r *Router) keeper(f *fold.Follower, w *fold.Writer) *fold.Keeper {
+	return &fold.Keeper{Follower: f, Writer: w, Renewal: fold.Renewal{Interval: r.Settings.Platform.CheckpointEvery}}
+}
+
 // Stop is the planned stop: no request in progress is cut off, and the slices
 // go back before the instance ends.
 func (r *Router) Stop(ctx context.Context) error {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -80,10 +80,11 @@
 // Platform holds the URLs of the platform's services, and how often the
 // instance list is used.
 type Platform struct {
-	LogService    string        `key:"log-service" type:"url" required:"yes" doc:"Base URL of the log service."`
-	InstanceList  string        `key:"instance-list" type:"url" required:"yes" doc:"Base URL of the instance list."`
-	AnnounceEvery time.Duration `key:"announce-every" min:"100ms" max:"10m" default:"3s" doc:"Pause between two announcements on the instance list. It must be well below the time after which the list drops an instance."`
-	ListEvery     time.Duration `key:"list-every" min:"100ms" max:"10m" default:"1s" doc:"Pause between two reads of the instance list."`
+	LogService      string        `key:"log-service" type:"url" required:"yes" doc:"Base URL of the log service."`
+	InstanceList    string        `key:"instance-list" type:"url" required:"yes" doc:"Base URL of the instance list."`
+	AnnounceEvery   time.Duration `key:"announce-every" min:"100ms" max:"10m" default:"3s" doc:"Pause between two announcements on the instance list. It must be well below the time after which the list drops an instance."`
+	CheckpointEvery time.Duration `key:"checkpoint-every" min:"1s" max:"24h" default:"10m" doc:"Time after which the state of a quiet stream is appended again as a checkpoint. It must be well below the time for which the log service keeps records."`
+	ListEvery       time.Duration `key:"list-every" min:"100ms" max:"10m" default:"1s" doc:"Pause between two reads of the instance list."`
 }
 
 // Addresses holds the URLs of the platform's services, for a program that is on
--- a/pkg/slice/slice.go
+++ b/pkg/slice/slice.go
@@ -93,8 +93,8 @@
 	// lacking holds the reservations that found the book dry since the last
 	// plan, by ticket id.
 	lacking map[string]ledger.Tokens
-	seen Seen
-	need demand
+	seen    Seen
+	need    demand
 }
 
 // Seen is what the fold shows of a budget.
