--- a/internal/boot/grpc.go
+++ b/internal/boot/grpc.go
@@ -27,11 +27,6 @@
 	serverKeepaliveTimeout = 10 * time.Second
 	// maxMessage bounds one gRPC message, in bytes.
 	maxMessage = 16 << 20
-	// streamWindow and connWindow are the flow-control windows of a stream and
-	// of a connection, in bytes. Fixed windows make grpc send no probes of the
-	// bandwidth, which would come with every few tokens.
-	streamWindow = 1 << 20
-	connWindow   = 8 << 20
 )
 
 // peerTLS returns the mutual TLS settings between the system's own processes,
@@ -75,8 +70,6 @@
 		grpc.WithTransportCredentials(creds),
 		grpc.WithKeepaliveParams(entry.Keepalive),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
-		grpc.WithInitialWindowSize(streamWindow),
-		grpc.WithInitialConnWindowSize(connWindow),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
 	}
