--- a/internal/procs/fleet_test.go
+++ b/internal/procs/fleet_test.go
@@ -69,17 +69,20 @@
 
 // world is the platform's stand-ins, in this process, and the fleet's processes.
 type world struct {
-	t    *testing.T
+	t    testing.TB
 	dir  string
 	log  *logd.Store
 	list *instd.List
 
 	logURL, listURL string
 	writers         int
+	// advertise is the address that the next side processes announce; empty is
+	// their own.
+	advertise string
 }
 
 // newWorld starts the platform and publishes the sample entries and a top-up.
-func newWorld(t *testing.T, paid ledger.Tokens) *world {
+func newWorld(t testing.TB, paid ledger.Tokens) *world {
 	w := &world{t: t, dir: t.TempDir(), log: logd.New(logd.Switches{}), list: instd.New(instd.Switches{TTLMS: 2000})}
 	w.logURL = w.serve(w.log.Handler())
 	w.listURL = w.serve(w.list.Handler())
@@ -131,7 +134,7 @@
 
 // proc is a process of the fleet.
 type proc struct {
-	t    *testing.T
+	t    testing.TB
 	name string
 	cmd  *exec.Cmd
 	// http and grpc are the addresses that it serves.
@@ -153,8 +156,12 @@
 
 // side starts a side process beside a target.
 func (w *world) side(name, service, kind, target string, extra ...string) *proc {
-	return w.start("beryl-side", name, fmt.Sprintf(
-		"[listen]\ngrpc = 127.0.0.1:0\ndebug = 127.0.0.1:0\n[target]\nurl = %s\nslot = %s\nservice = %s\nkind = %s\n%s",
+	listen := "[listen]\ngrpc = 127.0.0.1:0\ndebug = 127.0.0.1:0\n"
+	if w.advertise != "" {
+		listen += "advertise = " + w.advertise + "\n"
+	}
+	return w.start("beryl-side", name, listen+fmt.Sprintf(
+		"[target]\nurl = %s\nslot = %s\nservice = %s\nkind = %s\n%s",
 		target, name, service, kind, strings.Join(extra, "\n")))
 }
 
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -84,13 +84,16 @@
 // Defaults of Policy.
 const (
 	defaultRemotePenalty  = 2
-	defaultAffinityFactor = 1.25
+	defaultAffinityFactor = 1
 	defaultAffinitySlack  = 2
 	defaultKeyFactor      = 2
 	defaultMaxInFlight    = 256
 	defaultEjectAfter     = 3
 	defaultEjectBase      = time.Second
 	defaultEjectMax       = 30 * time.Second
+	// reportWeight is the weight of the newest report in the moving average of
+	// the load.
+	reportWeight = 0.2
 	// leavingMemory is how long a target's word that it is leaving holds.
 	leavingMemory = 30 * time.Second
 )
