internal/config: addresses that can't work together are faults

Cause: two listeners with one address, or a grpc listener on all interfaces without an advertised address, passed the check and failed later: the first at the start, the second as an instance that nobody reaches. Both are reported with the other faults now.

--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -82,6 +82,7 @@
 	}
 	p.missing(file)
 	p.pairs(settings)
+	p.listeners(settings)
 }
 
 // maxBadLines bounds the lines without form that are reported one by one.
@@ -182,53 +183,6 @@
 	}
 }
 
-// together lists the keys of a section that are set together or not at all.
-var together = []struct {
-	section string
-	keys    []string
-}{
-	{"listen", []string{"tls-cert", "tls-key"}},
-	{"peer-tls", []string{"cert", "key", "ca"}},
-}
-
-// pairs reports keys that need each other.
-func (p *parser) pairs(settings reflect.Value) {
-	for _, group := range together {
-		s := p.section(group.section)
-		if s == nil {
-			continue
-		}
-		set, unset := p.split(s, group.keys, settings)
-		if len(set) == 0 {
-			continue
-		}
-		for _, key := range unset {
-			p.fault(Fault{
-				Section:  s.name,
-				Key:      key,
-				Found:    "no value",
-				Expected: s.field(key).expected() + ", because " + set[0] + " is set",
-			})
-		}
-	}
-}
-
-// split sorts the keys, which hold strings, by whether they are set.
-func (p *parser) split(s *section, keys []string, settings reflect.Value) (set, unset []string) {
-	for _, key := range keys {
-		d := s.field(key)
-		if d == nil {
-			continue
-		}
-		if settings.FieldByIndex(d.index).String() != "" {
-			set = append(set, key)
-		} else {
-			unset = append(unset, key)
-		}
-	}
-	return set, unset
-}
-
 func (p *parser) fault(f Fault) {
 	f.File = p.file
 	p.faults = append(p.faults, f)
