internal/opsvc, internal/cmds: catalogue in-force asks every entry instance

Cause: a change was reported as accepted, and nothing told an operator whether it is in force everywhere.

Seen in fleet.golden: all have it (0), one is behind (5), one does not answer (3).

--- a/internal/cmds/budget.go
+++ b/internal/cmds/budget.go
@@ -72,7 +72,7 @@
 	if err := app.Print(result, func(w io.Writer) { writeTopUp(w, result) }); err != nil {
 		return err
 	}
-	return told(result.Outcome)
+	return reported(result.Outcome)
 }
 
 func writeTopUp(w io.Writer, r opsvc.TopUpResult) {
--- a/internal/cmds/catal.go
+++ b/internal/cmds/catal.go
@@ -75,6 +75,21 @@
 				},
 				New: func() Runner { return new(catalogueDelete) },
 			},
+			{
+				Name:  "in-force",
+				Short: "Show whether a change is in force at every entry instance",
+				Long: `Asks every listed entry instance up to which offset it has the catalogue. A
+change is in force where that is its offset or a later one. Without OFFSET the
+latest accepted change is meant.
+
+The exit code is 0 where all have it, 5 where one is behind, and 3 where one did
+not answer and none is known to be behind.`,
+				Examples: []Example{
+					{"beryl catalogue in-force", "is the latest change in force everywhere"},
+					{"beryl catalogue in-force 1042", "is the change accepted at offset 1042"},
+				},
+				New: func() Runner { return new(catalogueInForce) },
+			},
 		},
 	}
 }
@@ -198,7 +213,7 @@
 	if err := app.Print(result, func(w io.Writer) { writeChange(w, result) }); err != nil {
 		return err
 	}
-	return told(result.Outcome)
+	return reported(result.Outcome)
 }
 
 func writeChange(w io.Writer, r opsvc.ChangeResult) {
--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -105,8 +105,8 @@
 // finish prints the error, unless the command has told everything.
 func (p Program) finish(node *node, err error) int {
 	code := Exit(err)
-	var told toldError
-	if err != nil && !errors.As(err, &told) {
+	var reported reportedError
+	if err != nil && !errors.As(err, &reported) {
 		_, _ = fmt.Fprintf(p.Err, "%s: %v\n", node.path(), err)
 	}
 	return code.Int()
--- a/internal/cmds/cmds_test.go
+++ b/internal/cmds/cmds_test.go
@@ -231,6 +231,16 @@
 		s.run(ExitUnknown, "holdings")
 		s.run(ExitUnknown, "holdings --budget b/one -o json")
 
+		s.run(ExitUnknown, "catalogue in-force 2")
+		s.run(ExitCheckFailed, "catalogue in-force 3")
+		all := s.instances
+		s.instances = all[:2]
+		s.run(ExitOK, "catalogue in-force 2 -o json")
+		s.input(ExitOK, "catalogue put -", service)
+		s.run(ExitOK, "catalogue in-force")
+		s.run(ExitUsage, "catalogue in-force soon")
+		s.instances = all
+
 		s.write(ledger.FleetStream,
 			fleet.Encode(fleet.SideOpen{Side: "s1~c", Slot: "slot-1", Service: "assist-llm"}),
 			fleet.Encode(fleet.SideOpen{Side: "s3~x", Slot: "slot-3", Service: "stores-app"}),
--- a/internal/cmds/exit.go
+++ b/internal/cmds/exit.go
@@ -49,20 +49,20 @@
 // is not in order.
 var ErrCheckFailed = errors.New("check failed")
 
-// toldError is an outcome that the command has printed already.
-type toldError struct{ code ExitCode }
+// reportedError is an outcome that the command has printed already.
+type reportedError struct{ code ExitCode }
 
 // Error is not printed.
-func (e toldError) Error() string { return "the outcome was printed" }
+func (e reportedError) Error() string { return "the outcome was printed" }
 
 // Exit returns the exit code for a command's error.
 func Exit(err error) ExitCode {
-	var told toldError
+	var reported reportedError
 	switch {
 	case err == nil:
 		return ExitOK
-	case errors.As(err, &told):
-		return told.code
+	case errors.As(err, &reported):
+		return reported.code
 	case errors.Is(err, ErrCheckFailed), errors.Is(err, opsvc.ErrStillListed):
 		return ExitCheckFailed
 	case errors.Is(err, opsvc.ErrNotFound):
@@ -87,14 +87,14 @@
 }
 
 // told returns the error for an outcome that was printed.
-func told(o opsvc.Outcome) error {
+func reported(o opsvc.Outcome) error {
 	switch o {
 	case opsvc.Accepted:
 		return nil
 	case opsvc.Conflict:
-		return toldError{ExitConflict}
+		return reportedError{ExitConflict}
 	case opsvc.Invalid:
-		return toldError{ExitUsage}
+		return reportedError{ExitUsage}
 	}
-	return toldError{ExitUnknown}
+	return reportedError{ExitUnknown}
 }
--- a/internal/cmds/fake_test.go
+++ b/internal/cmds/fake_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"sync"
 	"time"
 
@@ -170,3 +171,25 @@
 	}
 	return reply, nil
 }
+
+// Snapshot answers with a state at offset 2, in two parts.
+func (f fakePeer) Snapshot(context.Context, *wire.SnapshotRequest, ...grpc.CallOption) (grpc.ServerStreamingClient[wire.SnapshotChunk], error) {
+	if f.addr == "10.0.0.2:1" {
+		return nil, errors.New("connection refused")
+	}
+	return &fakeChunks{parts: []string{`{"at"`, `: 2}`}}, nil
+}
+
+type fakeChunks struct {
+	grpc.ClientStream
+	parts []string
+}
+
+func (c *fakeChunks) Recv() (*wire.SnapshotChunk, error) {
+	if len(c.parts) == 0 {
+		return nil, io.EOF
+	}
+	part := c.parts[0]
+	c.parts = c.parts[1:]
+	return &wire.SnapshotChunk{Data: []byte(part)}, nil
+}
--- a/internal/cmds/fleet.go
+++ b/internal/cmds/fleet.go
@@ -105,7 +105,7 @@
 		return err
 	}
 	if asked != nil {
-		return toldError{ExitUnknown}
+		return reportedError{ExitUnknown}
 	}
 	return nil
 }
@@ -226,7 +226,7 @@
 	if err := app.Print(result, func(w io.Writer) { writeGone(w, result) }); err != nil {
 		return err
 	}
-	return told(result.Outcome)
+	return reported(result.Outcome)
 }
 
 func writeGone(w io.Writer, r opsvc.SideGoneResult) {
--- a/internal/cmds/tools.go
+++ b/internal/cmds/tools.go
@@ -155,7 +155,7 @@
 		return err
 	}
 	if len(faults) > 0 {
-		return toldError{ExitCheckFailed}
+		return reportedError{ExitCheckFailed}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/opsvc/force.go
@@ -0,0 +1,106 @@
+package opsvc
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/catal"
+	"github.com/beryllanding/beryllanding/pkg/insts"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+	"github.com/beryllanding/beryllanding/pkg/logsvc"
+)
+
+// InForce is how far the entry instances have folded the catalogue.
+type InForce struct {
+	// Wanted is the offset that was asked about.
+	Wanted    logsvc.Offset `json:"wanted"`
+	Instances []Position    `json:"instances"`
+}
+
+// Position is the catalogue offset of one entry instance.
+type Position struct {
+	Instance string `json:"instance"`
+	Addr     string `json:"addr"`
+	// Offset is that of the last record folded.
+	Offset logsvc.Offset `json:"offset"`
+	// InForce says whether the offset that was asked about is folded.
+	InForce bool `json:"in-force"`
+	// Error says why there is no answer.
+	Error string `json:"error,omitempty"`
+}
+
+// Behind reports whether an instance answered with a lower offset.
+func (f InForce) Behind() bool {
+	return slices.ContainsFunc(f.Instances, func(p Position) bool { return p.Error == "" && !p.InForce })
+}
+
+// Silent reports whether an instance did not answer.
+func (f InForce) Silent() bool {
+	return slices.ContainsFunc(f.Instances, func(p Position) bool { return p.Error != "" })
+}
+
+// InForce asks every listed entry instance whether it has folded the catalogue
+// up to the offset; nil stands for that of the latest accepted change.
+func (s *Service) InForce(ctx context.Context, offset *logsvc.Offset) (InForce, error) {
+	var out InForce
+	if offset == nil {
+		var state catal.State
+		if _, err := s.catchUp(ctx, ledger.CatalogueStream, &state); err != nil {
+			return out, err
+		}
+		latest := state.Latest()
+		offset = &latest
+	}
+	out.Wanted = *offset
+	routers, err := s.routers(ctx)
+	if err != nil {
+		return out, err
+	}
+	out.Instances = askAll(routers, func(r insts.Instance) Position { return s.position(ctx, r, out.Wanted) })
+	return out, nil
+}
+
+// position asks one instance.
+func (s *Service) position(ctx context.Context, r insts.Instance, wanted logsvc.Offset) Position {
+	p := Position{Instance: r.Name, Addr: r.Addr}
+	err := s.ask(ctx, r, func(ctx context.Context, peer wire.PeerClient) (err error) {
+		p.Offset, err = catalogueOffset(ctx, peer)
+		return err
+	})
+	if err != nil {
+		p.Error = err.Error()
+	}
+	p.InForce = err == nil && p.Offset >= wanted
+	return p
+}
+
+// catalogueOffset returns the offset of a peer's snapshot of the catalogue.
+func catalogueOffset(ctx context.Context, peer wire.PeerClient) (logsvc.Offset, error) {
+	chunks, err := peer.Snapshot(ctx, &wire.SnapshotRequest{Stream: ledger.CatalogueStream})
+	if err != nil {
+		return 0, err
+	}
+	var raw []byte
+	for {
+		c, err := chunks.Recv()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return 0, err
+		}
+		raw = append(raw, c.GetData()...)
+	}
+	var body struct {
+		At logsvc.Offset `json:"at"`
+	}
+	if err := json.Unmarshal(raw, &body); err != nil {
+		return 0, fmt.Errorf("snapshot of the catalogue: %w", err)
+	}
+	return body.At, nil
+}
--- a/internal/opsvc/insts.go
+++ b/internal/opsvc/insts.go
@@ -67,17 +67,11 @@
 // where it is empty. An instance that does not answer has its Error set, and the
 // error matches ErrPlatform then.
 func (s *Service) Holdings(ctx context.Context, budget string) ([]Holdings, error) {
-	list, err := s.Instances(ctx)
+	routers, err := s.routers(ctx)
 	if err != nil {
 		return nil, err
 	}
-	routers := slices.DeleteFunc(list, func(i insts.Instance) bool { return i.Role != insts.Router })
-	answers := make([]Holdings, len(routers))
-	var wg sync.WaitGroup
-	for i, r := range routers {
-		wg.Go(func() { answers[i] = s.holdings(ctx, r, budget) })
-	}
-	wg.Wait()
+	answers := askAll(routers, func(r insts.Instance) Holdings { return s.holdings(ctx, r, budget) })
 	for _, a := range answers {
 		if a.Error != "" {
 			err = fmt.Errorf("entry instance %q: %w", a.Instance, ErrPlatform)
@@ -86,24 +80,47 @@
 	return answers, err
 }
 
-func (s *Service) holdings(ctx context.Context, r insts.Instance, budget string) Holdings {
-	answer := Holdings{Instance: r.Name, Addr: r.Addr, Budgets: []Holding{}}
+// routers returns the listed entry instances.
+func (s *Service) routers(ctx context.Context) ([]insts.Instance, error) {
+	list, err := s.Instances(ctx)
+	return slices.DeleteFunc(list, func(i insts.Instance) bool { return i.Role != insts.Router }), err
+}
+
+// askAll asks all instances at once, and returns the answers in their order.
+func askAll[T any](list []insts.Instance, ask func(insts.Instance) T) []T {
+	answers := make([]T, len(list))
+	var wg sync.WaitGroup
+	for i, inst := range list {
+		wg.Go(func() { answers[i] = ask(inst) })
+	}
+	wg.Wait()
+	return answers
+}
+
+// ask connects to an entry instance for one call.
+func (s *Service) ask(ctx context.Context, r insts.Instance, call func(context.Context, wire.PeerClient) error) error {
 	peer, closePeer, err := s.Peer(r.Addr)
 	if err != nil {
-		answer.Error = err.Error()
-		return answer
+		return err
 	}
 	defer closePeer()
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	reply, err := peer.Holdings(ctx, &wire.HoldingsRequest{Budget: budget})
+	return call(ctx, peer)
+}
+
+func (s *Service) holdings(ctx context.Context, r insts.Instance, budget string) Holdings {
+	answer := Holdings{Instance: r.Name, Addr: r.Addr, Budgets: []Holding{}}
+	err := s.ask(ctx, r, func(ctx context.Context, peer wire.PeerClient) error {
+		reply, err := peer.Holdings(ctx, &wire.HoldingsRequest{Budget: budget})
+		answer.Holder = reply.GetHolder()
+		for _, h := range reply.GetHoldings() {
+			answer.Budgets = append(answer.Budgets, Holding{Budget: h.GetBudget(), Free: h.GetFree(), Reserved: h.GetReserved()})
+		}
+		return err
+	})
 	if err != nil {
 		answer.Error = err.Error()
-		return answer
-	}
-	answer.Holder = reply.GetHolder()
-	for _, h := range reply.GetHoldings() {
-		answer.Budgets = append(answer.Budgets, Holding{Budget: h.GetBudget(), Free: h.GetFree(), Reserved: h.GetReserved()})
 	}
 	slices.SortFunc(answer.Budgets, func(a, b Holding) int { return cmp.Compare(a.Budget, b.Budget) })
 	return answer
