--- a/pkg/catal/entry_test.go
+++ b/pkg/catal/entry_test.go
@@ -127,3 +127,47 @@
 		}
 	})
 }
+
+// FuzzRestore feeds snapshots of peers. One that is restored is whole: it encodes
+// to bytes that restore to the same state, and changes fold into it.
+func FuzzRestore(f *testing.F) {
+	var full State
+	apply(
+		&full,
+		Change{ID: "1", Entry: &Budget{Name: "a", Owner: "o", Class: Batch, KeyHashes: []KeyHash{HashKey("k")}}},
+		Change{ID: "2", Entry: &Service{Name: "s", Owner: "o", Class: Batch, Kind: App}},
+		Change{ID: "3", Base: 2, Delete: "s"},
+		Change{ID: "4", Base: 2, Delete: "s"},
+		Change{ID: "5", Delete: "z"},
+	)
+	seed, err := full.Snapshot()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Add([]byte(`{"latest":9,"records":[{"name":"a"},{"name":"b"}],"tombstones":["a","a"]}`))
+	f.Add([]byte(`{"latest":9,"records":[{"name":"a","budget":{"name":"b"}}]}`))
+	f.Add([]byte(`{"verdicts":[{"id":"1","accepted":{}},{"id":"1","conflict":{}}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var s, again State
+		if s.Restore(data) != nil {
+			return
+		}
+		first, err := s.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := again.Restore(first); err != nil {
+			t.Fatalf("the snapshot of a restored state is refused: %v\n%s", err, first)
+		}
+		second, _ := again.Snapshot()
+		if string(first) != string(second) {
+			t.Fatalf("snapshots of one state differ:\n%s\n%s", first, second)
+		}
+		for _, name := range []string{"a", "b"} {
+			r, _ := s.Get(name)
+			c := Change{ID: "fuzz-" + name, Base: r.At, Seen: s.Latest(), Entry: &Budget{Name: name, Owner: "o", Class: Batch}}
+			s.Apply(fold.Position{Offset: s.Latest() + 1}, Encode(c))
+		}
+	})
+}
--- a/pkg/catal/snap.go
+++ b/pkg/catal/snap.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"unique"
 
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
 )
@@ -77,37 +78,61 @@
 	return nil
 }
 
-// tables rebuilds the index of the records.
+// tables rebuilds the index of the records, and checks that it is whole.
 func (snap *snapshot) tables() (*tables, error) {
 	t := new(tables)
 	deleted := 0
 	for i := range snap.Records {
-		r := snap.Records[i].record()
-		t.names.set(r.Name, r)
-		for _, h := range keysOf(r) {
-			t.keys.set(h, r)
+		r, err := snap.Records[i].record()
+		if err != nil {
+			return nil, err
+		}
+		if r.At > snap.Latest || t.names.get(r.Name) != nil {
+			return nil, fmt.Errorf("catalogue snapshot has entry %q twice, or from after its end", r.Name)
+		}
+		if err := t.add(r); err != nil {
+			return nil, err
 		}
 		if r.Entry == nil {
 			deleted++
 		}
 	}
+	return t, snap.checkTombstones(t, deleted)
+}
+
+// add puts a record of a snapshot into the index.
+func (t *tables) add(r *Record) error {
+	t.names.set(r.Name, r)
+	for _, h := range keysOf(r) {
+		if other := t.keys.get(h); other != nil {
+			return fmt.Errorf("catalogue snapshot has key hash %s in %q and in %q", h, other.Name, r.Name)
+		}
+		t.keys.set(h, r)
+	}
+	return nil
+}
+
+// checkTombstones checks that each deleted record is listed once.
+func (snap *snapshot) checkTombstones(t *tables, deleted int) error {
+	seen := make(map[string]bool, len(snap.Tombstones))
 	for _, name := range snap.Tombstones {
-		if r := t.names.get(name); r == nil || r.Entry != nil {
-			return nil, fmt.Errorf("catalogue snapshot lists %q as deleted, but has no such record", name)
+		if r := t.names.get(name); r == nil || r.Entry != nil || seen[name] {
+			return fmt.Errorf("catalogue snapshot lists %q as deleted, but has no such record, or lists it twice", name)
 		}
+		seen[name] = true
 	}
-	if deleted != len(snap.Tombstones) {
-		return nil, fmt.Errorf("catalogue snapshot has %d deleted records, but lists %d", deleted, len(snap.Tombstones))
+	if deleted != len(seen) {
+		return fmt.Errorf("catalogue snapshot has %d deleted records, but lists %d", deleted, len(seen))
 	}
-	return t, nil
+	return nil
 }
 
 func (snap *snapshot) verdicts() (*verdicts, error) {
 	var v verdicts
 	for _, body := range snap.Verdicts {
 		verdict := body.verdict()
-		if verdict == nil {
-			return nil, fmt.Errorf("catalogue snapshot has no verdict for change %q", body.ID)
+		if verdict == nil || v.get(body.ID) != nil {
+			return nil, fmt.Errorf("catalogue snapshot has no verdict for change %q, or several", body.ID)
 		}
 		v.add(body.ID, verdict, len(snap.Verdicts))
 	}
@@ -125,15 +150,19 @@
 	return body
 }
 
-func (b *recordBody) record() *Record {
-	r := &Record{Name: b.Name, At: b.At, Change: b.Change, Operator: b.Operator}
+// record returns the record, whose entry has to have its name.
+func (b *recordBody) record() (*Record, error) {
+	r := &Record{Name: b.Name, At: b.At, Change: b.Change, Operator: unique.Make(b.Operator).Value()}
 	if b.Service != nil {
 		r.Entry = interned(b.Service)
 	}
 	if b.Budget != nil {
 		r.Entry = interned(b.Budget)
 	}
-	return r
+	if b.Service != nil && b.Budget != nil || r.Entry != nil && r.Entry.EntryName() != r.Name {
+		return nil, fmt.Errorf("catalogue snapshot has a record %q whose entry has another name or two types", r.Name)
+	}
+	return r, nil
 }
 
 func encodeVerdict(id string, v Verdict) verdictBody {
