--- /dev/null
+++ b/internal/entry/conns_test.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/route"
+)
+
+// TestFreshConnection replaces a connection once, however many ask for it, and
+// closes the old one when its last call has ended.
+func TestFreshConnection(t *testing.T) {
+	c := &Conns{Options: []grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(context.Context, string) (net.Conn, error) { return nil, io.ErrClosedPipe }),
+	}}
+	defer c.Close()
+	target := route.Target{Name: "t", Address: "t"}
+	old, err := c.Side(target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if same, _ := c.Side(target); same != old {
+		t.Error("the connection is not shared")
+	}
+	ctx, end := context.WithCancel(context.Background())
+	_, _ = old.Run(ctx, &wire.RunRequest{})
+	first, _ := c.Fresh(target, old)
+	second, _ := c.Fresh(target, old)
+	if first == old || second != first {
+		t.Error("the connection was replaced not at all or twice")
+	}
+	cc := old.(*conn).cc
+	if cc.GetState() == connectivity.Shutdown {
+		t.Error("the old connection was closed with a call on it")
+	}
+	end()
+	for cc.GetState() != connectivity.Shutdown {
+		cc.WaitForStateChange(context.Background(), cc.GetState())
+	}
+	c.Keep(map[string]bool{})
+	if third, _ := c.Side(target); third == first {
+		t.Error("the connection to a target that is gone was kept")
+	}
+}
--- a/internal/entry/side_test.go
+++ b/internal/entry/side_test.go
@@ -92,6 +92,9 @@
 
 	mu   sync.Mutex
 	dead bool
+	// leaving refuses new work; asked counts the attempts.
+	leaving bool
+	asked   int
 	// life counts the incarnations.
 	life int
 	// runs holds the run of each request id, and byAttempt that of each
@@ -207,6 +210,10 @@
 		out.refuse("in-progress", "unknown")
 		return
 	}
+	if s.refuses(in) {
+		out.refuse("leaving", "not-run")
+		return
+	}
 	run, joined := s.begin(in)
 	if run == nil {
 		out.refuse("interrupted", "not-run")
@@ -218,6 +225,14 @@
 	s.follow(run, joined, out)
 }
 
+// refuses counts an attempt, and reports whether it is refused for leaving.
+func (s *fakeSide) refuses(in *wire.RunRequest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked++
+	return s.leaving && !in.GetJoin()
+}
+
 // begin starts a run, or joins the request's.
 func (s *fakeSide) begin(in *wire.RunRequest) (*fakeRun, bool) {
 	s.mu.Lock()
