--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -6,13 +6,16 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"google.golang.org/grpc/test/bufconn"
 
+	"github.com/beryllanding/beryllanding/internal/entry"
 	"github.com/beryllanding/beryllanding/internal/front"
 )
 
@@ -55,11 +58,6 @@
 	if res, _ := f.ask(t, http.MethodGet, "/healthz", ""); res.StatusCode != http.StatusOK {
 		t.Errorf("healthz is %d", res.StatusCode)
 	}
-	over, cancel := context.WithCancel(context.Background())
-	cancel()
-	if err := f.front.Drain(over); err == nil {
-		t.Error("the stop was over with a stream in progress")
-	}
 	close(s.hold)
 	rest, _ := io.ReadAll(lines)
 	if string(rest) != "\ndata: [DONE]\n\n" {
@@ -73,6 +71,40 @@
 	}
 }
 
+// holder is an engine whose requests last until it is told.
+type holder struct {
+	doer
+	begun, end chan struct{}
+}
+
+func (h *holder) Do(context.Context, *entry.Request, entry.Sink) (entry.Result, error) {
+	h.begun <- struct{}{}
+	<-h.end
+	return entry.Result{}, nil
+}
+
+// TestDrainWaitsForRequests drains with a request in progress.
+func TestDrainWaitsForRequests(t *testing.T) {
+	h := &holder{begun: make(chan struct{}), end: make(chan struct{})}
+	s := &front.Server{Engine: h, Catalogue: catalogue{}}
+	var served sync.WaitGroup
+	served.Go(func() {
+		s.Handler().ServeHTTP(httptest.NewRecorder(), input{method: "POST", path: chatPath, body: chatRequest}.request())
+	})
+	<-h.begun
+	s.Leave()
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := s.Drain(over); err == nil {
+		t.Error("the stop was over with a request in progress")
+	}
+	close(h.end)
+	served.Wait()
+	if err := s.Drain(context.Background()); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestHangUpCancelsAndBills leaves the stream as the caller: the engine is
 // cancelled, and what it produced is billed.
 func TestHangUpCancelsAndBills(t *testing.T) {
