pkg/claim: expired ids are known by hash; differential test

Ruled out: a longer window (larger still), a Bloom filter (false refusals). Change: 10,000 requests are kept with their fingerprint, and 250,000 more by eight bytes of the hash of their id.

--- a/pkg/claim/query.go
+++ b/pkg/claim/query.go
@@ -27,7 +27,8 @@
 	Status  int
 	Headers []Header
 	Body    []byte
-	// Truncated says that the answer was not kept.
+	// Truncated says that the answer was not kept. Nothing else is set where the
+	// request expired.
 	Truncated bool
 }
 
@@ -43,7 +44,7 @@
 func (s *State) Lookup(request string, fingerprint []byte) Verdict {
 	e := s.requests[request]
 	if e == nil {
-		return Free{}
+		return s.lookupExpired(request)
 	}
 	if !bytes.Equal(e.Fingerprint, fingerprint) {
 		return KeyReused{}
@@ -57,5 +58,13 @@
 	}
 }
 
+// lookupExpired returns the verdict on a request that is not held or remembered.
+func (s *State) lookupExpired(request string) Verdict {
+	if s.expiredSet[hashOf(request)] {
+		return Finished{Truncated: true}
+	}
+	return Free{}
+}
+
 // Len returns the number of requests that are held or remembered.
 func (s *State) Len() int { return len(s.requests) }
--- /dev/null
+++ b/pkg/claim/snap.go
@@ -0,0 +1,80 @@
+package claim
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+)
+
+// idHashBytes is the size of an idHash in a snapshot.
+const idHashBytes = 8
+
+// snapshot is the encoded form of State. Its map encodes in key order.
+type snapshot struct {
+	Requests map[string]*entry `json:"requests"`
+	Finished []string          `json:"finished"`
+	Bodies   int               `json:"bodies"`
+	// Expired holds the hashes, eight bytes each.
+	Expired []byte `json:"expired"`
+}
+
+// Snapshot encodes the state. Equal states encode to equal bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	expired := make([]byte, 0, len(s.expired)*idHashBytes)
+	for _, h := range s.expired {
+		expired = binary.BigEndian.AppendUint64(expired, uint64(h))
+	}
+	return json.Marshal(snapshot{Requests: s.requests, Finished: s.finished, Bodies: s.bodies, Expired: expired})
+}
+
+// Restore replaces the state by a snapshot. On error the state is unchanged.
+func (s *State) Restore(data []byte) error {
+	var snap snapshot
+	if err := json.Unmarshal(data, &snap); err != nil {
+		return fmt.Errorf("claims snapshot: %w", err)
+	}
+	bytes, err := snap.check()
+	if err != nil {
+		return fmt.Errorf("claims snapshot: %w", err)
+	}
+	s.requests = snap.Requests
+	s.finished = snap.Finished
+	s.bodies = snap.Bodies
+	s.bytes = bytes
+	s.expired = nil
+	s.expiredSet = make(map[idHash]bool, len(snap.Expired)/idHashBytes)
+	for b := snap.Expired; len(b) > 0; b = b[idHashBytes:] {
+		h := idHash(binary.BigEndian.Uint64(b))
+		s.expired = append(s.expired, h)
+		s.expiredSet[h] = true
+	}
+	return nil
+}
+
+// check verifies the snapshot's invariants and returns the answers' bytes.
+func (s *snapshot) check() (int, error) {
+	if len(s.Expired)%idHashBytes != 0 {
+		return 0, fmt.Errorf("%d bytes of expired ids are not a multiple of %d", len(s.Expired), idHashBytes)
+	}
+	bytes, done := 0, 0
+	for id, e := range s.Requests {
+		if e == nil {
+			return 0, fmt.Errorf("request %q is null", id)
+		}
+		if e.Answer != nil {
+			bytes += e.Answer.size()
+			done++
+		}
+	}
+	if done != len(s.Finished) || s.Bodies < 0 || s.Bodies > done {
+		return 0, fmt.Errorf("%d requests are done, but %d are listed with %d answers dropped", done, len(s.Finished), s.Bodies)
+	}
+	listed := make(map[string]bool, done)
+	for _, id := range s.Finished {
+		if e := s.Requests[id]; e == nil || e.Answer == nil || listed[id] {
+			return 0, fmt.Errorf("request %q is listed as done, but is not, or is twice", id)
+		}
+		listed[id] = true
+	}
+	return bytes, nil
+}
--- a/pkg/claim/state.go
+++ b/pkg/claim/state.go
@@ -1,16 +1,20 @@
 package claim
 
 import (
-	"encoding/json"
-	"fmt"
+	"crypto/sha256"
+	"encoding/binary"
 
 	"github.com/beryllanding/beryllanding/pkg/fold"
 	"github.com/beryllanding/beryllanding/pkg/ident"
 )
 
 const (
-	// DefaultWindow is the number of finished requests that are remembered.
-	DefaultWindow = 50_000
+	// DefaultWindow is the number of finished requests that are remembered with
+	// their fingerprint.
+	DefaultWindow = 10_000
+	// DefaultExpired is the number of finished requests that are remembered by a
+	// hash of their id after that.
+	DefaultExpired = 250_000
 	// DefaultAnswerBytes bounds the answers that are kept for replay.
 	DefaultAnswerBytes = 2 << 20
 )
@@ -20,15 +24,19 @@
 //
 // A request that is held never expires, so that one whose owner died is never
 // taken as free. Finished requests expire in the order in which they finished:
-// first the answer (the request stays known as done), then, after Window more
-// requests finished, the request itself. A retry that comes later than that
-// runs again, so Window divided by the rate of non-idempotent requests is the
-// longest time for which a caller may retry. It counts requests and reads no
-// clock, since all readers must agree on it.
+// first the answer goes, then, after Window more requests finished, the
+// fingerprint, and after Expired more the id. A retry that comes later than
+// that runs again, so Window+Expired divided by the rate of non-idempotent
+// requests is the longest time for which a caller may retry. It counts requests
+// and reads no clock, since all readers must agree on it.
 type State struct {
 	// Window is the number of finished requests that are remembered; 0 stands
 	// for DefaultWindow. All readers of a stream use the same value.
 	Window int
+	// Expired is the number of finished requests beyond Window whose ids are
+	// still known; 0 stands for DefaultExpired. All readers of a stream use the
+	// same value.
+	Expired int
 	// AnswerBytes bounds the bytes of the answers kept; 0 stands for
 	// DefaultAnswerBytes. All readers of a stream use the same value.
 	AnswerBytes int
@@ -40,6 +48,19 @@
 	bodies int
 	// bytes sums the sizes of the answers kept.
 	bytes int
+	// expired are the hashes of the expired ids, oldest first, and expiredSet
+	// the same as a set.
+	expired    []idHash
+	expiredSet map[idHash]bool
+}
+
+// idHash is the start of the SHA-256 of a request's id. Two ids with one hash
+// make a fresh request look like one that ran: the safe side.
+type idHash uint64
+
+func hashOf(request string) idHash {
+	h := sha256.Sum256([]byte(request))
+	return idHash(binary.BigEndian.Uint64(h[:]))
 }
 
 // entry is a request that is held or done.
@@ -80,6 +101,9 @@
 	if it.Request == "" || it.Side == "" || it.Attempt == "" || s.requests[it.Request] != nil {
 		return
 	}
+	if s.expiredSet[hashOf(it.Request)] {
+		return
+	}
 	if s.requests == nil {
 		s.requests = make(map[string]*entry)
 	}
@@ -136,6 +160,27 @@
 		delete(s.requests, id)
 		s.finished = s.finished[1:]
 		s.bodies = max(0, s.bodies-1)
+		s.addExpired(hashOf(id))
+	}
+}
+
+// addExpired notes an expired id, and forgets the oldest beyond the bound.
+func (s *State) addExpired(h idHash) {
+	limit := s.Expired
+	if limit == 0 {
+		limit = DefaultExpired
+	}
+	if s.expiredSet[h] {
+		return
+	}
+	if s.expiredSet == nil {
+		s.expiredSet = make(map[idHash]bool)
+	}
+	s.expiredSet[h] = true
+	s.expired = append(s.expired, h)
+	if len(s.expired) > limit {
+		delete(s.expiredSet, s.expired[0])
+		s.expired = s.expired[1:]
 	}
 }
 
@@ -154,57 +199,3 @@
 	a.Body = nil
 	a.Headers = nil
 }
-
-// snapshot is the encoded form of State. Its map encodes in key order.
-type snapshot struct {
-	Requests map[string]*entry `json:"requests"`
-	Finished []string          `json:"finished"`
-	Bodies   int               `json:"bodies"`
-}
-
-// Snapshot encodes the state. Equal states encode to equal bytes.
-func (s *State) Snapshot() ([]byte, error) {
-	return json.Marshal(snapshot{Requests: s.requests, Finished: s.finished, Bodies: s.bodies})
-}
-
-// Restore replaces the state by a snapshot. On error the state is unchanged.
-func (s *State) Restore(data []byte) error {
-	var snap snapshot
-	if err := json.Unmarshal(data, &snap); err != nil {
-		return fmt.Errorf("claims snapshot: %w", err)
-	}
-	bytes, err := snap.check()
-	if err != nil {
-		return fmt.Errorf("claims snapshot: %w", err)
-	}
-	s.requests = snap.Requests
-	s.finished = snap.Finished
-	s.bodies = snap.Bodies
-	s.bytes = bytes
-	return nil
-}
-
-// check verifies the snapshot's invariants and returns the answers' bytes.
-func (s *snapshot) check() (int, error) {
-	bytes, done := 0, 0
-	for id, e := range s.Requests {
-		if e == nil {
-			return 0, fmt.Errorf("request %q is null", id)
-		}
-		if e.Answer != nil {
-			bytes += e.Answer.size()
-			done++
-		}
-	}
-	if done != len(s.Finished) || s.Bodies < 0 || s.Bodies > done {
-		return 0, fmt.Errorf("%d requests are done, but %d are listed with %d answers dropped", done, len(s.Finished), s.Bodies)
-	}
-	listed := make(map[string]bool, done)
-	for _, id := range s.Finished {
-		if e := s.Requests[id]; e == nil || e.Answer == nil || listed[id] {
-			return 0, fmt.Errorf("request %q is listed as done, but is not, or is twice", id)
-		}
-		listed[id] = true
-	}
-	return bytes, nil
-}
--- /dev/null
+++ b/pkg/claim/state_test.go
@@ -0,0 +1,280 @@
+package claim
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/beryllanding/beryllanding/pkg/fold"
+	"github.com/beryllanding/beryllanding/pkg/ident"
+)
+
+// TestMain fixes the seed, so that every run of the tests is the same.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "5")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+const (
+	testWindow  = 2
+	testExpired = 1
+	testBytes   = 40
+)
+
+// naive answers every query by a search through the whole history.
+type naive struct {
+	history []Item
+	// ran says of each item whether it is a Done that took effect.
+	ran []bool
+}
+
+// add appends an item.
+func (h *naive) add(it Item) {
+	ran := false
+	if d, ok := it.(Done); ok {
+		held, done, _ := h.holder(d.Request, len(h.history))
+		ran = held != nil && done == nil && held.Side == d.Side && held.Attempt == d.Attempt
+	}
+	h.history = append(h.history, it)
+	h.ran = append(h.ran, ran)
+}
+
+// holder returns the claim that holds the request after the first n items, and
+// the Done that ended it. A request that expired starts anew.
+func (h naive) holder(request string, n int) (*Claim, *Done, int) {
+	var held *Claim
+	var done *Done
+	at := 0
+	for i, it := range h.history[:n] {
+		if done != nil && h.finishedBetween(at, i) > testWindow+testExpired-1 {
+			held, done = nil, nil
+		}
+		switch it := it.(type) {
+		case Claim:
+			if it.Request == request && held == nil {
+				held = &it
+			}
+		case Release:
+			if it.Request == request && held != nil && done == nil && it.Side == held.Side && it.Attempt == held.Attempt {
+				held = nil
+			}
+		case Done:
+			if it.Request == request && held != nil && done == nil && it.Side == held.Side && it.Attempt == held.Attempt {
+				done = &it
+				at = i
+			}
+		}
+	}
+	if done != nil && h.finishedBetween(at, n) > testWindow+testExpired-1 {
+		return nil, nil, 0
+	}
+	return held, done, at
+}
+
+// finishedBetween counts the Done items that took effect after item a and
+// before item b.
+func (h naive) finishedBetween(a, b int) int {
+	n := 0
+	for i := a + 1; i < b; i++ {
+		if h.ran[i] {
+			n++
+		}
+	}
+	return n
+}
+
+func (h naive) lookup(request string, fingerprint []byte) Verdict {
+	held, done, at := h.holder(request, len(h.history))
+	switch {
+	case held == nil:
+		return Free{}
+	case done != nil && h.finishedBetween(at, len(h.history)) > testWindow-1:
+		return Finished{Truncated: true}
+	case !bytes.Equal(held.Fingerprint, fingerprint):
+		return KeyReused{}
+	case done == nil:
+		return Held{Side: held.Side, Attempt: held.Attempt}
+	}
+	f := Finished{Side: done.Side, Attempt: done.Attempt, Status: done.Status, Truncated: true}
+	if !h.dropped(at) {
+		f.Headers, f.Body, f.Truncated = done.Headers, done.Body, done.Truncated
+	}
+	return f
+}
+
+// dropped reports whether the answer at item i made room for later ones: at any
+// time since, the answers in the window were too large with it.
+func (h naive) dropped(i int) bool {
+	bytes, later := 0, 0
+	for j := i; j < len(h.history); j++ {
+		if !h.ran[j] {
+			continue
+		}
+		if later > testWindow-1 {
+			break
+		}
+		later++
+		bytes += len(h.history[j].(Done).Body)
+		if bytes > testBytes {
+			return true
+		}
+	}
+	return false
+}
+
+var (
+	testRequests = []string{"o/1", "o/2", "o/3", "o/4", "o/5"}
+	// Most claims come from the first side and attempt, so that many finish.
+	testSides    = []ident.Incarnation{"a~1", "a~1", "a~1", "a~1", "b~1"}
+	testAttempts = []string{"x", "x", "x", "x", "y"}
+	testPrints   = [][]byte{[]byte("f"), []byte("g")}
+)
+
+func drawItem(t *rapid.T) Item {
+	request := rapid.SampledFrom(testRequests).Draw(t, "request")
+	side := rapid.SampledFrom(testSides).Draw(t, "side")
+	attempt := rapid.SampledFrom(testAttempts).Draw(t, "attempt")
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	case 0, 1, 2:
+		print := rapid.SampledFrom(testPrints).Draw(t, "fingerprint")
+		return Claim{Request: request, Side: side, Attempt: attempt, Fingerprint: print}
+	case 3:
+		return Release{Request: request, Side: side, Attempt: attempt}
+	default:
+		size := rapid.IntRange(1, 30).Draw(t, "size")
+		return Done{Request: request, Side: side, Attempt: attempt, Status: 200, Body: make([]byte, size)}
+	}
+}
+
+func TestStateAgreesWithSearchThroughHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := State{Window: testWindow, Expired: testExpired, AnswerBytes: testBytes}
+		var h naive
+		for range rapid.IntRange(1, 60).Draw(t, "items") {
+			it := drawItem(t)
+			s.Apply(fold.Position{}, Encode(it))
+			h.add(it)
+			if rapid.IntRange(0, 5).Draw(t, "restore") == 0 {
+				s = restored(t, &s)
+			}
+			for _, request := range testRequests {
+				for _, print := range testPrints {
+					if diff := cmp.Diff(h.lookup(request, print), s.Lookup(request, print)); diff != "" {
+						t.Fatalf("request %s after %+v (-naive +state):\n%s", request, h.history, diff)
+					}
+				}
+			}
+		}
+	})
+}
+
+// restored returns a state made from a snapshot, and checks that it encodes to
+// the same bytes.
+func restored(t *rapid.T, s *State) State {
+	first, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := State{Window: s.Window, Expired: s.Expired, AnswerBytes: s.AnswerBytes}
+	if err := out.Restore(first); err != nil {
+		t.Fatal(err)
+	}
+	second, err := out.Snapshot()
+	if err != nil || !bytes.Equal(first, second) {
+		t.Fatalf("snapshot is %s, after restoring %s, error %v", first, second, err)
+	}
+	return out
+}
+
+func TestHeldRequestNeverExpires(t *testing.T) {
+	s := State{Window: testWindow}
+	apply := func(it Item) { s.Apply(fold.Position{}, Encode(it)) }
+	apply(Claim{Request: "o/held", Side: "gone~1", Attempt: "x"})
+	for i := range 100 {
+		id := fmt.Sprintf("o/%d", i)
+		apply(Claim{Request: id, Side: "a~1", Attempt: "x"})
+		apply(Done{Request: id, Side: "a~1", Attempt: "x"})
+	}
+	if _, ok := s.Lookup("o/held", nil).(Held); !ok || s.Len() != testWindow+1 {
+		t.Errorf("request is %#v among %d, want it held among %d", s.Lookup("o/held", nil), s.Len(), testWindow+1)
+	}
+}
+
+func TestRestoreRefusesMalformedSnapshot(t *testing.T) {
+	var s State
+	s.Apply(fold.Position{}, Encode(Claim{Request: "o/1", Side: "a~1", Attempt: "x"}))
+	for _, bad := range []string{
+		`{`, `{"requests":{"x":null}}`, `{"finished":["x"]}`, `{"bodies":1}`, `{"expired":"AAAA"}`,
+		`{"requests":{"x":{"answer":{"status":200}}},"finished":["y"]}`,
+		`{"requests":{"x":{"answer":{}},"y":{"answer":{}}},"finished":["x","x"]}`,
+	} {
+		if err := s.Restore([]byte(bad)); err == nil || s.Len() != 1 {
+			t.Errorf("snapshot %s: error %v, %d requests kept", bad, err, s.Len())
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, it := range []Item{
+		Claim{Request: "o/1", Attempt: "x", Side: "a~1", Fingerprint: []byte("f")},
+		Release{Request: "o/1", Attempt: "x", Side: "a~1"},
+		Done{Request: "o/1", Attempt: "x", Side: "a~1", Status: 200, Headers: []Header{{Name: "A", Value: "b"}}, Body: []byte("{}")},
+	} {
+		e := Encode(it)
+		f.Add(e.Kind, []byte(e.Body))
+	}
+	f.Add("done", []byte(`{"headers":{}}`))
+	f.Fuzz(func(t *testing.T, kind string, body []byte) {
+		it, err := Decode(fold.Item{Kind: kind, Body: body})
+		if err != nil {
+			return
+		}
+		first := Encode(it)
+		again, err := Decode(first)
+		if err != nil || !slices.Equal(Encode(again).Body, first.Body) {
+			t.Errorf("%#v decodes to %#v, error %v", it, again, err)
+		}
+		var s State
+		s.Apply(fold.Position{}, fold.Item{Kind: kind, Body: body})
+	})
+}
+
+func BenchmarkApply(b *testing.B) {
+	body := make([]byte, 200)
+	var s State
+	n := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		id := fmt.Sprintf("org/%d", n)
+		n++
+		s.Apply(fold.Position{}, Encode(Claim{Request: id, Side: "s~1", Attempt: "x", Fingerprint: body[:32]}))
+		s.Apply(fold.Position{}, Encode(Done{Request: id, Side: "s~1", Attempt: "x", Status: 200, Body: body}))
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(2*b.N), "ns/item")
+}
+
+func BenchmarkSnapshotOfFullWindow(b *testing.B) {
+	var s State
+	body := make([]byte, 200)
+	for i := range DefaultWindow + DefaultExpired {
+		id := fmt.Sprintf("org/9f2c01d4e8aa%d", i)
+		s.Apply(fold.Position{}, Encode(Claim{Request: id, Side: "slot~9f2c01d4e8aa", Attempt: "9f2c01d4e8aa9f2c01d4e8aa#1", Fingerprint: body[:32]}))
+		s.Apply(fold.Position{}, Encode(Done{Request: id, Side: "slot~9f2c01d4e8aa", Attempt: "9f2c01d4e8aa9f2c01d4e8aa#1", Status: 200, Body: body}))
+	}
+	size := 0
+	for b.Loop() {
+		data, _ := s.Snapshot()
+		size = len(data)
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
