--- a/pkg/claim/state_test.go
+++ b/pkg/claim/state_test.go
@@ -146,12 +146,12 @@
 	attempt := rapid.SampledFrom(testAttempts).Draw(t, "attempt")
 	switch rapid.IntRange(0, 5).Draw(t, "kind") {
 	case 0, 1, 2:
-		print := rapid.SampledFrom(testPrints).Draw(t, "fingerprint")
-		return Claim{Request: request, Side: side, Attempt: attempt, Fingerprint: print}
+		prints := rapid.SampledFrom(testPrints).Draw(t, "fingerprint")
+		return Claim{Request: request, Side: side, Attempt: attempt, Fingerprint: prints}
 	case 3:
 		return Release{Request: request, Side: side, Attempt: attempt}
 	default:
-		size := rapid.IntRange(1, 30).Draw(t, "size")
+		size := rapid.IntRange(10, 30).Draw(t, "size")
 		return Done{Request: request, Side: side, Attempt: attempt, Status: 200, Body: make([]byte, size)}
 	}
 }
@@ -160,7 +160,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := State{Window: testWindow, Expired: testExpired, AnswerBytes: testBytes}
 		var h naive
-		for range rapid.IntRange(1, 60).Draw(t, "items") {
+		for range rapid.IntRange(1, 100).Draw(t, "items") {
 			it := drawItem(t)
 			s.Apply(fold.Position{}, Encode(it))
 			h.add(it)
@@ -168,8 +168,8 @@
 				s = restored(t, &s)
 			}
 			for _, request := range testRequests {
-				for _, print := range testPrints {
-					if diff := cmp.Diff(h.lookup(request, print), s.Lookup(request, print)); diff != "" {
+				for _, fp := range testPrints {
+					if diff := cmp.Diff(h.lookup(request, fp), s.Lookup(request, fp)); diff != "" {
 						t.Fatalf("request %s after %+v (-naive +state):\n%s", request, h.history, diff)
 					}
 				}
