--- a/internal/side/fake_test.go
+++ b/internal/side/fake_test.go
@@ -18,6 +18,13 @@
 	lose bool
 }
 
+// set makes the log fail, or serve again.
+func (l *fakeLog) set(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
 func (l *fakeLog) Append(_ context.Context, stream string, data []byte) (logsvc.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/internal/side/model_test.go
@@ -0,0 +1,260 @@
+package side
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/fleet"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+)
+
+func TestModelRunIsStreamedAndBilledOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{}
+		s := newServer(t, log, "s1", &engine{tokens: 5, pause: time.Millisecond}, nil)
+		events := try(t.Context(), s, modelRequest("o/1", "a1", true, 20))
+		if got := strings.Count(answerOf(t, "a1", events), "content"); got != 5 {
+			t.Errorf("%d tokens arrived, want 5", got)
+		}
+		f := last(events).GetFinish()
+		if f.GetBilled() != 12 || len(f.GetCharges()) != 2 || f.GetCharges()[0].GetTokens() != 6 || f.GetCharges()[1].GetTokens() != 6 {
+			t.Errorf("finish is %v, want 12 billed as 6 and 6", f)
+		}
+		stop(t, s)
+		if u := usages(t, log); len(u) != 1 || u[0].Request != "o/1" || sum(u[0].Charges) != 12 {
+			t.Errorf("usages on the log are %v", u)
+		}
+	})
+}
+
+func TestPlainAnswerIsAssembledFromTheStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, &fakeLog{}, "s1", &engine{tokens: 3}, nil)
+		defer stop(t, s)
+		var out struct {
+			Choices []struct {
+				Message      struct{ Content string }
+				FinishReason string `json:"finish_reason"`
+			}
+			Usage usage
+		}
+		body := answerOf(t, "a1", try(t.Context(), s, modelRequest("o/1", "a1", false, 20)))
+		if err := json.Unmarshal([]byte(body), &out); err != nil {
+			t.Fatal(err)
+		}
+		if out.Choices[0].Message.Content != "t0 t1 t2 " || out.Choices[0].FinishReason != "stop" || out.Usage != (usage{7, 3, 10}) {
+			t.Errorf("answer is %s", body)
+		}
+	})
+}
+
+func TestOutputIsCutAtTheReservation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{}
+		e := &engine{tokens: 50, ignoreMax: true}
+		s := newServer(t, log, "s1", e, nil)
+		events := try(t.Context(), s, modelRequest("o/1", "a1", true, 8))
+		f := last(events).GetFinish()
+		if f.GetFinishReason() != reasonLength || f.GetBilled() != 18 {
+			t.Errorf("finish is %v, want 18 tokens billed and the reason %q", f, reasonLength)
+		}
+		if n := strings.Count(answerOf(t, "a1", events), "content"); n != 8 || e.cancels() != 1 {
+			t.Errorf("%d tokens passed on, %d cancellations, want 8 and 1", n, e.cancels())
+		}
+		stop(t, s)
+	})
+}
+
+func TestCallerThatGoesCancelsAnUnkeyedRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{}
+		e := &engine{tokens: 100, pause: time.Second}
+		s := newServer(t, log, "s1", e, nil)
+		ctx, cancel := context.WithTimeout(t.Context(), 4500*time.Millisecond)
+		defer cancel()
+		try(ctx, s, modelRequest("o/1", "a1", true, 200))
+		synctest.Wait()
+		if e.cancels() != 1 {
+			t.Errorf("engine was told to cancel %d runs, want 1", e.cancels())
+		}
+		stop(t, s)
+		if u := usages(t, log); len(u) != 1 || sum(u[0].Charges) != 14 {
+			t.Errorf("usages are %v, want one of 14: the prompt's bound and 4 tokens", u)
+		}
+	})
+}
+
+func TestRetryJoinsAKeyedRunWithinTheGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{}
+		e := &engine{tokens: 20, pause: time.Second}
+		s := newServer(t, log, "s1", e, nil)
+		req := modelRequest("o/1", "a1", true, 100)
+		req.Keyed = true
+		ctx, cancel := context.WithTimeout(t.Context(), 4500*time.Millisecond)
+		defer cancel()
+		try(ctx, s, req)
+		time.Sleep(5 * time.Second)
+		req2 := modelRequest("o/1", "a2", true, 100)
+		req2.Keyed = true
+		events := try(t.Context(), s, req2)
+		if n := strings.Count(answerOf(t, "a2", events), "content"); n != 20 || e.started() != 1 {
+			t.Errorf("joiner has %d tokens of %d runs, want 20 of 1", n, e.started())
+		}
+		if !events[0].GetStarted().GetJoined() || last(events).GetFinish().GetBilled() != 0 {
+			t.Errorf("joiner's events are %v ... %v", events[0], last(events))
+		}
+		replay := try(t.Context(), s, &wire.RunRequest{RequestId: "o/1", AttemptId: "a3", Service: "svc", Fingerprint: []byte("f"), Charges: req.Charges, Work: req.Work})
+		if answerOf(t, "a3", replay) != answerOf(t, "a2", events) || e.started() != 1 {
+			t.Errorf("finished answer was not replayed")
+		}
+		reused := modelRequest("o/1", "a4", true, 100)
+		reused.Fingerprint = []byte("other")
+		if r := last(try(t.Context(), s, reused)).GetRefused(); r.GetCode() != "idempotency-key-reused" || r.GetOutcome() != "not-run" {
+			t.Errorf("reused key got %v", r)
+		}
+		stop(t, s)
+		if u := usages(t, log); len(u) != 1 || sum(u[0].Charges) != 27 {
+			t.Errorf("usages are %v, want one of 27", u)
+		}
+	})
+}
+
+func TestKeyedRunIsCancelledAfterTheGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &engine{tokens: 100, pause: time.Second}
+		s := newServer(t, &fakeLog{}, "s1", e, nil)
+		req := modelRequest("o/1", "a1", true, 200)
+		req.Keyed = true
+		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+		defer cancel()
+		try(ctx, s, req)
+		time.Sleep(defaultGrace - time.Second)
+		if e.cancels() != 0 {
+			t.Errorf("run was cancelled within the grace")
+		}
+		time.Sleep(2 * time.Second)
+		if e.cancels() != 1 {
+			t.Errorf("run was not cancelled after the grace")
+		}
+		stop(t, s)
+	})
+}
+
+func TestSilentEngineIsCancelledAndTruthfullyRefused(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		after   int
+		outcome string
+		billed  int64
+	}{
+		{"before the first token", 0, "not-run", 0},
+		{"between tokens", 3, "unknown", 13},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := &fakeLog{}
+				e := &engine{tokens: 10, stallAfter: c.after}
+				if c.after == 0 {
+					e.pause = 24 * time.Hour
+				}
+				s := newServer(t, log, "s1", e, nil)
+				r := last(try(t.Context(), s, modelRequest("o/1", "a1", true, 100))).GetRefused()
+				if r.GetOutcome() != c.outcome || r.GetCode() != "interrupted" || e.cancels() != 1 {
+					t.Errorf("refusal is %v after %d cancellations", r, e.cancels())
+				}
+				reply, _ := s.Outcome(t.Context(), &wire.OutcomeRequest{RequestId: "o/1", AttemptId: "a1"})
+				if reply.GetState() != c.outcome || reply.GetBilled() != c.billed {
+					t.Errorf("outcome is %v, want %s with %d billed", reply, c.outcome, c.billed)
+				}
+				stop(t, s)
+			})
+		})
+	}
+}
+
+func TestClosingIsAcknowledgedAfterTheRunIsBilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{}
+		s := newServer(t, log, "s1", &engine{tokens: 20, pause: time.Second}, nil)
+		done := make(chan []*wire.RunEvent)
+		go func() { done <- try(t.Context(), s, modelRequest("o/1", "a1", true, 100)) }()
+		time.Sleep(5 * time.Second)
+		operator := newServer(t, log, "op", &engine{}, nil)
+		operator.fleetWriter.Propose(fleet.Encode(fleet.HolderClose{Holder: "r2~1"}), nil)
+		time.Sleep(5 * time.Second)
+		if acks := acksOf(t, log, "s1"); len(acks) != 0 {
+			t.Errorf("closing was acknowledged %v while a run was charged to it", acks)
+		}
+		refused := last(try(t.Context(), s, modelRequest("o/2", "b1", true, 100))).GetRefused()
+		if refused.GetCode() != "holder-closed" || refused.GetOutcome() != "not-run" {
+			t.Errorf("work charged to the closed holder got %v", refused)
+		}
+		if f := last(<-done).GetFinish(); f.GetBilled() != 27 {
+			t.Errorf("run in progress finished with %v", f)
+		}
+		log.set(true)
+		time.Sleep(time.Minute)
+		log.set(false)
+		time.Sleep(5 * time.Second)
+		if acks := acksOf(t, log, "s1"); len(acks) != 1 || len(usages(t, log)) != 1 {
+			t.Errorf("acknowledgements are %v with usages %v", acks, usages(t, log))
+		}
+		stop(t, operator)
+		stop(t, s)
+	})
+}
+
+// acksOf returns the holders whose closing the side acknowledged.
+func acksOf(t *testing.T, log *fakeLog, side string) []string {
+	t.Helper()
+	var out []string
+	for _, item := range itemsOf(t, log, ledger.FleetStream) {
+		if it, _ := fleet.Decode(item); it != nil {
+			if a, ok := it.(fleet.Ack); ok && string(a.Side) == side {
+				out = append(out, string(a.Holder))
+			}
+		}
+	}
+	return out
+}
+
+func TestLeavingRefusesAndStopEndsRunsAndCloses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{}
+		s := newServer(t, log, "s1", &engine{tokens: 20, pause: time.Second}, nil)
+		done := make(chan []*wire.RunEvent)
+		go func() { done <- try(t.Context(), s, modelRequest("o/1", "a1", true, 100)) }()
+		time.Sleep(5 * time.Second)
+		go stop(t, s)
+		synctest.Wait()
+		r := last(try(t.Context(), s, modelRequest("o/2", "b1", true, 100))).GetRefused()
+		if r.GetCode() != "leaving" || r.GetOutcome() != "not-run" || !r.GetStatus().GetLeaving() {
+			t.Errorf("new work got %v", r)
+		}
+		if f := last(<-done).GetFinish(); f.GetBilled() != 27 {
+			t.Errorf("run in progress ended with %v", f)
+		}
+		time.Sleep(time.Second)
+		items := itemsOf(t, log, ledger.FleetStream)
+		if it, _ := fleet.Decode(items[len(items)-1]); it != (fleet.SideClose{Side: "s1"}) || len(usages(t, log)) != 1 {
+			t.Errorf("last fleet item is %#v, usages %v", it, usages(t, log))
+		}
+	})
+}
+
+func TestEngineIsFencedBeforeWorkStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &engine{tokens: 1}
+		s := newServer(t, &fakeLog{}, "s1", e, func(o *Options) { o.EngineChecksFence = true })
+		if len(e.fences) != 1 || e.fences[0] != `1 {"action":"fence","fence":1}` {
+			t.Errorf("orders are %q", e.fences)
+		}
+		stop(t, s)
+	})
+}
--- a/internal/side/server_test.go
+++ b/internal/side/util_test.go
@@ -10,7 +10,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"google.golang.org/grpc"
@@ -112,6 +111,20 @@
 	}
 }
 
+// cancels returns the number of cancellations asked for.
+func (e *engine) cancels() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.cancelled)
+}
+
+// started returns the number of runs.
+func (e *engine) started() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs
+}
+
 func (e *engine) complete(w http.ResponseWriter, r *http.Request, body []byte) {
 	var in struct {
 		MaxTokens int `json:"max_tokens"`
@@ -262,22 +275,3 @@
 		}},
 	}
 }
-
-func TestModelRunIsStreamedAndBilledOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{}
-		s := newServer(t, log, "s1", &engine{tokens: 5, pause: time.Millisecond}, nil)
-		events := try(t.Context(), s, modelRequest("o/1", "a1", true, 20))
-		if got := strings.Count(answerOf(t, "a1", events), "content"); got != 5 {
-			t.Errorf("%d tokens arrived, want 5", got)
-		}
-		f := last(events).GetFinish()
-		if f.GetBilled() != 12 || len(f.GetCharges()) != 2 || f.GetCharges()[0].GetTokens() != 6 || f.GetCharges()[1].GetTokens() != 6 {
-			t.Errorf("finish is %v, want 12 billed as 6 and 6", f)
-		}
-		stop(t, s)
-		if u := usages(t, log); len(u) != 1 || u[0].Request != "o/1" || sum(u[0].Charges) != 12 {
-			t.Errorf("usages on the log are %v", u)
-		}
-	})
-}
