--- a/internal/side/util_test.go
+++ b/internal/side/util_test.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/fleet"
 	"github.com/beryllanding/beryllanding/pkg/fold"
 	"github.com/beryllanding/beryllanding/pkg/ident"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
@@ -275,3 +276,8 @@
 		}},
 	}
 }
+
+// gone returns the item by which an operator declares a side as gone.
+func gone(side ident.Incarnation) fold.Item {
+	return fleet.Encode(fleet.SideGone{Side: side, By: "operator"})
+}
