--- a/internal/budget/fold.go
+++ b/internal/budget/fold.go
@@ -9,94 +9,41 @@
 	"github.com/beryllanding/beryllanding/pkg/slice"
 )
 
-// noteDecision keeps the verdicts that concern this instance. It runs under the
-// follower's lock.
-func (s *Service) noteDecision(sh *shard, d ledger.Decision) {
+// noteDecision hands a verdict to the holder, in the order of the stream. It
+// runs under the follower's lock.
+func (s *Service) noteDecision(d ledger.Decision) {
 	switch it := d.Item.(type) {
 	case ledger.Grant:
+		s.holder.Decided(d, s.now())
 		if it.Holder == s.holder.Own() {
-			sh.decided = append(sh.decided, d)
-		}
-	case ledger.Usage:
-		if d.Held && s.isDeferred(it.Request) {
-			sh.decided = append(sh.decided, d)
-		}
-	case ledger.Reclaim:
-		sh.decided = append(sh.decided, d)
-	}
-}
-
-// onApply hands the verdicts of a page to the holder. It runs under the
-// follower's lock, so that the verdicts are applied in the stream's order.
-func (s *Service) onApply(sh *shard) {
-	if n := sh.follower.Reader.Stats.Restores; n != sh.restores {
-		sh.restores = n
-		s.afterRestore(sh)
-	}
-	decided := sh.decided
-	sh.decided = nil
-	for _, d := range decided {
-		s.apply(d)
-	}
-}
-
-func (s *Service) apply(d ledger.Decision) {
-	switch it := d.Item.(type) {
-	case ledger.Grant:
-		if d.Held {
-			s.holder.Granted(it.Budget, it.Holder, it.Tokens)
-		} else {
-			s.holder.Refused(it.Budget, it.Holder, it.Tokens)
+			s.progress(it.Budget)
 		}
-		s.progress(it.Budget)
 	case ledger.Usage:
-		s.Resolve(it.Request, d.Billed)
+		s.holder.Decided(d, s.now())
 	case ledger.Reclaim:
 		s.CloseHolder(it.Holder)
 	}
 }
 
-// afterRestore takes over what was decided behind a checkpoint.
-func (s *Service) afterRestore(sh *shard) {
-	s.holder.Forget()
-	for _, h := range s.holder.Holdings() {
-		if s.shardOf(h.Budget) == sh {
-			s.holder.Sync(h.Budget, s.seen(sh, h.Budget))
-		}
-	}
-	for request := range s.deferredRequests() {
-		if bill, ok := sh.state.Billed(request); ok {
-			s.Resolve(request, bill.Charges)
-		}
+// onApply takes over what was decided behind a checkpoint. It runs under the
+// follower's lock.
+func (s *Service) onApply(sh *shard) {
+	n := sh.follower.Reader.Stats.Restores
+	if n == sh.restores {
+		return
 	}
+	sh.restores = n
+	s.holder.Recover(sh.state, s.fresh(sh), s.now())
 }
 
 // sync shows the holder what the fold has of a budget.
 func (s *Service) sync(budget string) {
 	sh := s.shardOf(budget)
 	sh.follower.View(func(*fold.Reader) {
-		s.holder.Sync(budget, s.seen(sh, budget))
+		s.holder.Sync(budget, slice.See(sh.state, budget, s.holder.Own(), s.fresh(sh)))
 	})
 }
 
-// seen returns what the fold shows of a budget. The caller holds the follower's
-// lock.
-func (s *Service) seen(sh *shard, budget string) slice.Seen {
-	own := s.holder.Own()
-	b, known := sh.state.Budget(budget)
-	sl, _ := sh.state.Slice(budget, own)
-	return slice.Seen{
-		Fresh:   s.fresh(sh),
-		Known:   known,
-		Paid:    b.Paid,
-		Free:    b.Free,
-		Billed:  b.Billed,
-		Holders: b.Holders,
-		Own:     own,
-		Granted: sl.Granted,
-	}
-}
-
 // fresh reports whether the fold is current. The caller holds the follower's
 // lock.
 func (s *Service) fresh(sh *shard) bool {
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"time"
 
 	"github.com/beryllanding/beryllanding/pkg/ident"
@@ -98,71 +97,21 @@
 // Defer keeps a ticket whose request has an unknown outcome until the fold shows
 // the request's usage, or Resolve says what became of it.
 func (s *Service) Defer(t Ticket, request string) {
-	s.mu.Lock()
-	s.deferred[request] = append(s.deferred[request], t)
-	s.mu.Unlock()
+	s.holder.Defer(t.ID, t.Budget, request)
 	// The usage may have been folded before the ticket was noted.
 	var bill ledger.Bill
 	var billed bool
 	s.Query(t.Budget, func(state *ledger.State) { bill, billed = state.Billed(request) })
 	if billed {
-		s.Resolve(request, bill.Charges)
+		s.Resolve(t.Budget, request, bill.Charges)
 	}
 }
 
 // Resolve ends the deferred tickets of a request that was billed the charges;
-// none mean that nothing was or will be billed. A request is billed once, so
-// each charge is taken out of one ticket, and the others are released.
-func (s *Service) Resolve(request string, billed []ledger.Charge) {
-	s.mu.Lock()
-	tickets := s.deferred[request]
-	delete(s.deferred, request)
-	s.mu.Unlock()
-	for _, t := range tickets {
-		used, rest := match(t.Charges, billed)
-		billed = rest
-		s.Settle(t, used)
-	}
-}
-
-// match splits the billed charges into those that a ticket's charges cover and
-// the rest.
-func match(charges, billed []ledger.Charge) (used, rest []ledger.Charge) {
-	room := make(map[ident.Incarnation]ledger.Tokens, len(charges))
-	for _, c := range charges {
-		room[c.Holder] += c.Tokens
-	}
-	for _, c := range billed {
-		n := min(c.Tokens, room[c.Holder])
-		room[c.Holder] -= n
-		if n > 0 {
-			used = append(used, ledger.Charge{Holder: c.Holder, Tokens: n})
-		}
-		if n < c.Tokens {
-			rest = append(rest, ledger.Charge{Holder: c.Holder, Tokens: c.Tokens - n})
-		}
-	}
-	return used, rest
-}
-
-func (s *Service) isDeferred(request string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, ok := s.deferred[request]
-	return ok
-}
-
-func (s *Service) deferredRequests() map[string][]Ticket {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return maps.Clone(s.deferred)
-}
-
-// Deferred returns the number of requests whose tickets wait for their outcome.
-func (s *Service) Deferred() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.deferred)
+// none mean that nothing was or will be billed.
+func (s *Service) Resolve(budget, request string, billed []ledger.Charge) {
+	s.holder.Resolve(budget, request, billed, s.now())
+	s.progress(budget)
 }
 
 // CloseHolder drops the lots of a closed holder. Where that is this instance's
--- a/internal/budget/service.go
+++ b/internal/budget/service.go
@@ -76,7 +76,6 @@
 
 	mu       sync.Mutex
 	gathers  map[string]*gather
-	deferred map[string][]Ticket
 	stopping bool
 }
 
@@ -88,9 +87,6 @@
 	writer   *fold.Writer
 	// restores is the reader's count of restores at the last look.
 	restores uint64
-	// decided collects verdicts that concern this instance, in the order of the
-	// stream. It is guarded by the follower's lock.
-	decided []ledger.Decision
 	// checkpointAt is the offset after which this instance appends a checkpoint.
 	checkpointAt logsvc.Offset
 }
@@ -99,12 +95,11 @@
 func New(opts Options) *Service {
 	setDefaults(&opts)
 	s := &Service{
-		opts:     opts,
-		holder:   slice.New(opts.Holder, opts.Policy),
-		now:      time.Now,
-		kick:     make(chan struct{}, 1),
-		gathers:  make(map[string]*gather),
-		deferred: make(map[string][]Ticket),
+		opts:    opts,
+		holder:  slice.New(opts.Holder, opts.Policy),
+		now:     time.Now,
+		kick:    make(chan struct{}, 1),
+		gathers: make(map[string]*gather),
 	}
 	for i := range opts.Shards {
 		s.shards = append(s.shards, s.newShard(i))
@@ -134,7 +129,7 @@
 func (s *Service) newShard(i int) *shard {
 	sh := &shard{index: i, state: &ledger.State{}}
 	stream := ledger.Stream(i)
-	sh.state.OnDecision = func(d ledger.Decision) { s.noteDecision(sh, d) }
+	sh.state.OnDecision = s.noteDecision
 	sh.follower = &fold.Follower{
 		Log:     s.opts.Log,
 		Stream:  stream,
--- a/pkg/slice/admit.go
+++ b/pkg/slice/admit.go
@@ -54,16 +54,18 @@
 // from. used is bounded by the ticket for each holder. The second settlement of
 // a ticket has no effect.
 func (h *Holder) Settle(id, budget string, used []ledger.Charge, now time.Time) {
-	h.with(budget, func(_ *shard, b *book) {
-		charges, ok := b.tickets[id]
-		if !ok {
-			return
-		}
-		delete(b.tickets, id)
-		b.reserved -= sum(charges)
-		spent := h.unreserve(b, charges, used)
-		b.need.used(spent, now)
-	})
+	h.with(budget, func(_ *shard, b *book) { h.settle(b, id, used, now) })
+}
+
+func (h *Holder) settle(b *book, id string, used []ledger.Charge, now time.Time) {
+	charges, ok := b.tickets[id]
+	if !ok {
+		return
+	}
+	delete(b.tickets, id)
+	b.reserved -= sum(charges)
+	spent := h.unreserve(b, charges, used)
+	b.need.used(spent, now)
 }
 
 // unreserve puts back what is left of the charges after use, and returns the
--- /dev/null
+++ b/pkg/slice/defer.go
@@ -0,0 +1,154 @@
+package slice
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+)
+
+// deferral is an open ticket whose request has an unknown outcome.
+type deferral struct {
+	ticket string
+	budget string
+}
+
+// Defer keeps an open ticket until the fold shows the request's usage, or
+// Resolve says what became of it.
+func (h *Holder) Defer(ticket, budget, request string) {
+	h.with(budget, func(s *shard, _ *book) {
+		if s.deferred == nil {
+			s.deferred = make(map[string][]deferral)
+		}
+		s.deferred[request] = append(s.deferred[request], deferral{ticket: ticket, budget: budget})
+	})
+}
+
+// Resolve ends the deferred tickets of a request that was billed the charges;
+// none mean that nothing was or will be billed. A request is billed once, so
+// each billed token is taken out of one ticket, and the rest is released.
+func (h *Holder) Resolve(budget, request string, billed []ledger.Charge, now time.Time) {
+	s := h.shardOf(budget)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range s.deferred[request] {
+		b := s.books[d.budget]
+		var used []ledger.Charge
+		used, billed = match(b.tickets[d.ticket], billed)
+		h.settle(b, d.ticket, used, now)
+	}
+	delete(s.deferred, request)
+}
+
+// match splits the billed charges into those that a ticket's charges cover and
+// the rest.
+func match(charges, billed []ledger.Charge) (used, rest []ledger.Charge) {
+	room := make(map[ident.Incarnation]ledger.Tokens, len(charges))
+	for _, c := range charges {
+		room[c.Holder] += c.Tokens
+	}
+	for _, c := range billed {
+		n := min(c.Tokens, room[c.Holder])
+		room[c.Holder] -= n
+		if n > 0 {
+			used = append(used, ledger.Charge{Holder: c.Holder, Tokens: n})
+		}
+		if n < c.Tokens {
+			rest = append(rest, ledger.Charge{Holder: c.Holder, Tokens: c.Tokens - n})
+		}
+	}
+	return used, rest
+}
+
+// Deferred returns the requests of the budget's shard that have deferred
+// tickets.
+func (h *Holder) Deferred(budget string) []string {
+	s := h.shardOf(budget)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.deferred))
+}
+
+// Decided takes over the fold's verdict on a grant or a usage.
+func (h *Holder) Decided(d ledger.Decision, now time.Time) {
+	switch it := d.Item.(type) {
+	case ledger.Grant:
+		if d.Held {
+			h.granted(it)
+			return
+		}
+		h.refused(it)
+	case ledger.Usage:
+		if d.Held {
+			h.Resolve(it.Budget, it.Request, d.Billed, now)
+		}
+	}
+}
+
+// granted credits a grant to the own incarnation that held in the fold.
+func (h *Holder) granted(g ledger.Grant) {
+	if g.Holder != h.Own() {
+		return
+	}
+	h.with(g.Budget, func(_ *shard, b *book) {
+		if b.own != g.Holder || h.isClosed(g.Holder) {
+			return
+		}
+		b.credited += g.Tokens
+		b.put(g.Holder, g.Tokens)
+		b.pending = max(0, b.pending-g.Tokens)
+	})
+}
+
+// refused notes that a proposed grant did not hold.
+func (h *Holder) refused(g ledger.Grant) {
+	if g.Holder != h.Own() {
+		return
+	}
+	h.with(g.Budget, func(_ *shard, b *book) {
+		if b.own == g.Holder {
+			b.pending = max(0, b.pending-g.Tokens)
+		}
+	})
+}
+
+// Recover takes over what the fold decided out of sight, behind a checkpoint.
+func (h *Holder) Recover(state *ledger.State, fresh bool, now time.Time) {
+	type waiting struct{ budget, request string }
+	var deferred []waiting
+	h.each(func(_ string, b *book) { b.pending = 0 })
+	for i := range h.shards {
+		s := &h.shards[i]
+		s.mu.Lock()
+		for r, ds := range s.deferred {
+			deferred = append(deferred, waiting{budget: ds[0].budget, request: r})
+		}
+		s.mu.Unlock()
+	}
+	for _, w := range deferred {
+		if bill, ok := state.Billed(w.request); ok {
+			h.Resolve(w.budget, w.request, bill.Charges, now)
+		}
+	}
+	for _, held := range h.Holdings() {
+		h.Sync(held.Budget, See(state, held.Budget, h.Own(), fresh))
+	}
+}
+
+// See returns what the fold shows of a budget to a holder.
+func See(state *ledger.State, budget string, own ident.Incarnation, fresh bool) Seen {
+	b, known := state.Budget(budget)
+	sl, _ := state.Slice(budget, own)
+	return Seen{
+		Fresh:   fresh,
+		Known:   known,
+		Paid:    b.Paid,
+		Free:    b.Free,
+		Billed:  b.Billed,
+		Holders: b.Holders,
+		Own:     own,
+		Granted: sl.Granted,
+	}
+}
--- a/pkg/slice/peer.go
+++ b/pkg/slice/peer.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/beryllanding/beryllanding/pkg/ident"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 )
 
@@ -69,27 +68,6 @@
 	return taken
 }
 
-// Granted credits a grant that held in the fold.
-func (h *Holder) Granted(budget string, holder ident.Incarnation, tokens ledger.Tokens) {
-	h.with(budget, func(_ *shard, b *book) {
-		if b.own != holder || h.isClosed(holder) {
-			return
-		}
-		b.credited += tokens
-		b.put(holder, tokens)
-		b.pending = max(0, b.pending-tokens)
-	})
-}
-
-// Refused notes that a proposed grant did not hold.
-func (h *Holder) Refused(budget string, holder ident.Incarnation, tokens ledger.Tokens) {
-	h.with(budget, func(_ *shard, b *book) {
-		if b.own == holder {
-			b.pending = max(0, b.pending-tokens)
-		}
-	})
-}
-
 // Sync takes over what the fold shows of a budget. Grants that the fold folded
 // out of sight, behind a checkpoint, are credited by the cumulative amount.
 func (h *Holder) Sync(budget string, seen Seen) {
@@ -106,12 +84,6 @@
 	})
 }
 
-// Forget clears what is pending after the reader jumped to a checkpoint: the
-// verdicts in between will not be seen.
-func (h *Holder) Forget() {
-	h.each(func(_ string, b *book) { b.pending = 0 })
-}
-
 // ReturnAll debits all free tokens and returns them as effects, for a planned
 // stop.
 func (h *Holder) ReturnAll() []Effect {
--- a/pkg/slice/slice.go
+++ b/pkg/slice/slice.go
@@ -65,6 +65,8 @@
 	given      map[string][]ledger.Charge
 	givenOrder []string
 	givenNext  int
+	// deferred holds the deferred tickets by request.
+	deferred map[string][]deferral
 }
 
 // lot is a number of free tokens charged to one holder's slice.
@@ -93,8 +95,8 @@
 	// lacking holds the reservations that found the book dry since the last
 	// plan, by ticket id.
 	lacking map[string]ledger.Tokens
-	seen Seen
-	need demand
+	seen    Seen
+	need    demand
 }
 
 // Seen is what the fold shows of a budget.
@@ -263,3 +265,17 @@
 	})
 	return all
 }
+
+// Lots returns the free tokens of a budget by the slice they are charged to.
+func (h *Holder) Lots(budget string) []ledger.Charge {
+	s := h.shardOf(budget)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var lots []ledger.Charge
+	if b := s.books[budget]; b != nil {
+		for _, l := range b.lots {
+			lots = append(lots, ledger.Charge{Holder: l.holder, Tokens: l.tokens})
+		}
+	}
+	return lots
+}
