internal/trial, pkg/slice: policies compared, horizon of an hour

The bound near exhaustion, meant to prevent stranding, made it worse: with transfers nothing is stranded at a peer that can be reached. Ruled out: the transfers (turning them off made every scenario worse); the first false refusals of all policies came from nodes that served before they had read the log, a fault of the trial. Change: horizon one hour, renewal at 0.8 of the wanted level, no bound near exhaustion and no idle return by default; both stay as settings.

--- /dev/null
+++ b/internal/trial/report.go
@@ -0,0 +1,74 @@
+package trial
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/beryllanding/beryllanding/pkg/slice"
+)
+
+// Policy is a way to hand out tokens that the report compares.
+type Policy struct {
+	Name string
+	// Slice sizes the slices; it is unused where central is set.
+	Slice slice.Policy
+	// fixed gives each node an equal share of what was paid, and nothing else.
+	fixed bool
+	// central asks one ledger over the log for each request.
+	central bool
+}
+
+// Policies returns the policies of the report: the chosen one, those it is
+// compared with, and the chosen one with one lever turned off each.
+func Policies() []Policy {
+	return []Policy{
+		{Name: "chosen"},
+		{Name: "fixed shares", fixed: true, Slice: slice.Policy{NoTransfer: true}},
+		{Name: "central", central: true},
+		{Name: "no transfer", Slice: slice.Policy{NoTransfer: true}},
+		{Name: "share bound", Slice: slice.Policy{Share: 0.5}},
+		{Name: "idle return", Slice: slice.Policy{IdleReturn: 5 * time.Minute}},
+		{Name: "horizon 1 min", Slice: slice.Policy{Horizon: time.Minute}},
+		{Name: "low water 0.5", Slice: slice.Policy{LowWater: 0.5}},
+		{Name: "weight 1", Slice: slice.Policy{Weight: 1}},
+	}
+}
+
+// Format returns the results as a table.
+func Format(results []Result) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%-20s %-15s %9s %9s %9s %7s %8s %9s %10s\n",
+		"scenario", "policy", "requests", "overspend", "refused-%", "false-%", "expl.-%", "appends/s", "B/node/s")
+	last := ""
+	for _, r := range results {
+		if last != "" && r.Scenario != last {
+			b.WriteString("\n")
+		}
+		last = r.Scenario
+		fmt.Fprintf(&b, "%-20s %-15s %9d %9d %9.3f %7.3f %8s %9.2f %10.0f\n",
+			r.Scenario, r.Policy, r.Requests, r.Overspend, percent(r.Refused, r.Requests), r.FalsePercent(),
+			r.explained(), float64(r.Appends)/r.Length.Seconds(),
+			float64(r.Bytes)/float64(r.Nodes)/r.Length.Seconds())
+	}
+	return b.String()
+}
+
+// FalsePercent returns the false refusals in per cent of the requests.
+func (r Result) FalsePercent() float64 { return percent(r.False, r.Requests) }
+
+// explained returns the share of the false refusals that is explained, or a
+// dash where there are none.
+func (r Result) explained() string {
+	if r.False == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f", percent(r.Explained, r.False))
+}
+
+func percent(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return 100 * float64(part) / float64(whole)
+}
--- a/pkg/slice/plan.go
+++ b/pkg/slice/plan.go
@@ -71,7 +71,7 @@
 	if lack > 0 && !p.NoTransfer && granting(effects) < lack {
 		effects = append(effects, AskPeers{Budget: name, Tokens: lack})
 	}
-	if effects == nil && b.seen.Fresh && b.free > surplus*max(want, p.floor()) && p.idleReturn() > 0 {
+	if effects == nil && b.seen.Fresh && b.free > surplus*max(want, p.floor()) && p.IdleReturn > 0 {
 		return p.planReturn(name, b, want)
 	}
 	return effects
@@ -100,7 +100,7 @@
 }
 
 func (p Policy) idle(b *book, now time.Time) bool {
-	return p.idleReturn() > 0 && now.Sub(b.need.last) > p.idleReturn()
+	return p.IdleReturn > 0 && now.Sub(b.need.last) > p.IdleReturn
 }
 
 // planReturn gives back what is above keep.
--- a/pkg/slice/policy.go
+++ b/pkg/slice/policy.go
@@ -19,10 +19,10 @@
 	// Floor is the least wanted level of a slice in use, in tokens.
 	Floor ledger.Tokens
 	// Share bounds the wanted level near exhaustion: Share x the tokens not yet
-	// granted / the holders of the budget. Negative is no bound.
+	// granted / the holders of the budget. 0 is no bound.
 	Share float64
 	// IdleReturn is the time without a request after which a slice is given
-	// back. Negative is never.
+	// back; a surplus is given back earlier. 0 is never.
 	IdleReturn time.Duration
 	// NoTransfer turns off transfers between peers.
 	NoTransfer bool
@@ -35,15 +35,11 @@
 
 const (
 	// DefaultHorizon is the horizon of the zero policy.
-	DefaultHorizon = 10 * time.Minute
+	DefaultHorizon = time.Hour
 	// DefaultLowWater is the low-water share of the zero policy.
-	DefaultLowWater = 0.5
+	DefaultLowWater = 0.8
 	// DefaultFloor is the floor of the zero policy, in tokens.
 	DefaultFloor ledger.Tokens = 8192
-	// DefaultShare is the share of the zero policy.
-	DefaultShare = 0.5
-	// DefaultIdleReturn is the idle time of the zero policy.
-	DefaultIdleReturn = 5 * time.Minute
 
 	// marginShare is the part by which a reservation is raised at Weight 1.
 	marginShare = 0.05
@@ -82,20 +78,6 @@
 	return p.Floor
 }
 
-func (p Policy) share() float64 {
-	if p.Share == 0 {
-		return DefaultShare
-	}
-	return p.Share
-}
-
-func (p Policy) idleReturn() time.Duration {
-	if p.IdleReturn == 0 {
-		return DefaultIdleReturn
-	}
-	return p.IdleReturn
-}
-
 // withMargin raises a reservation by the margin of the weight.
 func (p Policy) withMargin(n ledger.Tokens) ledger.Tokens {
 	margin := math.Ceil(float64(n) * marginShare * p.weight())
@@ -105,7 +87,7 @@
 // wanted returns the level of free tokens that the book should have.
 func (p Policy) wanted(b *book, now time.Time) ledger.Tokens {
 	level := max(b.need.level(p.horizon(), now), p.floor())
-	if p.share() > 0 {
+	if p.Share > 0 {
 		level = min(level, p.cap(b))
 	}
 	return level
@@ -115,7 +97,7 @@
 // counts the own free tokens in, so that a grant does not lower it.
 func (p Policy) cap(b *book) ledger.Tokens {
 	left := float64(b.seen.Free + b.free)
-	return ledger.Tokens(p.share() * left / float64(max(1, b.seen.Holders)))
+	return ledger.Tokens(p.Share * left / float64(max(1, b.seen.Holders)))
 }
 
 // giving returns how many tokens a holder parts with when a peer asks.
