--- a/internal/boot/router.go
+++ b/internal/boot/router.go
@@ -211,7 +211,7 @@
 	go func() { _ = r.callers.Serve(listeners[0]) }()
 	go func() { _ = r.grpc.Serve(listeners[1]) }()
 	go r.debug.serve(listeners[2])
-	r.logger.Info("serving", "http", listeners[0].Addr(), "grpc", listeners[1].Addr(), "holder", r.budget.Holder())
+	r.logger.Info("serving", "http", listeners[0].Addr(), "grpc", listeners[1].Addr(), "debug", listeners[2].Addr(), "holder", r.budget.Holder())
 	return nil
 }
 
--- a/internal/boot/side.go
+++ b/internal/boot/side.go
@@ -104,7 +104,7 @@
 	s.loops.Go(func() { s.members.run(s.base) })
 	go func(l net.Listener) { _ = s.grpc.Serve(l) }(own)
 	go s.debug.serve(metrics)
-	s.logger.Info("serving", "grpc", own.Addr(), "slot", s.Settings.Target.Slot, "incarnation", s.server.Incarnation())
+	s.logger.Info("serving", "grpc", own.Addr(), "debug", metrics.Addr(), "slot", s.Settings.Target.Slot, "incarnation", s.server.Incarnation())
 	return nil
 }
 
--- a/internal/procs/bench_test.go
+++ b/internal/procs/bench_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/beryllanding/beryllanding/internal/stand/engd"
+	"github.com/beryllanding/beryllanding/pkg/catal"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
 )
 
 const (
@@ -178,3 +180,49 @@
 	}
 	return time.Duration(user+system) * tick
 }
+
+// BenchmarkInForce measures the time from the acceptance of a catalogue change,
+// as the log service answers its append, until five entry instances have it in
+// force.
+func BenchmarkInForce(b *testing.B) {
+	w := newBenchWorld(b)
+	var routers []*proc
+	for i := range 5 {
+		routers = append(routers, w.router(fmt.Sprintf("router-%d", i)))
+	}
+	w.ready(routers...)
+	var took []time.Duration
+	b.ResetTimer()
+	for i := range b.N {
+		key := fmt.Sprintf("key-%d", i)
+		w.append(ledger.CatalogueStream, w.change(&catal.Budget{
+			Name: key, Owner: "kowhai", Class: catal.Batch, KeyHashes: []catal.KeyHash{catal.HashKey(key)},
+		}))
+		start := time.Now()
+		for _, r := range routers {
+			for !r.knows(b, key) {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		took = append(took, time.Since(start))
+	}
+	b.StopTimer()
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "median-ms")
+	b.ReportMetric(float64(took[len(took)-1].Microseconds())/1000, "max-ms")
+}
+
+// knows reports whether the entry instance accepts the key.
+func (p *proc) knows(b *testing.B, key string) bool {
+	req, err := http.NewRequestWithContext(b.Context(), http.MethodPost, p.http+"/v1/chat/completions", strings.NewReader("{}"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode != http.StatusUnauthorized
+}
