--- /dev/null
+++ b/internal/opsvc/shard_test.go
@@ -0,0 +1,46 @@
+package opsvc
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	"github.com/beryllanding/beryllanding/internal/budget"
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+)
+
+// TestShards checks that each budget is on the stream where the entry instances
+// look for it, and that queries see all streams.
+func TestShards(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const shards, budgets = 4, 8
+		s := &Service{Log: logd.New(logd.Switches{}), Shards: shards}
+		for i := range budgets {
+			name := fmt.Sprint("b", i)
+			r, err := s.TopUp(t.Context(), TopUp{Budget: name, Tokens: 10, Unlisted: true})
+			if err != nil || r.Outcome != Accepted {
+				t.Fatal(r, err)
+			}
+			var state ledger.State
+			if _, err := s.catchUp(t.Context(), ledger.Stream(budget.ShardOf(name, shards)), &state); err != nil {
+				t.Fatal(err)
+			}
+			if b, _ := state.Budget(name); b.Paid != 10 {
+				t.Errorf("budget %s has %d tokens on its stream", name, b.Paid)
+			}
+			if b, err := s.Budget(t.Context(), name); err != nil || b.Paid != 10 {
+				t.Errorf("budget %s is shown as %+v, %v", name, b, err)
+			}
+		}
+		list, err := s.Budgets(t.Context())
+		if err != nil || len(list) != budgets {
+			t.Fatalf("%d budgets are listed, expected %d: %v", len(list), budgets, err)
+		}
+		for i, b := range list {
+			if b.Name != fmt.Sprint("b", i) {
+				t.Errorf("budget %q is listed at %d", b.Name, i)
+			}
+		}
+	})
+}
--- a/pkg/catal/bench_test.go
+++ b/pkg/catal/bench_test.go
@@ -27,6 +27,13 @@
 	}
 }
 
+// sized runs a benchmark at each size.
+func sized(b *testing.B, fn func(b *testing.B, n int)) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { fn(b, n) })
+	}
+}
+
 func filled(n int) *State {
 	s := new(State)
 	for i := range n {
@@ -37,101 +44,91 @@
 
 // BenchmarkApply replaces entries of a catalogue of the given size.
 func BenchmarkApply(b *testing.B) {
-	for _, n := range benchSizes {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			s := filled(n)
-			at := logsvc.Offset(n)
-			items := make([]fold.Item, 1000)
-			b.ReportAllocs()
-			b.ResetTimer()
-			for i := range b.N {
-				if i%len(items) == 0 {
-					b.StopTimer()
-					for k := range items {
-						c := benchChange((i + k) % n)
-						r, _ := s.Get(c.Name())
-						c.Base = r.At
-						c.ID = fmt.Sprintf("%024x", n+i+k)
-						items[k] = Encode(c)
-					}
-					b.StartTimer()
+	sized(b, func(b *testing.B, n int) {
+		s := filled(n)
+		at := logsvc.Offset(n)
+		items := make([]fold.Item, 1000)
+		b.ReportAllocs()
+		b.ResetTimer()
+		for i := range b.N {
+			if i%len(items) == 0 {
+				b.StopTimer()
+				for k := range items {
+					c := benchChange((i + k) % n)
+					r, _ := s.Get(c.Name())
+					c.Base = r.At
+					c.ID = fmt.Sprintf("%024x", n+i+k)
+					items[k] = Encode(c)
 				}
-				at++
-				s.Apply(fold.Position{Offset: at}, items[i%len(items)])
+				b.StartTimer()
 			}
-		})
-	}
+			at++
+			s.Apply(fold.Position{Offset: at}, items[i%len(items)])
+		}
+	})
 }
 
 // BenchmarkAuthenticate looks keys up from all threads.
 func BenchmarkAuthenticate(b *testing.B) {
-	for _, n := range benchSizes {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			s := filled(n)
-			keys := make([]string, 1024)
-			for i := range keys {
-				keys[i] = fmt.Sprint(i * n / len(keys))
-			}
-			b.ReportAllocs()
-			b.ResetTimer()
-			b.RunParallel(func(pb *testing.PB) {
-				for i := 0; pb.Next(); i++ {
-					if _, ok := s.Authenticate(keys[i%len(keys)]); !ok {
-						b.Fatal("key not found")
-					}
+	sized(b, func(b *testing.B, n int) {
+		s := filled(n)
+		keys := make([]string, 1024)
+		for i := range keys {
+			keys[i] = fmt.Sprint(i * n / len(keys))
+		}
+		b.ReportAllocs()
+		b.ResetTimer()
+		b.RunParallel(func(pb *testing.PB) {
+			for i := 0; pb.Next(); i++ {
+				if _, ok := s.Authenticate(keys[i%len(keys)]); !ok {
+					b.Fatal("key not found")
 				}
-			})
+			}
 		})
-	}
+	})
 }
 
 // BenchmarkSnapshot encodes the whole state, and reports its size.
 func BenchmarkSnapshot(b *testing.B) {
-	for _, n := range benchSizes {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			s := filled(n)
-			b.ResetTimer()
-			for range b.N {
-				data, err := s.Snapshot()
-				if err != nil {
-					b.Fatal(err)
-				}
-				b.ReportMetric(float64(len(data))/float64(n), "B/budget")
+	sized(b, func(b *testing.B, n int) {
+		s := filled(n)
+		b.ResetTimer()
+		for range b.N {
+			data, err := s.Snapshot()
+			if err != nil {
+				b.Fatal(err)
 			}
-		})
-	}
+			b.ReportMetric(float64(len(data))/float64(n), "B/budget")
+		}
+	})
 }
 
 // BenchmarkRestore decodes a snapshot into an empty state.
 func BenchmarkRestore(b *testing.B) {
-	for _, n := range benchSizes {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			data, err := filled(n).Snapshot()
-			if err != nil {
+	sized(b, func(b *testing.B, n int) {
+		data, err := filled(n).Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ResetTimer()
+		for range b.N {
+			if err := new(State).Restore(data); err != nil {
 				b.Fatal(err)
 			}
-			b.ResetTimer()
-			for range b.N {
-				if err := new(State).Restore(data); err != nil {
-					b.Fatal(err)
-				}
-			}
-		})
-	}
+		}
+	})
 }
 
 // BenchmarkMemory reports the heap that a state holds.
 func BenchmarkMemory(b *testing.B) {
-	for _, n := range benchSizes {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			for range b.N {
-				before := heap()
-				s := filled(n)
-				b.ReportMetric(float64(heap()-before)/float64(n), "B/budget")
-				runtime.KeepAlive(s)
-			}
-		})
-	}
+	sized(b, func(b *testing.B, n int) {
+		for range b.N {
+			before := heap()
+			s := filled(n)
+			b.ReportMetric(float64(heap()-before)/float64(n), "B/budget")
+			runtime.KeepAlive(s)
+		}
+	})
 }
 
 func heap() uint64 {
