pkg/catal: what a change makes the state keep is bounded

Cause: a verdict kept every fault at full length, and an id of any length was a key of the map: 4096 hostile changes could hold hundreds of megabytes. An id over 128 bytes is malformed now, a verdict keeps 20 faults of 300 bytes, and the operators' client refuses such an id before it is sent.

Found by the test: the fault of an operator's name over the limit was dropped where the entry had faults as well, so an otherwise valid entry was the only case in which it was seen.

--- a/internal/cmds/cmds_test.go
+++ b/internal/cmds/cmds_test.go
@@ -91,7 +91,7 @@
 		`"prompt-bytes-per-token": 2, "max-output": 1024, "default-output": 256}}`
 	budgetOne = `{"budget": {"name": "b/one", "owner": "kowhai", "class": "standard", "limits": {"max-tokens": 500}, ` +
 		`"key-hashes": ["8254c329a92850f6d539dd376f4816ee2764517da5e0235514af433164480d7a"]}}`
-	budgetThief = `{"budget": {"name": "b/two", "owner": "other", "class": "batch", ` +
+	budgetSameKey = `{"budget": {"name": "b/two", "owner": "other", "class": "batch", ` +
 		`"key-hashes": ["8254c329a92850f6d539dd376f4816ee2764517da5e0235514af433164480d7a"]}}`
 )
 
@@ -117,7 +117,7 @@
 		s.run(ExitNotFound, "catalogue delete b/none")
 
 		s.note("bad input changes nothing")
-		s.input(ExitUsage, "catalogue put -", budgetThief)
+		s.input(ExitUsage, "catalogue put -", budgetSameKey)
 		s.input(ExitUsage, "catalogue put -", `{"budget": {"name": "B", "class": "x", "limits": {"max-tokens": -1}}}`)
 		s.input(ExitUsage, "catalogue put -", `{"budget": {"name": "b", "colour": "red"}}`)
 		s.input(ExitUsage, "catalogue put -", `{"name": "b/two", "budget": {"name": "b/one"}}`)
--- a/internal/opsvc/catalogue.go
+++ b/internal/opsvc/catalogue.go
@@ -115,6 +115,9 @@
 	if c.ID == "" {
 		c.ID = s.newID()
 	}
+	if len(c.ID) > catal.MaxIDLen {
+		return c, fmt.Errorf("id of the change has %d bytes, expected up to %d", len(c.ID), catal.MaxIDLen)
+	}
 	if c.Entry != nil {
 		if err := catal.Validate(c.Entry); err != nil {
 			return c, err
--- a/pkg/catal/change.go
+++ b/pkg/catal/change.go
@@ -12,10 +12,14 @@
 // changeKind is the kind of a change's item in the catalogue stream.
 const changeKind = "change"
 
+// MaxIDLen bounds the id of a change, in bytes.
+const MaxIDLen = 128
+
 // Change is an operator's proposal to create, replace or delete one entry.
 type Change struct {
-	// ID is chosen by the operator's client. A second change with the same ID
-	// has no effect, and the first one's verdict stands for both.
+	// ID is chosen by the operator's client, and has 1 to MaxIDLen bytes. A
+	// second change with the same ID has no effect, and the first one's verdict
+	// stands for both.
 	ID string
 	// Base is the offset of the entry's latest accepted change, which may be
 	// its deletion. It is 0 for a name that the catalogue does not know.
@@ -92,8 +96,8 @@
 	if b.Delete != "" {
 		parts++
 	}
-	if parts != 1 || b.ID == "" {
-		return Change{}, fmt.Errorf("%w: expected an id and one of service, budget and delete", ErrMalformed)
+	if parts != 1 || b.ID == "" || len(b.ID) > MaxIDLen {
+		return Change{}, fmt.Errorf("%w: expected an id of up to %d bytes and one of service, budget and delete", ErrMalformed, MaxIDLen)
 	}
 	return c, nil
 }
@@ -119,7 +123,8 @@
 	At logsvc.Offset `json:"at"`
 }
 
-// Invalid says that the change broke an invariant and had no effect.
+// Invalid says that the change broke an invariant and had no effect. Long faults
+// are cut, and of many the first are kept.
 type Invalid struct {
 	Faults []string `json:"faults"`
 }
--- a/pkg/catal/state.go
+++ b/pkg/catal/state.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"unique"
 
@@ -16,10 +17,12 @@
 const defaultMemory = 4096
 
 const (
-	// maxIDLen bounds the id of a change, in bytes.
-	maxIDLen = 128
 	// maxOperatorLen bounds the operator of a change, in bytes.
 	maxOperatorLen = 128
+	// maxFaults bounds the faults of a verdict, and maxFaultLen each of them, in
+	// bytes.
+	maxFaults   = 20
+	maxFaultLen = 300
 )
 
 // State is the catalogue. It is a fold.Machine; the zero value is empty. Apply,
@@ -88,7 +91,7 @@
 		return v
 	}
 	if faults := s.check(at, old, c); len(faults) > 0 {
-		return Invalid{Faults: faults}
+		return Invalid{Faults: clipped(faults)}
 	}
 	s.put(old, &Record{
 		Name:     c.Name(),
@@ -120,13 +123,13 @@
 	if old != nil && old.At >= at {
 		return []string{fmt.Sprintf("base %d is not an offset before the change", c.Base)}
 	}
-	faults := checkLengths(c)
+	faults := checkOperator(c.Operator)
 	if c.Entry == nil {
 		return append(faults, checkDelete(old, c.Delete)...)
 	}
 	var invalid *InvalidError
 	if errors.As(Validate(c.Entry), &invalid) {
-		faults = invalid.Faults
+		faults = append(faults, invalid.Faults...)
 	}
 	if b, ok := c.Entry.(*Budget); ok {
 		faults = append(faults, s.checkKeys(b)...)
@@ -134,14 +137,23 @@
 	return faults
 }
 
-// checkLengths bounds the strings that are kept for every record.
-func checkLengths(c *Change) []string {
-	var faults []string
-	if len(c.ID) > maxIDLen {
-		faults = append(faults, fmt.Sprintf("change id has %d bytes, expected up to %d", len(c.ID), maxIDLen))
+// checkOperator bounds a string that is kept for every record.
+func checkOperator(operator string) []string {
+	if len(operator) <= maxOperatorLen {
+		return nil
+	}
+	return []string{fmt.Sprintf("operator has %d bytes, expected up to %d", len(operator), maxOperatorLen)}
+}
+
+// clipped bounds the faults that a verdict remembers.
+func clipped(faults []string) []string {
+	if more := len(faults) - maxFaults; more > 0 {
+		faults = append(faults[:maxFaults:maxFaults], fmt.Sprintf("and %d more", more))
 	}
-	if len(c.Operator) > maxOperatorLen {
-		faults = append(faults, fmt.Sprintf("operator has %d bytes, expected up to %d", len(c.Operator), maxOperatorLen))
+	for i, f := range faults {
+		if len(f) > maxFaultLen {
+			faults[i] = strings.ToValidUTF8(f[:maxFaultLen], "") + "..."
+		}
 	}
 	return faults
 }
--- a/pkg/catal/state_test.go
+++ b/pkg/catal/state_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -255,3 +256,29 @@
 		t.Errorf("the last change is not in force: %+v", b)
 	}
 }
+
+// TestBounds checks that what a change makes the state keep is bounded.
+func TestBounds(t *testing.T) {
+	long := strings.Repeat("é", 100_000)
+	b := &Budget{Name: long, Owner: long, Class: Class(long), KeyHashes: make([]KeyHash, 1000)}
+	var s State
+	apply(
+		&s,
+		Change{ID: long, Entry: &Budget{Name: "a", Owner: "o", Class: Batch}},
+		Change{ID: "2", Entry: b, Operator: long},
+	)
+	if s.Verdict(long) != nil {
+		t.Error("an id over the limit was decided on")
+	}
+	v, ok := s.Verdict("2").(Invalid)
+	if !ok || len(v.Faults) != maxFaults+1 || v.Faults[maxFaults] != "and 984 more" {
+		t.Errorf("the verdict is %T with %d faults, the last of them %q", s.Verdict("2"), len(v.Faults), v.Faults[len(v.Faults)-1])
+	}
+	data, err := s.Snapshot()
+	if err != nil || len(data) > 2*maxFaults*maxFaultLen {
+		t.Errorf("the state takes %d bytes, %v", len(data), err)
+	}
+	if err := new(State).Restore(data); err != nil {
+		t.Error(err)
+	}
+}
