--- a/internal/cmds/cmds_test.go
+++ b/internal/cmds/cmds_test.go
@@ -123,6 +123,7 @@
 		s.input(ExitUsage, "catalogue put -", `{"name": "b/two", "budget": {"name": "b/one"}}`)
 		s.input(ExitUsage, "catalogue put -", `{} {}`)
 		s.run(ExitUsage, "catalogue put missing.json")
+		s.run(ExitUsage, "catalogue delete b/one --id "+strings.Repeat("i", 129))
 		s.run(ExitUsage, "catalogue put")
 		s.run(ExitUsage, "catalogue list more")
 
@@ -177,6 +178,7 @@
 		s.run(ExitOK, "budget top-up b/one 891")
 		s.run(ExitUsage, "budget top-up b/one 0")
 		s.run(ExitUsage, "budget top-up b/one many")
+		s.run(ExitUsage, "budget top-up b/one 5 --id "+strings.Repeat("i", 129))
 		s.run(ExitOK, "budget top-up b/new 5 --unlisted")
 		s.lost = 2
 		s.run(ExitOK, "budget top-up b/one 10")
--- a/internal/opsvc/budget.go
+++ b/internal/opsvc/budget.go
@@ -74,6 +74,9 @@
 	return ledger.Stream(budget.ShardOf(name, s.shards()))
 }
 
+// maxTopUpID bounds the id of a top-up, in bytes. Ids are kept for good.
+const maxTopUpID = 128
+
 // TopUp asks for tokens to be added to a budget.
 type TopUp struct {
 	// ID makes repetition safe; empty stands for a new one.
@@ -109,6 +112,9 @@
 	if item.ID == "" {
 		item.ID = s.newID()
 	}
+	if len(item.ID) > maxTopUpID {
+		return TopUpResult{}, fmt.Errorf("id of the top-up has %d bytes, expected up to %d", len(item.ID), maxTopUpID)
+	}
 	result := TopUpResult{ID: item.ID, Budget: item.Budget, Tokens: item.Tokens}
 	watch := topUpWatch{want: item}
 	state := &ledger.State{OnDecision: watch.note}
