pkg/fold: Reader.AtEnd tells whether the stream was read to its end

Cause: a follower that has read its first page counts as lately read, though more pages follow; a budget then looks unpaid and its requests would be refused as spent. Seen failing: TestAtEnd with AtEnd always true after the first page.

--- a/pkg/fold/reader.go
+++ b/pkg/fold/reader.go
@@ -141,7 +141,10 @@
 	return r.offset + 1
 }
 
-// atEnd reports whether all records up to the known end were read.
+// AtEnd reports whether all records up to the end that the last page reported
+// were read. It is false before the first page.
+func (r *Reader) AtEnd() bool { return r.end > 0 && r.atEnd() }
+
 func (r *Reader) atEnd() bool { return r.nextRead() >= r.end }
 
 // feedStale looks for a checkpoint in the page. Where one completes that every
