internal/budget: waiting requests never miss an effort for tokens

Cause: TestTransferWithLostAnswer failed now and then, in two ways. (1) The plan over all budgets took what waiting requests lacked and asked the peers where nobody waited for the answer, so the request's own effort found nothing to do and refused. (2) A grant proposed just before the log went out was waited for to the end of the request's time, and the peers were never asked. Change: only the effort that waits takes the lack; an effort that has no verdict after 100 ms ends, and the next one goes to the peers. Run waits for the efforts under way. The checks on a gap and on the end of the stream in fresh are not seen by these tests.

--- a/internal/budget/fold.go
+++ b/internal/budget/fold.go
@@ -44,11 +44,12 @@
 	})
 }
 
-// fresh reports whether the fold is current. The caller holds the follower's
-// lock.
+// fresh reports whether the fold is current: read to the end, and lately. The
+// caller holds the follower's lock.
 func (s *Service) fresh(sh *shard) bool {
 	at := sh.follower.FreshAt()
-	return !sh.follower.Reader.Stale() && s.now().Sub(at) <= s.opts.Fresh
+	r := &sh.follower.Reader
+	return !r.Stale() && r.AtEnd() && s.now().Sub(at) <= s.opts.Fresh
 }
 
 // Holder returns the incarnation that new grants go to.
--- a/internal/budget/gather.go
+++ b/internal/budget/gather.go
@@ -81,9 +81,14 @@
 		g.done = make(chan struct{})
 	}
 	done := g.done
+	if s.ended {
+		close(done)
+		g.done = nil
+		return done
+	}
 	if !g.running {
 		g.running = true
-		go s.gather(budget, g)
+		s.efforts.Go(func() { s.gather(budget, g) })
 	}
 	return done
 }
@@ -116,14 +121,18 @@
 			wg.Go(func() { s.askPeers(ctx, ask) })
 			continue
 		}
-		s.carryOut(ctx, e)
+		s.carryOut(e)
 	}
 	wg.Wait()
 	s.awaitGrants(ctx, budget)
 }
 
-// awaitGrants waits until no grant is pending or the context ends.
+// awaitGrants waits until no grant is pending. Where a verdict takes long, as
+// when the log is out, it ends the effort and wakes those who wait: the next
+// effort goes to the peers.
 func (s *Service) awaitGrants(ctx context.Context, budget string) {
+	ctx, cancel := context.WithTimeout(ctx, grantPatience)
+	defer cancel()
 	for {
 		w := s.gatherOf(budget)
 		if s.holder.Holding(budget).Pending == 0 {
@@ -132,6 +141,7 @@
 		select {
 		case <-w.moved:
 		case <-ctx.Done():
+			s.progress(budget)
 			return
 		}
 	}
--- a/internal/budget/service.go
+++ b/internal/budget/service.go
@@ -33,6 +33,9 @@
 	DefaultCheckpointEvery = 4096
 	// defaultRetryAfter is what a refused caller is told to wait.
 	defaultRetryAfter = 2 * time.Second
+	// grantPatience is how long a request waits for the verdict on a grant before
+	// it turns to the peers.
+	grantPatience = 100 * time.Millisecond
 	// transferTimeout bounds one attempt at a transfer.
 	transferTimeout = 100 * time.Millisecond
 )
@@ -71,12 +74,14 @@
 	holder *slice.Holder
 	shards []*shard
 	now    func() time.Time
-	// kick wakes the planner before its time.
-	kick chan struct{}
+	// efforts counts the gathers under way.
+	efforts sync.WaitGroup
 
 	mu       sync.Mutex
 	gathers  map[string]*gather
 	stopping bool
+	// ended is set when Run ends; no effort starts then.
+	ended bool
 }
 
 // shard is one budget stream.
@@ -98,7 +103,6 @@
 		opts:    opts,
 		holder:  slice.New(opts.Holder, opts.Policy),
 		now:     time.Now,
-		kick:    make(chan struct{}, 1),
 		gathers: make(map[string]*gather),
 	}
 	for i := range opts.Shards {
@@ -164,6 +168,10 @@
 	}
 	g.Go(func() error { s.planLoop(ctx); return nil })
 	_ = g.Wait() // the functions return no errors
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
+	s.efforts.Wait()
 }
 
 func (s *Service) planLoop(ctx context.Context) {
@@ -174,15 +182,14 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-		case <-s.kick:
 		}
-		s.planAll(ctx)
+		s.planAll()
 		s.checkpoint()
 	}
 }
 
 // planAll carries out the plan for every budget.
-func (s *Service) planAll(ctx context.Context) {
+func (s *Service) planAll() {
 	if s.isStopping() {
 		return
 	}
@@ -191,19 +198,18 @@
 		s.sync(h.Budget)
 	}
 	for _, e := range s.holder.Plan(now) {
-		s.carryOut(ctx, e)
+		s.carryOut(e)
 	}
 }
 
-// carryOut starts an effect and does not wait for it.
-func (s *Service) carryOut(ctx context.Context, e slice.Effect) {
+// carryOut proposes what an effect asks for. A question to the peers is left to
+// the effort that waits for its answer.
+func (s *Service) carryOut(e slice.Effect) {
 	switch e := e.(type) {
 	case slice.ProposeGrant:
 		s.propose(e.Budget, ledger.Grant{Budget: e.Budget, Holder: e.Holder, Tokens: e.Tokens})
 	case slice.ProposeReturn:
 		s.propose(e.Budget, ledger.Return{Budget: e.Budget, Holder: e.Holder, Tokens: e.Tokens})
-	case slice.AskPeers:
-		go s.askPeers(ctx, e)
 	}
 }
 
@@ -218,7 +224,7 @@
 	s.stopping = true
 	s.mu.Unlock()
 	for _, e := range s.holder.ReturnAll() {
-		s.carryOut(ctx, e)
+		s.carryOut(e)
 	}
 	for _, sh := range s.shards {
 		if err := sh.writer.Flush(ctx); err != nil {
--- a/internal/trial/request.go
+++ b/internal/trial/request.go
@@ -138,6 +138,7 @@
 // join lets a request wait for the next effort at its node.
 func (s *sim) join(w *work) {
 	n := w.node
+	w.until = s.now + waitTime
 	g := n.gathers[w.budget]
 	if g != nil {
 		g.later = append(g.later, w)
@@ -150,8 +151,8 @@
 
 // gather plans for one budget and waits until the effects are known.
 func (s *sim) gather(n *simNode, budget string, g *simGather) {
-	g.deadline = s.now + waitTime
-	s.after(waitTime, func() { s.gathered(n, budget, g) })
+	g.deadline = s.now + patience
+	s.after(patience, func() { s.gathered(n, budget, g) })
 	n.Sync(budget, s.logReaches(n))
 	g.open = 1
 	if !s.policy.fixed {
@@ -182,12 +183,14 @@
 		return
 	}
 	delete(n.gathers, budget)
-	for _, w := range g.waiting {
-		if !w.done && !s.retry(w) {
-			s.refuse(w)
+	later := slices.DeleteFunc(g.later, s.retry)
+	for _, w := range slices.DeleteFunc(g.waiting, s.retry) {
+		if pending && s.now < w.until {
+			later = append(later, w)
+			continue
 		}
+		s.refuse(w)
 	}
-	later := slices.DeleteFunc(g.later, s.retry)
 	if len(later) == 0 {
 		return
 	}
--- a/internal/trial/sim.go
+++ b/internal/trial/sim.go
@@ -22,6 +22,9 @@
 	hopTime = 1500 * time.Microsecond
 	// tickTime is the pause between two plans of a node.
 	tickTime = time.Second
+	// patience is how long a node waits for a verdict before it turns to the
+	// peers.
+	patience = 100 * time.Millisecond
 	// waitTime bounds how long a request waits for tokens.
 	waitTime = 400 * time.Millisecond
 	// transferBytes is the size of a transfer's question and answer.
@@ -135,6 +138,8 @@
 	takes       time.Duration
 	charges     []ledger.Charge
 	done        bool
+	// until is when the request is refused at the latest.
+	until time.Duration
 }
 
 // Run drives a policy through a scenario. Equal seeds give equal results.
@@ -285,9 +290,7 @@
 		s.planFixed(n, l.Budget)
 	}
 	if !s.policy.fixed {
-		for _, ask := range n.Carry(n.Holder.Plan(s.clock())) {
-			s.ask(n, ask, func() {})
-		}
+		n.Carry(n.Holder.Plan(s.clock()))
 	}
 	s.flush(n)
 	s.after(tickTime, func() { s.tick(n) })
--- a/pkg/slice/plan.go
+++ b/pkg/slice/plan.go
@@ -38,30 +38,34 @@
 func (ProposeReturn) effect() {}
 func (AskPeers) effect()      {}
 
-// Plan returns what is to be done for all budgets, in the order of their names.
+// Plan returns the grants and returns that are due for all budgets, in the order
+// of their names. What waiting reservations lack is left to PlanBudget, whose
+// caller waits for the effects.
 func (h *Holder) Plan(now time.Time) []Effect {
 	var names []string
 	h.each(func(name string, _ *book) { names = append(names, name) })
 	slices.SortFunc(names, strings.Compare)
 	var effects []Effect
 	for _, name := range names {
-		effects = append(effects, h.PlanBudget(name, now)...)
+		h.with(name, func(_ *shard, b *book) {
+			effects = append(effects, h.Policy.plan(name, b, 0, now)...)
+		})
 	}
 	return effects
 }
 
-// PlanBudget returns what is to be done for one budget.
+// PlanBudget returns what is to be done for one budget, with what the
+// reservations since the last call lack.
 func (h *Holder) PlanBudget(budget string, now time.Time) []Effect {
 	var effects []Effect
 	h.with(budget, func(_ *shard, b *book) {
-		effects = h.Policy.plan(budget, b, now)
+		effects = h.Policy.plan(budget, b, b.takeLack(), now)
 	})
 	return effects
 }
 
-func (p Policy) plan(name string, b *book, now time.Time) []Effect {
-	lack := b.takeLack()
-	if lack == 0 && p.idle(b, now) {
+func (p Policy) plan(name string, b *book, lack ledger.Tokens, now time.Time) []Effect {
+	if len(b.lacking) == 0 && lack == 0 && p.idle(b, now) {
 		return p.planReturn(name, b, 0)
 	}
 	want := p.wanted(b, now)
@@ -71,7 +75,7 @@
 	if lack > 0 && !p.NoTransfer && granting(effects) < lack {
 		effects = append(effects, AskPeers{Budget: name, Tokens: lack})
 	}
-	if effects == nil && b.seen.Fresh && b.free > surplus*max(want, p.floor()) && p.IdleReturn > 0 {
+	if len(effects) == 0 && len(b.lacking) == 0 && b.seen.Fresh && b.free > surplus*max(want, p.floor()) && p.IdleReturn > 0 {
 		return p.planReturn(name, b, want)
 	}
 	return effects
