--- /dev/null
+++ b/pkg/slice/slice_test.go
@@ -0,0 +1,194 @@
+package slice
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+)
+
+var start = time.Unix(1000, 0)
+
+// granted returns a holder that was granted tokens of budget b.
+func granted(n ledger.Tokens, p Policy) *Holder {
+	h := New("own~1", p)
+	h.Decided(ledger.Decision{Held: true, Tokens: n, Item: ledger.Grant{Budget: "b", Holder: "own~1", Tokens: n}}, start)
+	return h
+}
+
+// seen is what the fold shows of budget b, with so much granted to own~1.
+func seen(free, granted ledger.Tokens) Seen {
+	return Seen{Fresh: true, Known: true, Paid: free + granted, Free: free, Holders: 1, Own: "own~1", Granted: granted}
+}
+
+func free(h *Holder) ledger.Tokens { return h.Holding("b").Free }
+
+// TestSyncCreditsOnce credits a grant that was folded out of sight once, and one
+// that was seen not again.
+func TestSyncCreditsOnce(t *testing.T) {
+	h := granted(100, Policy{})
+	for range 2 {
+		h.Sync("b", seen(0, 150))
+		if got := free(h); got != 150 {
+			t.Errorf("%d tokens are free, want 150", got)
+		}
+	}
+	h.CloseHolder("own~1", "own~2")
+	h.Sync("b", seen(0, 150))
+	if got := free(h); got != 0 {
+		t.Errorf("%d tokens of a closed holder are free", got)
+	}
+	h.Sync("b", Seen{Own: "own~2", Granted: 40})
+	if got := free(h); got != 40 {
+		t.Errorf("%d tokens are free to the new incarnation, want 40", got)
+	}
+}
+
+func TestReserve(t *testing.T) {
+	h := granted(100, Policy{})
+	h.Ask("m", "b")
+	h.Take("m", "b", []ledger.Charge{{Holder: "peer~1", Tokens: 30}})
+	got, err := h.Reserve("t", "b", 50, start)
+	want := []ledger.Charge{{Holder: "peer~1", Tokens: 30}, {Holder: "own~1", Tokens: 20}}
+	if diff := cmp.Diff(want, got); diff != "" || err != nil {
+		t.Fatalf("%v (-want +got):\n%s", err, diff)
+	}
+	if _, err := h.Reserve("t", "b", 1, start); !errors.Is(err, ErrKnown) {
+		t.Errorf("second reservation under one id: %v", err)
+	}
+	if _, err := h.Reserve("u", "b", 81, start); !errors.Is(err, ErrDry) {
+		t.Errorf("reserving 81 of 80: %v", err)
+	}
+	for _, n := range []ledger.Tokens{0, -1, ledger.MaxTokens + 1} {
+		if _, err := h.Reserve("v", "b", n, start); err == nil || errors.Is(err, ErrDry) {
+			t.Errorf("reserving %d: %v", n, err)
+		}
+	}
+	// More used than reserved, and of a holder that was not charged.
+	h.Settle("t", "b", []ledger.Charge{{Holder: "own~1", Tokens: 70}, {Holder: "x~1", Tokens: 9}}, start)
+	want = []ledger.Charge{{Holder: "own~1", Tokens: 80}, {Holder: "peer~1", Tokens: 30}}
+	if diff := cmp.Diff(want, h.Lots("b")); diff != "" {
+		t.Errorf("lots (-want +got):\n%s", diff)
+	}
+}
+
+// TestResolveTakesOneBill has two tickets of one request and one bill.
+func TestResolveTakesOneBill(t *testing.T) {
+	h := granted(100, Policy{})
+	for _, id := range []string{"t", "u"} {
+		if _, err := h.Reserve(id, "b", 40, start); err != nil {
+			t.Fatal(err)
+		}
+		h.Defer(id, "b", "org/1")
+	}
+	h.Resolve("b", "org/1", []ledger.Charge{{Holder: "own~1", Tokens: 10}}, start)
+	if got := h.Holding("b"); got.Free != 90 || got.Reserved != 0 {
+		t.Errorf("%+v, want 90 free", got)
+	}
+}
+
+func TestPlan(t *testing.T) {
+	grant := func(n ledger.Tokens) Effect { return ProposeGrant{Budget: "b", Holder: "own~1", Tokens: n} }
+	ask := func(n ledger.Tokens) Effect { return AskPeers{Budget: "b", Tokens: n} }
+	for _, c := range []struct {
+		name   string
+		policy Policy
+		seen   Seen
+		lack   ledger.Tokens
+		after  time.Duration
+		want   []Effect
+	}{
+		{"renews to the floor", Policy{Floor: 1000}, seen(5000, 100), 0, 0, []Effect{grant(900)}},
+		{"enough", Policy{Floor: 110}, seen(5000, 100), 0, 0, nil},
+		{"lack goes above the floor", Policy{Floor: 1000}, seen(5000, 100), 3100, 0, []Effect{grant(3000)}},
+		{"asks peers for what the log lacks", Policy{Floor: 1000}, seen(500, 100), 3100, 0, []Effect{grant(500), ask(3000)}},
+		{"no transfer", Policy{Floor: 1000, NoTransfer: true}, seen(500, 100), 3100, 0, []Effect{grant(500)}},
+		{"stale: no grant, peers only", Policy{Floor: 1000}, Seen{Free: 5000, Own: "own~1", Granted: 100}, 3100, 0, []Effect{ask(3000)}},
+		{"bound near exhaustion", Policy{Floor: 1000, Share: 0.5}, seen(300, 100), 0, 0, []Effect{grant(100)}},
+		{"idle", Policy{IdleReturn: time.Minute}, seen(0, 100), 0, 2 * time.Minute, []Effect{ProposeReturn{Budget: "b", Holder: "own~1", Tokens: 100}}},
+		{"idle, stale", Policy{IdleReturn: time.Minute}, Seen{Own: "own~1", Granted: 100}, 0, 2 * time.Minute, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := granted(100, c.policy)
+			h.Sync("b", c.seen)
+			if c.lack > 0 {
+				_, _ = h.Reserve("t", "b", c.lack, start) // is dry, as the case wants it
+			} else {
+				h.Cancel("none", "b", start)
+				_, _ = h.Reserve("t", "b", 1, start)
+				h.Cancel("t", "b", start)
+			}
+			if diff := cmp.Diff(c.want, h.PlanBudget("b", start.Add(c.after))); diff != "" {
+				t.Errorf("effects (-want +got):\n%s", diff)
+			}
+			if c.lack > 0 || c.after > 0 {
+				return
+			}
+			if diff := cmp.Diff([]Effect(nil), h.PlanBudget("b", start)); diff != "" {
+				t.Errorf("second plan with the first pending (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestWeight raises the reservation and shortens the horizon; it grants nothing.
+func TestWeight(t *testing.T) {
+	h := granted(104, Policy{Weight: 1})
+	if _, err := h.Reserve("t", "b", 100, start); !errors.Is(err, ErrDry) {
+		t.Errorf("reserving 100 with a margin of 5 out of 104: %v", err)
+	}
+	if got := (Policy{Weight: 1}).horizon(); got != DefaultHorizon/2 {
+		t.Errorf("horizon is %v", got)
+	}
+}
+
+func BenchmarkReserveSettle(b *testing.B) {
+	for _, budgets := range []int{10, 1000, 52000} {
+		for _, lots := range []int{1, 4, 40} {
+			b.Run(fmt.Sprintf("budgets=%d/lots=%d", budgets, lots), func(b *testing.B) {
+				h, names := stocked(budgets, lots)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for i := range b.N {
+					name := names[i%budgets]
+					charges, err := h.Reserve("t", name, 1000, start)
+					if err != nil {
+						b.Fatal(err)
+					}
+					h.Settle("t", name, charges[:0], start)
+				}
+			})
+		}
+	}
+}
+
+// stocked returns a holder with lots of peers in each budget.
+func stocked(budgets, lots int) (*Holder, []string) {
+	h := New("own~1", Policy{})
+	names := make([]string, budgets)
+	for i := range names {
+		names[i] = fmt.Sprintf("org-%d/maint", i)
+		for l := range lots {
+			id := fmt.Sprintf("m%d", l)
+			h.Ask(id, names[i])
+			h.Take(id, names[i], []ledger.Charge{{Holder: ident.Incarnation(fmt.Sprintf("peer%d~1", l)), Tokens: 1 << 20}})
+		}
+	}
+	return h, names
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, budgets := range []int{1000, 10000, 52000} {
+		b.Run(fmt.Sprintf("budgets=%d", budgets), func(b *testing.B) {
+			h, _ := stocked(budgets, 1)
+			for b.Loop() {
+				h.Plan(start)
+			}
+		})
+	}
+}
