pkg/ledger: count the active holders of a budget as they change

Cause: every query of a budget walked all of its slices, and each reservation that finds its slice dry makes one. Change: the account keeps the count. Before/after, go test ./pkg/ledger -run xxx -bench 'Budget$' -benchtime 200ms: 4 holders 134 -> 37 ns, 40 holders 708 -> 38 ns, 390 holders 4563 -> 38 ns.

--- a/pkg/ledger/apply.go
+++ b/pkg/ledger/apply.go
@@ -225,13 +225,21 @@
 func (a *account) release(holder ident.Incarnation) Tokens {
 	left := a.slices[holder].Left()
 	a.net -= left
+	a.set(holder, Slice{})
 	delete(a.slices, holder)
 	return left
 }
 
+// set stores a slice and keeps the count of those with tokens left.
 func (a *account) set(holder ident.Incarnation, sl Slice) {
 	if a.slices == nil {
 		a.slices = make(map[ident.Incarnation]Slice)
 	}
+	if a.slices[holder].Left() > 0 {
+		a.active--
+	}
+	if sl.Left() > 0 {
+		a.active++
+	}
 	a.slices[holder] = sl
 }
--- a/pkg/ledger/bench_test.go
+++ b/pkg/ledger/bench_test.go
@@ -122,3 +122,12 @@
 		}
 	})
 }
+
+func BenchmarkBudget(b *testing.B) {
+	eachSize(b, func(b *testing.B, budgets, holders int) {
+		s := filled(budgets, holders, 0)
+		for b.Loop() {
+			s.Budget("org-7/maint")
+		}
+	})
+}
--- a/pkg/ledger/snapshot.go
+++ b/pkg/ledger/snapshot.go
@@ -101,7 +101,11 @@
 		next.closed.add(c.Holder, c.Fleet)
 	}
 	for _, b := range snap.Budgets {
-		next.budgets[b.Name] = &account{paid: b.Paid, net: b.Net, billed: b.Billed, slices: b.Slices}
+		a := &account{paid: b.Paid, net: b.Net, billed: b.Billed}
+		for holder, sl := range b.Slices {
+			a.set(holder, sl)
+		}
+		next.budgets[b.Name] = a
 	}
 	*s = next
 	return nil
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -51,6 +51,8 @@
 	// billed is the sum of all bills. It never exceeds net.
 	billed Tokens
 	slices map[ident.Incarnation]Slice
+	// active is the number of slices with tokens left.
+	active int
 }
 
 // Slice is what was granted of one budget to one holder.
@@ -130,13 +132,10 @@
 }
 
 func (a *account) view(name string) Budget {
-	b := Budget{Name: name, Paid: a.paid, Granted: a.net, Billed: a.billed, Free: a.paid - a.net}
-	for _, sl := range a.slices {
-		if sl.Left() > 0 {
-			b.Holders++
-		}
+	return Budget{
+		Name: name, Paid: a.paid, Granted: a.net, Billed: a.billed,
+		Free: a.paid - a.net, Holders: a.active,
 	}
-	return b
 }
 
 // Budgets returns the names of all budgets, sorted.
--- a/pkg/ledger/state_test.go
+++ b/pkg/ledger/state_test.go
@@ -148,6 +148,11 @@
 	if err != nil || !bytes.Equal(data, again) {
 		t.Errorf("snapshot of the restored state differs, or: %v", err)
 	}
+	for _, s := range []*State{s, &back} {
+		if b, _ := s.Budget("org-3/maint"); b.Holders != 4 {
+			t.Errorf("%d holders, want 4 of 5", b.Holders)
+		}
+	}
 	next := []step{
 		{bill(99, 7, 5), refused(ReasonRepeated)},
 		{TopUp{ID: "t3", Budget: "org-3/maint", Tokens: 1}, refused(ReasonRepeated)},
