internal/entry, internal/boot: the catalogue's own rule says which calls run once

Cause: the entry instance had rules of its own, which could not say what an entry's idempotent-paths say; the adapter dropped them, so lookups by POST were claimed on the log. Ruled out: translating the entry's rule into the second set of rules (two places that decide once-only work). Change: one function, catal.Service.Once; a call that is not once-only may be tried again. The tests of the front use the catalogue's rule. Before/after: go test ./internal/front ./internal/entry ./internal/procs.

--- a/cmd/beryl-router/main.go
+++ b/cmd/beryl-router/main.go
@@ -10,5 +10,5 @@
 
 func main() {
 	os.Exit(boot.Main("Serves callers of models and applications from prepaid token budgets. "+
-		"\"beryl settings show-defaults router\" prints a settings file to start from.", boot.RouterModule))
+		"\"beryl settings show-defaults --for router\" prints a settings file to start from.", boot.RouterModule))
 }
--- a/cmd/beryl-side/main.go
+++ b/cmd/beryl-side/main.go
@@ -9,5 +9,5 @@
 
 func main() {
 	os.Exit(boot.Main("Runs, meters and bills the work of the target that it stands beside. "+
-		"\"beryl settings show-defaults side\" prints a settings file to start from.", boot.SideModule))
+		"\"beryl settings show-defaults --for side\" prints a settings file to start from.", boot.SideModule))
 }
--- a/internal/boot/catal.go
+++ b/internal/boot/catal.go
@@ -1,8 +1,6 @@
 package boot
 
 import (
-	"net/http"
-
 	"github.com/beryllanding/beryllanding/internal/entry"
 	"github.com/beryllanding/beryllanding/pkg/catal"
 	"github.com/beryllanding/beryllanding/pkg/fold"
@@ -42,23 +40,10 @@
 		PromptBytesPerToken: s.PromptBytesPerToken,
 		MaxOutput:           s.MaxOutput,
 		DefaultOutput:       s.DefaultOutput,
-		Once:                oncePaths(s),
+		Once:                s.Once,
 		AllowUnkeyed:        s.AllowUnkeyed,
 	}, true
 }
 
 // Offset returns the offset of the latest change that is in force here.
 func (c *catalogue) Offset() uint64 { return uint64(c.follower.Offset()) }
-
-// oncePaths returns the rules for the calls that run at most once.
-func oncePaths(s *catal.Service) []entry.OncePath {
-	methods := s.OnceMethods
-	if len(methods) == 0 {
-		methods = []string{http.MethodPost, http.MethodPatch}
-	}
-	paths := make([]entry.OncePath, 0, len(methods))
-	for _, m := range methods {
-		paths = append(paths, entry.OncePath{Method: m, Path: "/"})
-	}
-	return paths
-}
--- a/internal/boot/grpc.go
+++ b/internal/boot/grpc.go
@@ -1,11 +1,8 @@
 package boot
 
 import (
-	"crypto/tls"
-	"crypto/x509"
 	"fmt"
 	"net"
-	"os"
 	"time"
 
 	"google.golang.org/grpc"
@@ -29,36 +26,9 @@
 	maxMessage = 16 << 20
 )
 
-// peerTLS returns the mutual TLS settings between the system's own processes,
-// or nil where none are set.
-func peerTLS(settings config.PeerTLS) (*tls.Config, error) {
-	if !settings.Enabled() {
-		return nil, nil
-	}
-	cert, err := tls.LoadX509KeyPair(settings.Cert, settings.Key)
-	if err != nil {
-		return nil, fmt.Errorf("certificate of section %q: %w", "peer-tls", err)
-	}
-	pem, err := os.ReadFile(settings.CA)
-	if err != nil {
-		return nil, fmt.Errorf("authorities of section %q: %w", "peer-tls", err)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, fmt.Errorf("file %q of section %q holds no certificate", settings.CA, "peer-tls")
-	}
-	return &tls.Config{
-		Certificates: []tls.Certificate{cert},
-		RootCAs:      pool,
-		ClientCAs:    pool,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		MinVersion:   tls.VersionTLS13,
-	}, nil
-}
-
 // dialOptions returns the options of all connections between own processes.
 func dialOptions(settings config.PeerTLS, tracing *trace.Tracing) ([]grpc.DialOption, error) {
-	conf, err := peerTLS(settings)
+	conf, err := settings.Load()
 	if err != nil {
 		return nil, err
 	}
@@ -78,7 +48,7 @@
 
 // newServer returns a gRPC server for own processes.
 func newServer(settings config.PeerTLS, tracing *trace.Tracing) (*grpc.Server, error) {
-	conf, err := peerTLS(settings)
+	conf, err := settings.Load()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,8 +7,6 @@
 
 import (
 	"context"
-	"net/url"
-	"strings"
 	"time"
 
 	"github.com/beryllanding/beryllanding/internal/wire"
@@ -43,15 +41,6 @@
 	MaxConcurrent int
 }
 
-// OncePath is a rule for calls that must run at most once.
-type OncePath struct {
-	// Method is compared exactly; empty matches each method.
-	Method string
-	// Path is the path below /apps/{service}, with a leading slash. One that
-	// ends in "/" or "/*" matches all paths below it.
-	Path string
-}
-
 // Service is what the catalogue says about a service.
 type Service struct {
 	Name string
@@ -67,8 +56,10 @@
 	// DefaultOutput is the output bound of a request that names none; 0 stands
 	// for MaxOutput.
 	DefaultOutput int64
-	// Once lists the calls that must run at most once, for KindApp.
-	Once []OncePath
+	// Once reports whether a call must run at most once, for KindApp. The path
+	// is below /apps/{service}, as the caller sent it. Nil means that each call
+	// must.
+	Once func(method, path string) bool
 	// AllowUnkeyed admits such calls without an idempotency key.
 	AllowUnkeyed bool
 }
@@ -230,37 +221,7 @@
 	return false
 }
 
-// RunsOnce reports whether the service's rules say that a call must run at most
-// once. The path is below /apps/{service} and has no query. It is compared as a
-// target could read it: decoded, without parameters after a semicolon, and
-// without repeated or trailing slashes.
-func (s Service) RunsOnce(method, encoded string) bool {
-	path, err := url.PathUnescape(encoded)
-	if err != nil {
-		path = encoded
-	}
-	var segments []string
-	for segment := range strings.SplitSeq(path, "/") {
-		if name, _, _ := strings.Cut(segment, ";"); name != "" {
-			segments = append(segments, name)
-		}
-	}
-	path = "/" + strings.Join(segments, "/")
-	for _, rule := range s.Once {
-		if rule.matches(method, path) {
-			return true
-		}
-	}
-	return false
-}
-
-func (o OncePath) matches(method, path string) bool {
-	if o.Method != "" && o.Method != method {
-		return false
-	}
-	prefix := strings.TrimSuffix(o.Path, "*")
-	if strings.HasSuffix(prefix, "/") {
-		return strings.HasPrefix(path+"/", prefix)
-	}
-	return path == prefix
+// RunsOnce reports whether a call must run at most once.
+func (s Service) RunsOnce(method, path string) bool {
+	return s.Once == nil || s.Once(method, path)
 }
--- a/internal/front/apps.go
+++ b/internal/front/apps.go
@@ -47,7 +47,7 @@
 		Path:       withQuery(path, x.r.URL.RawQuery),
 		Headers:    callHeaders(x.r.Header),
 		Body:       x.body,
-		Idempotent: !once && idempotent(x.r.Method),
+		Idempotent: !once,
 	}}, nil
 }
 
@@ -76,15 +76,6 @@
 	return path + "?" + query
 }
 
-// idempotent reports whether HTTP defines the method so.
-func idempotent(method string) bool {
-	switch method {
-	case http.MethodPost, http.MethodPatch:
-		return false
-	}
-	return true
-}
-
 // callHeaders returns the headers that are passed on. The caller's credentials
 // and the headers of its connection are not.
 func callHeaders(h http.Header) []*wire.Header {
--- a/internal/front/fake_test.go
+++ b/internal/front/fake_test.go
@@ -18,6 +18,7 @@
 	"github.com/beryllanding/beryllanding/internal/entry"
 	"github.com/beryllanding/beryllanding/internal/front"
 	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/catal"
 	"github.com/beryllanding/beryllanding/pkg/ident"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
@@ -42,8 +43,8 @@
 	case "llm":
 		return entry.Service{Name: "llm", Kind: entry.KindModel, MaxOutput: 1000, DefaultOutput: 100}, true
 	case "stores":
-		once := []entry.OncePath{{Method: http.MethodPost, Path: "/reserve"}}
-		return entry.Service{Name: "stores", Kind: entry.KindApp, Price: 5, Once: once}, true
+		rules := &catal.Service{Name: "stores", Kind: catal.App, IdempotentPaths: []string{"/a", "/search"}}
+		return entry.Service{Name: "stores", Kind: entry.KindApp, Price: 5, Once: rules.Once}, true
 	}
 	return entry.Service{}, false
 }
