--- /dev/null
+++ b/pkg/fold/keep_test.go
@@ -0,0 +1,88 @@
+package fold
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
+	"github.com/beryllanding/beryllanding/pkg/logsvc"
+)
+
+// TestStateOutlivesRecords lets records expire by age and by number, in a stream
+// that is busy and then quiet. An instance that starts late must find the state.
+func TestStateOutlivesRecords(t *testing.T) {
+	for name, sw := range map[string]logd.Switches{
+		"by age":    {RetainMS: int(time.Hour / time.Millisecond)},
+		"by number": {RetainRecords: 100},
+		"in a log service that fails": {
+			RetainMS: int(time.Hour / time.Millisecond), LoseEvery: 3, DuplicateEvery: 2, AppendsPerSecond: 20,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := logd.New(sw)
+				ctx, cancel := context.WithCancel(t.Context())
+				var wg sync.WaitGroup
+				var first *Follower
+				for _, writer := range []string{"a~1", "b~1", "c~1"} {
+					f := &Follower{Log: store, Stream: stream, Reader: Reader{Machine: &journal{}}}
+					w := &Writer{Log: store, Stream: stream, Name: writer, Folded: f.Folded}
+					c := &Checkpointer{Follower: f, Writer: w, Every: 30}
+					wg.Go(func() { f.Run(ctx) })
+					wg.Go(func() { w.Run(ctx) })
+					wg.Go(func() { c.Run(ctx) })
+					for i := range 200 {
+						w.Propose(NewItem("note", i), nil)
+						time.Sleep(time.Second)
+					}
+					first = f
+					startLate(t, store)
+				}
+				time.Sleep(6 * time.Hour)
+				late := startLate(t, store)
+				time.Sleep(readWait)
+				cancel()
+				wg.Wait()
+				want, got := first.Reader.Machine.(*journal).lines, late.Reader.Machine.(*journal).lines
+				if diff := cmp.Diff(want, got); diff != "" || len(want) != 600 {
+					t.Errorf("%d items, want 600; %s", len(want), diff)
+				}
+				if n := first.Reader.Stats.CheckpointConflicts; n > 0 {
+					t.Errorf("%d checkpoints are in conflict", n)
+				}
+				// 600 notes, a checkpoint for each 30 records, and one each 10 minutes.
+				if n, most := late.Offset(), logsvc.Offset(600+600/30+9*6); !strings.Contains(name, "fails") && n > most {
+					t.Errorf("%d records, want at most %d", n, most)
+				}
+			})
+		})
+	}
+}
+
+// startLate returns a new follower at the end of the stream.
+func startLate(t *testing.T, log logsvc.Service) *Follower {
+	t.Helper()
+	f := &Follower{Log: log, Stream: stream, Reader: Reader{Machine: &journal{}}}
+	if err := f.CatchUp(t.Context()); err != nil {
+		t.Errorf("late instance: %v", err)
+	}
+	return f
+}
+
+// TestOneCheckpointWaits shows that checkpoints don't pile up in an outage.
+func TestOneCheckpointWaits(t *testing.T) {
+	_, s := written(t, 3)
+	c := &Checkpointer{Follower: &Follower{Reader: *s.r}, Writer: &Writer{Name: "w"}}
+	for hour := range 5 {
+		c.step(time.Unix(0, 0).Add(time.Duration(hour) * time.Hour))
+	}
+	if n := c.Writer.Pending(); n != 1 {
+		t.Errorf("%d chunks wait, want 1", n)
+	}
+}
