--- a/pkg/fold/ckpt_test.go
+++ b/pkg/fold/ckpt_test.go
@@ -300,3 +300,28 @@
 		t.Error("decoded a state over the bound")
 	}
 }
+
+// TestFreshAt shows that a follower is fresh only at the end of its stream.
+func TestFreshAt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &logd.Store{}
+		for range readLimit + 1 {
+			if _, err := store.Append(t.Context(), "s", []byte("{}")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		f := &Follower{Log: store, Stream: "s", Reader: Reader{Machine: &journal{}}}
+		for _, want := range []time.Time{{}, time.Now()} {
+			if err := f.Poll(t.Context(), 0); err != nil {
+				t.Fatal(err)
+			}
+			if got := f.FreshAt(); !got.Equal(want) {
+				t.Errorf("at offset %d: fresh at %v, want %v", f.Offset(), got, want)
+			}
+		}
+		time.Sleep(time.Second)
+		if got := time.Since(f.FreshAt()); got != time.Second {
+			t.Errorf("fresh %v ago, want 1s", got)
+		}
+	})
+}
--- a/pkg/fold/follow.go
+++ b/pkg/fold/follow.go
@@ -72,7 +72,9 @@
 	if err := f.apply(page); err != nil {
 		return err
 	}
-	f.fresh.Store(time.Now().UnixNano())
+	if f.atEnd() {
+		f.fresh.Store(time.Now().UnixNano())
+	}
 	return nil
 }
 
@@ -91,8 +93,8 @@
 	}
 }
 
-// FreshAt returns when a page was last read and folded without error, or the
-// zero time. A stale follower isn't fresh.
+// FreshAt returns when the follower had last folded the stream up to its end, or
+// the zero time. A stale follower isn't at the end.
 func (f *Follower) FreshAt() time.Time {
 	n := f.fresh.Load()
 	if n == 0 {
