--- /dev/null
+++ b/cmd/beryl-standin/main_test.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestServices(t *testing.T) {
+	o := options{Log: "1", Weights: ":2", Engines: []string{"3", "127.0.0.2:4"}, Apps: []string{"[::1]:5"}}
+	var got []string
+	for _, s := range o.services() {
+		got = append(got, s.name+" "+loopback(s.addr))
+	}
+	want := []string{"log 127.0.0.1:1", "weights 127.0.0.1:2", "engine 127.0.0.1:3", "engine 127.0.0.2:4", "app [::1]:5"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+	if url := o.engine().Weights; url != "http://127.0.0.1:2" {
+		t.Errorf("engines load from %q", url)
+	}
+	if run(options{}) == nil {
+		t.Error("nothing to serve is no error")
+	}
+}
--- /dev/null
+++ b/internal/stand/engd/bench_test.go
@@ -0,0 +1,34 @@
+package engd
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// BenchmarkStream asks for streams of 100 tokens over loopback, as fast as the
+// engine goes. One operation is one request.
+func BenchmarkStream(b *testing.B) {
+	server := httptest.NewServer(New(Switches{Slots: 256, AnswerTokens: 100}).Handler())
+	defer server.Close()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	body := chatBody("brake block for bogie 7", 100, true)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			resp, err := client.Post(server.URL+chatPath, "application/json", strings.NewReader(body))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			answer, err := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			if err != nil || !strings.HasSuffix(string(answer), "[DONE]\n\n") {
+				b.Errorf("answer ends early: %v", err)
+				return
+			}
+		}
+	})
+}
