--- a/cmd/beryl-standin/main.go
+++ b/cmd/beryl-standin/main.go
@@ -21,6 +21,7 @@
 	"github.com/beryllanding/beryllanding/internal/stand/engd"
 	"github.com/beryllanding/beryllanding/internal/stand/instd"
 	"github.com/beryllanding/beryllanding/internal/stand/logd"
+	"github.com/beryllanding/beryllanding/internal/stand/relay"
 	"github.com/beryllanding/beryllanding/internal/stand/wghtd"
 )
 
@@ -38,15 +39,17 @@
 	Engines   []string `long:"engine" value-name:"ADDR" description:"serve a model engine; may be repeated"`
 	Apps      []string `long:"app" value-name:"ADDR" description:"serve an application; may be repeated"`
 
+	Relays []string `long:"relay" value-name:"ADDR,TARGET,SWITCHES" description:"pass connections on to TARGET, with switches of the network served at SWITCHES; may be repeated"`
+
 	TokenTime time.Duration `long:"token-time" value-name:"TIME" default:"5ms" description:"time of one token at the engines"`
 	Fenced    bool          `long:"check-fence" description:"let the engines refuse orders with an old fencing number"`
 }
 
 // service is one stand-in and where it listens.
 type service struct {
-	name    string
-	addr    string
-	handler http.Handler
+	name  string
+	addr  string
+	serve func(net.Listener) error
 }
 
 func main() {
@@ -69,7 +72,10 @@
 // run serves until a signal or the first failure.
 func run(opts options) error {
 	log.Warn(notice)
-	services := opts.services()
+	services, err := opts.services()
+	if err != nil {
+		return err
+	}
 	if len(services) == 0 {
 		return errors.New("no stand-in was asked for; see --help")
 	}
@@ -82,8 +88,7 @@
 			return fmt.Errorf("%s stand-in: %w", s.name, err)
 		}
 		log.Info("serving", "stand-in", s.name, "addr", listener.Addr())
-		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout}
-		go func() { failed <- server.Serve(listener) }()
+		go func() { failed <- s.serve(listener) }()
 	}
 	select {
 	case err := <-failed:
@@ -94,11 +99,12 @@
 }
 
 // services returns the stand-ins that were asked for.
-func (o options) services() []service {
+func (o options) services() ([]service, error) {
 	var list []service
 	add := func(name, addr string, handler http.Handler) {
 		if addr != "" {
-			list = append(list, service{name: name, addr: addr, handler: handler})
+			server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+			list = append(list, service{name: name, addr: addr, serve: server.Serve})
 		}
 	}
 	add("log", o.Log, logd.New(logd.Switches{}).Handler())
@@ -110,7 +116,16 @@
 	for _, addr := range o.Apps {
 		add("app", addr, appd.New(appd.Switches{}).Handler())
 	}
-	return list
+	for _, text := range o.Relays {
+		part := strings.Split(text, ",")
+		if len(part) != 3 {
+			return nil, fmt.Errorf("relay %q: want ADDR,TARGET,SWITCHES", text)
+		}
+		r := &relay.Relay{Target: loopback(part[1])}
+		list = append(list, service{name: "relay", addr: part[0], serve: r.Serve})
+		add("relay switches", part[2], r.Handler())
+	}
+	return list, nil
 }
 
 // engine returns a new engine, which loads from the weight store if there is
