--- a/pkg/fold/follow.go
+++ b/pkg/fold/follow.go
@@ -15,8 +15,9 @@
 	readLimit = 512
 	// readWait is how long a read waits for the first new record.
 	readWait = 2 * time.Second
-	// readPause is the pause after a failed read.
-	readPause = 200 * time.Millisecond
+	// firstReadPause and lastReadPause bound the pause after a failed read.
+	firstReadPause = 200 * time.Millisecond
+	lastReadPause  = 2 * time.Second
 )
 
 // Follower keeps a Reader up to date with its stream. Views and commands see
@@ -40,19 +41,21 @@
 // are retried; the state stays as it was meanwhile.
 func (f *Follower) Run(ctx context.Context) {
 	// The timeout doubles with each failure, so that a connection that went
-	// silent is given up soon and a slow service is still waited for.
-	timeout := firstTimeout
+	// silent is given up soon and a slow service is still waited for. The pause
+	// doubles so that many followers don't crowd a service that fails.
+	timeout, pause := firstTimeout, firstReadPause
 	for ctx.Err() == nil {
 		err := f.poll(ctx, readWait, timeout)
 		if err == nil {
-			timeout = firstTimeout
+			timeout, pause = firstTimeout, firstReadPause
 			continue
 		}
 		if searching := errors.Is(err, ErrGap) && !f.atEnd(); searching {
 			continue
 		}
+		sleep(ctx, pause)
 		timeout = min(2*timeout, lastTimeout)
-		sleep(ctx, readPause)
+		pause = min(2*pause, lastReadPause)
 	}
 }
 
