pkg/insts: client gives up silent connections; internal/stand/memnet

The instance list's client met each silent idle connection in turn, as the log's client did before. The network in memory that two tests had of their own is now a package, which serves the third as well.

Seen failing: TestSilentConnections of pkg/logsvc and of internal/stand/instd, each without the closing of idle connections.

--- a/internal/stand/instd/instd_test.go
+++ b/internal/stand/instd/instd_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
 	"github.com/beryllanding/beryllanding/pkg/insts"
 )
 
@@ -110,3 +113,33 @@
 		t.Errorf("cancelled call: %v", err)
 	}
 }
+
+// TestSilentConnections lets all open connections go silent. The call that meets
+// the first one fails, and the next gets a fresh connection.
+func TestSilentConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New()
+		server := &http.Server{Handler: (&List{}).Handler()}
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = server.Serve(network) })
+		c := &insts.Client{Addr: "list:1", HTTP: &http.Client{Transport: &http.Transport{DialContext: network.Dial}}}
+		var calls sync.WaitGroup
+		for range 2 {
+			calls.Go(func() {
+				if err := c.Announce(t.Context(), router("a")); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		calls.Wait()
+		network.Silence()
+		if _, err := c.List(t.Context()); !errors.Is(err, insts.ErrUnavailable) {
+			t.Errorf("error is %v, want ErrUnavailable", err)
+		}
+		if list, err := c.List(t.Context()); err != nil || len(list) != 1 {
+			t.Errorf("on a fresh connection: %v, %v", list, err)
+		}
+		_ = server.Close()
+		wg.Wait()
+	})
+}
--- a/internal/stand/relay/relay_test.go
+++ b/internal/stand/relay/relay_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"net"
 	"os"
@@ -10,46 +9,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
-)
-
-// pipes is a listener of connections in memory.
-type pipes struct {
-	accept chan net.Conn
-	closed chan struct{}
-	// accepted counts the connections; read it when the listener is closed.
-	accepted int
-}
 
-func newPipes() *pipes {
-	return &pipes{accept: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-func (p *pipes) dial(context.Context, string, string) (net.Conn, error) {
-	near, far := net.Pipe()
-	select {
-	case p.accept <- far:
-		return near, nil
-	case <-p.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-// Accept implements net.Listener.
-func (p *pipes) Accept() (net.Conn, error) {
-	select {
-	case conn := <-p.accept:
-		p.accepted++
-		return conn, nil
-	case <-p.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close implements net.Listener.
-func (p *pipes) Close() error { close(p.closed); return nil }
-
-// Addr implements net.Listener.
-func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
+)
 
 // echo answers each line with itself, on every connection.
 func echo(l net.Listener) {
@@ -88,13 +50,13 @@
 
 func TestRelay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		front, back := newPipes(), newPipes()
-		r := &Relay{Dial: back.dial}
+		front, back := memnet.New(), memnet.New()
+		r := &Relay{Dial: back.Dial}
 		var wg sync.WaitGroup
 		wg.Go(func() { echo(back) })
 		wg.Go(func() { _ = r.Serve(front) })
 		open := func() net.Conn {
-			conn, err := front.dial(t.Context(), "", "")
+			conn, err := front.Dial(t.Context(), "", "")
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -133,8 +95,8 @@
 		_ = front.Close()
 		_ = back.Close()
 		wg.Wait()
-		if back.accepted != 2 {
-			t.Errorf("target saw %d connections, want 2", back.accepted)
+		if back.Accepted() != 2 {
+			t.Errorf("target saw %d connections, want 2", back.Accepted())
 		}
 	})
 }
--- a/pkg/insts/client.go
+++ b/pkg/insts/client.go
@@ -29,11 +29,14 @@
 	maxMessage = 200
 )
 
+// defaultHTTP is used by clients without one of their own.
+var defaultHTTP = &http.Client{Transport: &http.Transport{IdleConnTimeout: 30 * time.Second}}
+
 // Client speaks the HTTP protocol of the instance list.
 type Client struct {
 	// Addr is the service's host and port, or its base URL.
 	Addr string
-	// HTTP sends the requests; nil stands for http.DefaultClient.
+	// HTTP sends the requests; nil stands for a client shared by the package.
 	HTTP *http.Client
 }
 
@@ -74,6 +77,10 @@
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	resp, err := c.client().Do(req)
+	if errors.Is(err, context.DeadlineExceeded) {
+		// The idle connections may be silent as well.
+		c.client().CloseIdleConnections()
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
@@ -93,7 +100,7 @@
 	if c.HTTP != nil {
 		return c.HTTP
 	}
-	return http.DefaultClient
+	return defaultHTTP
 }
 
 // baseURL adds the scheme to a bare host and port.
--- a/pkg/logsvc/client_test.go
+++ b/pkg/logsvc/client_test.go
@@ -1,10 +1,8 @@
 package logsvc_test
 
 import (
-	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/beryllanding/beryllanding/internal/stand/logd"
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
 )
 
@@ -114,79 +113,16 @@
 	}
 }
 
-// pipes is a network in memory whose connections can go silent.
-type pipes struct {
-	mu     sync.Mutex
-	conns  []*pipe
-	accept chan net.Conn
-}
-
-// pipe is the client's end of a connection. A silent one loses what is written.
-type pipe struct {
-	net.Conn
-	mu     sync.Mutex
-	silent bool
-}
-
-func (p *pipe) Write(b []byte) (int, error) {
-	p.mu.Lock()
-	silent := p.silent
-	p.mu.Unlock()
-	if silent {
-		return len(b), nil
-	}
-	return p.Conn.Write(b)
-}
-
-func (n *pipes) dial(context.Context, string, string) (net.Conn, error) {
-	client, server := net.Pipe()
-	p := &pipe{Conn: client}
-	n.mu.Lock()
-	n.conns = append(n.conns, p)
-	n.mu.Unlock()
-	n.accept <- server
-	return p, nil
-}
-
-// silence makes all open connections silent for good.
-func (n *pipes) silence() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, p := range n.conns {
-		p.mu.Lock()
-		p.silent = true
-		p.mu.Unlock()
-	}
-}
-
-// Accept implements net.Listener.
-func (n *pipes) Accept() (net.Conn, error) {
-	conn, ok := <-n.accept
-	if !ok {
-		return nil, net.ErrClosed
-	}
-	return conn, nil
-}
-
-// Close implements net.Listener.
-func (n *pipes) Close() error {
-	close(n.accept)
-	return nil
-}
-
-// Addr implements net.Listener.
-func (n *pipes) Addr() net.Addr { return &net.TCPAddr{} }
-
 // TestSilentConnections lets all open connections go silent. The call that meets
 // the first one fails, and the next gets a fresh connection.
 func TestSilentConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := &pipes{accept: make(chan net.Conn)}
+		network := memnet.New()
 		server := &http.Server{Handler: (&logd.Store{}).Handler()}
 		var wg sync.WaitGroup
 		wg.Go(func() { _ = server.Serve(network) })
 		c := &logsvc.Client{Addr: "log:1", HTTP: &http.Client{
-			Transport: &http.Transport{DialContext: network.dial, MaxIdleConnsPerHost: 8},
+			Transport: &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 8},
 		}}
 		wait := func() {
 			if _, err := c.Read(t.Context(), "s", 1, 1, time.Second); err != nil {
@@ -198,7 +134,7 @@
 			readers.Go(wait)
 		}
 		readers.Wait()
-		network.silence()
+		network.Silence()
 		start := time.Now()
 		if _, err := c.Append(t.Context(), "s", []byte("x")); !errors.Is(err, logsvc.ErrOutcomeUnknown) {
 			t.Errorf("error is %v, want ErrOutcomeUnknown", err)
@@ -209,10 +145,6 @@
 		if at, err := c.Append(t.Context(), "s", []byte("x")); err != nil || at != 1 {
 			t.Errorf("on a fresh connection: offset %d, %v", at, err)
 		}
-		c.HTTP.CloseIdleConnections()
-		for _, p := range network.conns {
-			_ = p.Conn.Close()
-		}
 		_ = server.Close()
 		wg.Wait()
 	})
