pkg/fold: the keeper serves busy streams, and doesn't repeat itself

Cause: Keeper waited until its writer had nothing pending. A writer that always has something to write never is in that state when the keeper looks, so a busy stream got no checkpoint (TestKeeperOfBusyWriter). And between a checkpoint's append and its reading back, another was due at once (TestRenewalBeforeReadBack).

Change: the keeper counts its own chunks, and Renewal its own checkpoint, until they are known. Late may be set, so that a test of several keepers is the same on each run.

TestStateOutlivesRecords starts instances late, under retention by age, by number and in a log service that loses answers. Seen failing: both tests named above on the keeper as it was; without the renewal by time or by records, without heeding others' checkpoints (696 records, at most 674 wanted), without the bound of one checkpoint in flight.

--- a/pkg/fold/keep.go
+++ b/pkg/fold/keep.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
@@ -33,11 +34,15 @@
 	// DefaultKeepInterval. Interval has to stay well below the log's retention.
 	Records  uint64
 	Interval time.Duration
-	// Late is this reader's share of lateness, from 0 to maxKeepJitter.
+	// Late is this reader's share of lateness, from 0 to maxKeepJitter. A Keeper
+	// draws it where it is 0.
 	Late float64
 
 	last   logsvc.Offset
 	lastAt time.Time
+	// own is the offset of the newest checkpoint that the caller was told to
+	// append, which it may not have read back yet.
+	own logsvc.Offset
 }
 
 // Due reports whether to append a checkpoint of the state at the given offset
@@ -52,10 +57,11 @@
 	}
 	records := float64(cmp.Or(d.Records, DefaultKeepRecords)) * (1 + d.Late)
 	interval := time.Duration(float64(cmp.Or(d.Interval, DefaultKeepInterval)) * (1 + d.Late))
-	if float64(offset-last) < records && now.Sub(d.lastAt) < interval {
+	since := float64(offset) - float64(max(last, d.own))
+	if since < records && now.Sub(d.lastAt) < interval {
 		return false
 	}
-	d.last, d.lastAt = last, now
+	d.last, d.lastAt, d.own = last, now, offset
 	return true
 }
 
@@ -66,23 +72,32 @@
 	// Writer is of the same stream.
 	Writer  *Writer
 	Renewal Renewal
+
+	// flying counts the chunks that are not yet known to be on the log.
+	flying atomic.Int64
 }
 
 // Run appends checkpoints until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
-	k.Renewal.Late = rand.Float64() * maxKeepJitter
+	if k.Renewal.Late == 0 {
+		k.Renewal.Late = rand.Float64() * maxKeepJitter
+	}
 	for ctx.Err() == nil {
 		k.Keep(time.Now())
 		sleep(ctx, keepEvery)
 	}
 }
 
-// Keep appends a checkpoint if one is due.
+// Keep appends a checkpoint if one is due and the last one is on the log, however
+// much else the writer has to write.
 func (k *Keeper) Keep(now time.Time) {
+	if k.flying.Load() > 0 {
+		return
+	}
 	var cp Checkpoint
 	due := false
 	k.Follower.View(func(r *Reader) {
-		if r.Stale() || k.Writer.Pending() > 0 || !k.Renewal.Due(now, r.Offset(), r.LastCheckpoint()) {
+		if r.Stale() || !k.Renewal.Due(now, r.Offset(), r.LastCheckpoint()) {
 			return
 		}
 		var err error
@@ -96,7 +111,8 @@
 	if err != nil {
 		return
 	}
+	k.flying.Store(int64(len(chunks)))
 	for _, c := range chunks {
-		k.Writer.Propose(c, nil)
+		k.Writer.Propose(c, func(Position, bool) { k.flying.Add(-1) })
 	}
 }
--- /dev/null
+++ b/pkg/fold/outlive_test.go
@@ -0,0 +1,114 @@
+package fold
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
+	"github.com/beryllanding/beryllanding/pkg/logsvc"
+)
+
+// TestStateOutlivesRecords lets records expire by age and by number, in a stream
+// that is busy and then quiet. An instance that starts late must find the state.
+func TestStateOutlivesRecords(t *testing.T) {
+	for name, sw := range map[string]logd.Switches{
+		"by age":    {RetainMS: int(time.Hour / time.Millisecond)},
+		"by number": {RetainRecords: 100},
+		"in a log service that fails": {
+			RetainMS: int(time.Hour / time.Millisecond), LoseEvery: 3, DuplicateEvery: 2, AppendsPerSecond: 20,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := logd.New(sw)
+				ctx, cancel := context.WithCancel(t.Context())
+				var wg sync.WaitGroup
+				var first *Follower
+				for i, writer := range []string{"a~1", "b~1", "c~1"} {
+					f := &Follower{Log: store, Stream: stream, Reader: Reader{Machine: &journal{}}}
+					w := &Writer{Log: store, Stream: stream, Name: writer, Folded: f.Folded}
+					k := &Keeper{Follower: f, Writer: w, Renewal: Renewal{Records: 30, Late: 0.1 + 0.2*float64(i)}}
+					wg.Go(func() { f.Run(ctx) })
+					wg.Go(func() { w.Run(ctx) })
+					wg.Go(func() { k.Run(ctx) })
+					for i := range 200 {
+						w.Propose(NewItem("note", i), nil)
+						time.Sleep(time.Second)
+					}
+					first = f
+					startLate(t, store)
+				}
+				time.Sleep(6 * time.Hour)
+				late := startLate(t, store)
+				time.Sleep(readWait)
+				cancel()
+				wg.Wait()
+				want, got := first.Reader.Machine.(*journal).lines, late.Reader.Machine.(*journal).lines
+				if diff := cmp.Diff(want, got); diff != "" || len(want) != 600 {
+					t.Errorf("%d items, want 600; %s", len(want), diff)
+				}
+				if n := first.Reader.Stats.CheckpointConflicts; n > 0 {
+					t.Errorf("%d checkpoints are in conflict", n)
+				}
+				// 600 notes, a checkpoint for each 30 records, and one each 10 minutes.
+				if n, most := late.Offset(), logsvc.Offset(600+600/30+9*6); !strings.Contains(name, "fails") && n > most {
+					t.Errorf("%d records, want at most %d", n, most)
+				}
+			})
+		})
+	}
+}
+
+// startLate returns a new follower at the end of the stream.
+func startLate(t *testing.T, log logsvc.Service) *Follower {
+	t.Helper()
+	f := &Follower{Log: log, Stream: stream, Reader: Reader{Machine: &journal{}}}
+	if err := f.CatchUp(t.Context()); err != nil {
+		t.Errorf("late instance: %v", err)
+	}
+	return f
+}
+
+// TestOneCheckpointWaits shows that checkpoints don't pile up in an outage.
+func TestOneCheckpointWaits(t *testing.T) {
+	_, s := written(t, 3)
+	k := &Keeper{Follower: &Follower{Reader: *s.r}, Writer: &Writer{Name: "w"}}
+	for hour := range 5 {
+		k.Keep(time.Unix(0, 0).Add(time.Duration(hour) * time.Hour))
+	}
+	if n := k.Writer.Pending(); n != 1 {
+		t.Errorf("%d chunks wait, want 1", n)
+	}
+}
+
+// TestKeeperOfBusyWriter shows that a checkpoint is made also where the writer
+// always has something to write.
+func TestKeeperOfBusyWriter(t *testing.T) {
+	_, s := written(t, 3)
+	k := &Keeper{Follower: &Follower{Reader: *s.r}, Writer: &Writer{Name: "w"}}
+	k.Keep(time.Unix(0, 0))
+	k.Writer.Propose(NewItem("note", 1), nil)
+	k.Keep(time.Unix(0, 0).Add(time.Hour))
+	if n := k.Writer.Pending(); n != 2 {
+		t.Errorf("%d items wait, want the note and a checkpoint", n)
+	}
+}
+
+// TestRenewalBeforeReadBack shows that a checkpoint that was appended and not yet
+// read back is not appended again.
+func TestRenewalBeforeReadBack(t *testing.T) {
+	d := Renewal{Records: 10}
+	var due []bool
+	for i, offset := range []logsvc.Offset{9, 10, 11, 19, 20} {
+		due = append(due, d.Due(time.Unix(int64(i), 0), offset, 0))
+	}
+	if diff := cmp.Diff([]bool{false, true, false, false, true}, due); diff != "" {
+		t.Error(diff)
+	}
+}
