--- a/pkg/fold/follow.go
+++ b/pkg/fold/follow.go
@@ -15,8 +15,9 @@
 	readLimit = 512
 	// readWait is how long a read waits for the first new record.
 	readWait = 2 * time.Second
-	// readPause is the pause after a failed read.
-	readPause = 200 * time.Millisecond
+	// firstReadPause and lastReadPause bound the pause after a failed read.
+	firstReadPause = 200 * time.Millisecond
+	lastReadPause  = 2 * time.Second
 )
 
 // Follower keeps a Reader up to date with its stream. Views and commands see
@@ -40,19 +41,21 @@
 // are retried; the state stays as it was meanwhile.
 func (f *Follower) Run(ctx context.Context) {
 	// The timeout doubles with each failure, so that a connection that went
-	// silent is given up soon and a slow service is still waited for.
-	timeout := firstTimeout
+	// silent is given up soon and a slow service is still waited for. The pause
+	// doubles so that many followers don't crowd a service that fails.
+	timeout, pause := firstTimeout, firstReadPause
 	for ctx.Err() == nil {
 		err := f.poll(ctx, readWait, timeout)
 		if err == nil {
-			timeout = firstTimeout
+			timeout, pause = firstTimeout, firstReadPause
 			continue
 		}
 		if searching := errors.Is(err, ErrGap) && !f.atEnd(); searching {
 			continue
 		}
+		sleep(ctx, pause)
 		timeout = min(2*timeout, lastTimeout)
-		sleep(ctx, readPause)
+		pause = min(2*pause, lastReadPause)
 	}
 }
 
@@ -72,7 +75,9 @@
 	if err := f.apply(page); err != nil {
 		return err
 	}
-	f.fresh.Store(time.Now().UnixNano())
+	if f.atEnd() {
+		f.fresh.Store(time.Now().UnixNano())
+	}
 	return nil
 }
 
@@ -91,8 +96,8 @@
 	}
 }
 
-// FreshAt returns when a page was last read and folded without error, or the
-// zero time. A stale follower isn't fresh.
+// FreshAt returns when the follower had last folded the stream up to its end, or
+// the zero time. A stale follower isn't at the end.
 func (f *Follower) FreshAt() time.Time {
 	n := f.fresh.Load()
 	if n == 0 {
