internal/entry: give a silent engine up after the second silence

Cause: an engine that stops while its side process goes on answers running to each probe, so that a request rejoined its run three times and waited 2 minutes before it went elsewhere. A first silence may be the connection's fault; one on a fresh connection is the target's.

--- a/internal/entry/do.go
+++ b/internal/entry/do.go
@@ -200,7 +200,8 @@
 }
 
 // probe asks the target's side process what became of the last attempt. Where
-// it cannot be reached on a fresh connection either, the target is blamed.
+// it cannot be reached on a fresh connection either, or the run stays silent on
+// one, the target is blamed.
 func (r *run) probe(ctx context.Context, cause error) (bool, error) {
 	r.e.Counts.Probes.Add(1)
 	r.cause = cause
@@ -211,7 +212,7 @@
 	if err := r.gone(ctx); err != nil {
 		return true, err
 	}
-	if fact.State == StateUnreachable {
+	if fact.State == StateUnreachable || r.flow.Stuck() {
 		r.g.blame(r.target.Name)
 	}
 	r.lookBack()
--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -16,6 +16,10 @@
 	maxAttempts = 5
 	// maxResumes bounds the attempts that rejoin a run at the same target.
 	maxResumes = 3
+	// maxSilences is the silences after which a target is given up although its
+	// side process answers. The first may be the connection's fault; the attempt
+	// that rejoins on a fresh connection shows whether it is the engine's.
+	maxSilences = 2
 	// interruptedRetryAfter is when a caller may ask again for a request that
 	// was interrupted.
 	interruptedRetryAfter = time.Second
@@ -73,6 +77,8 @@
 	Output bool
 
 	resumes int
+	// silences counts the attempts that ended by silence.
+	silences int
 }
 
 // last returns the attempt in progress.
@@ -106,6 +112,9 @@
 // broken decides what follows a broken attempt. Where the run itself cannot give
 // the answer, there is nothing to ask.
 func (f *Flow) broken(cause error) Step {
+	if errors.Is(cause, ErrSilent) {
+		f.silences++
+	}
 	switch {
 	case errors.Is(cause, errDiffers):
 		return Refuse{Refusal: f.Interrupted("the run that was joined gives another answer")}
@@ -163,7 +172,7 @@
 // the attempt's own, or that of an earlier attempt there that this one was to
 // join.
 func (f *Flow) mayResume(a *Attempt, state State) bool {
-	if f.resumes >= maxResumes || !f.mayContinue() {
+	if f.resumes >= maxResumes || f.Stuck() || !f.mayContinue() {
 		return false
 	}
 	switch state {
@@ -177,6 +186,9 @@
 	return false
 }
 
+// Stuck reports whether the target has been silent too often to wait for it.
+func (f *Flow) Stuck() bool { return f.silences >= maxSilences }
+
 // mayMove reports whether the request may go to another target: the caller has
 // no part of an answer, and a second run does no harm or no attempt, the last
 // or one before it, may have run.
--- a/internal/entry/gate_test.go
+++ b/internal/entry/gate_test.go
@@ -159,3 +159,22 @@
 		t.Errorf("got %v, %v", got, err)
 	}
 }
+
+// TestStuckEngine has an engine that stops while its side process goes on. The
+// second silence gives it up.
+func TestStuckEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld([]fault{{Kind: "stuck"}})
+		e := newEngine(w, route.Policy{}, Timeouts{})
+		end := &callerEnd{}
+		start := time.Now()
+		result, err := e.Do(t.Context(), planned{ID: "org/~1", Kind: "chat"}.request(), end)
+		if err != nil || !slices.Contains(w.answers["org/~1"], end.got.String()) || result.Attempts != 3 {
+			t.Errorf("got %q after %d attempts, %v", end.got.String(), result.Attempts, err)
+		}
+		if took := time.Since(start); took > 2*defaultProgress+time.Second {
+			t.Errorf("answered after %v", took)
+		}
+		time.Sleep(2 * stuckTime) // the stuck run ends
+	})
+}
--- a/internal/entry/side_test.go
+++ b/internal/entry/side_test.go
@@ -17,6 +17,9 @@
 // tokenPause is the time that a fake engine takes for a token.
 const tokenPause = 10 * time.Millisecond
 
+// stuckTime is how long a stuck run makes no progress before it is cancelled.
+const stuckTime = 10 * time.Minute
+
 // fault is what happens to one attempt on its way.
 type fault struct {
 	// Kind is one of the faults below.
@@ -33,6 +36,7 @@
 	"lost-request", // never reaches the side process
 	"cut",          // the connection ends; the run goes on
 	"silent",       // the connection stays open and carries nothing
+	"stuck",        // the engine stops, its side process goes on
 	"gap",          // an event is left out
 	"die",          // the side process dies with its runs
 	"restart",      // so it does, and another takes its place
@@ -117,6 +121,7 @@
 	produced  int
 	finished  bool
 	cancelled bool
+	stuck     bool
 	changed   chan struct{}
 }
 
@@ -219,6 +224,11 @@
 		out.refuse("interrupted", "not-run")
 		return
 	}
+	if f.Kind == "stuck" {
+		s.mu.Lock()
+		run.stuck = true
+		s.mu.Unlock()
+	}
 	if !in.GetKeyed() && f.Kind != "silent" && f.Kind != "cut" {
 		defer context.AfterFunc(ctx, run.cancel)()
 	}
@@ -279,6 +289,12 @@
 	for {
 		time.Sleep(tokenPause)
 		r.s.mu.Lock()
+		if r.stuck {
+			r.stuck, r.cancelled = false, true
+			r.s.mu.Unlock()
+			time.Sleep(stuckTime)
+			continue
+		}
 		if r.s.dead || r.s.life != r.life {
 			close(r.changed)
 			r.changed = make(chan struct{})
