internal/entry: watch services before their first request

Targets of services that Services names are asked for their status at once, so that their incarnations are known before the first attempt.

--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -59,6 +59,9 @@
 	Orphans Orphans
 	// FleetOffset returns the offset held of the fleet stream. It is optional.
 	FleetOffset func() uint64
+	// Services names the services whose targets Watch asks before their first
+	// request came. It is optional.
+	Services func() []string
 	// Ran reports whether the log shows that the request with this id ran or
 	// was claimed. It is optional, and is asked for keyed requests only.
 	Ran      func(id string) bool
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -261,6 +261,15 @@
 	g.refresh(time.Now(), list)
 }
 
+// addresses adds the addresses of the service's targets to a set.
+func (g *gate) addresses(set map[string]bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for t := range g.picker.All() {
+		set[t.Address] = true
+	}
+}
+
 // stalest returns up to n targets to be asked for their status.
 func (g *gate) stalest(n int) []route.Target {
 	g.mu.Lock()
--- a/internal/entry/gate_test.go
+++ b/internal/entry/gate_test.go
@@ -178,3 +178,25 @@
 		time.Sleep(2 * stuckTime) // the stuck run ends
 	})
 }
+
+// TestWatchNotesWhoLeaves asks targets that had no request yet.
+func TestWatchNotesWhoLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(nil)
+		w.sides["t1"].leaving = true
+		e := newEngine(w, route.Policy{}, Timeouts{})
+		e.Services = func() []string { return []string{"s"} }
+		ctx, stop := context.WithCancel(t.Context())
+		go e.Watch(ctx)
+		time.Sleep(time.Millisecond)
+		stop()
+		for i := range 20 {
+			if err := ask(t.Context(), e, i, 1); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if n := w.sides["t1"].asked; n != 0 {
+			t.Errorf("the leaving target was asked %d times", n)
+		}
+	})
+}
--- a/internal/entry/side_test.go
+++ b/internal/entry/side_test.go
@@ -125,7 +125,7 @@
 func (c *client) Status(context.Context, *wire.StatusRequest, ...grpc.CallOption) (*wire.TargetStatus, error) {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
-	return &wire.TargetStatus{Side: c.s.incarnation()}, nil
+	return &wire.TargetStatus{Side: c.s.incarnation(), Leaving: c.s.leaving}, nil
 }
 
 func (s *fakeSide) incarnation() string { return fmt.Sprintf("%s~%d", s.name, s.life) }
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -34,16 +34,26 @@
 	}
 }
 
+// keeper is a Dialer that drops connections to targets that are gone.
+type keeper interface {
+	Keep(addresses map[string]bool)
+}
+
 // watchOnce asks up to n targets of each service.
 func (e *Engine) watchOnce(ctx context.Context, n int) {
 	var asked sync.WaitGroup
+	live := make(map[string]bool)
 	for _, g := range e.gateList() {
 		g.refreshNow(e.Targets)
+		g.addresses(live)
 		for _, t := range g.stalest(n) {
 			asked.Go(func() { e.askStatus(ctx, g, t) })
 		}
 	}
 	asked.Wait()
+	if k, ok := e.Dialer.(keeper); ok {
+		k.Keep(live)
+	}
 }
 
 // askStatus asks one target. One that does not answer is blamed only by the
@@ -63,7 +73,13 @@
 	g.report(t.Name, status)
 }
 
+// gateList returns the gates of all services known.
 func (e *Engine) gateList() []*gate {
+	if e.Services != nil {
+		for _, name := range e.Services() {
+			e.gate(name)
+		}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	list := make([]*gate, 0, len(e.gates))
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -157,25 +156,3 @@
 	}
 	return first
 }
-
-// Stalest returns up to n targets to be asked for their status: those that have
-// neither reported it nor been named here for the longest time.
-func (p *Picker) Stalest(now time.Time, n int) []Target {
-	byAge := slices.SortedStableFunc(slices.Values(p.targets), func(a, b *target) int {
-		return a.lastHeard().Compare(b.lastHeard())
-	})
-	var list []Target
-	for _, t := range byAge[:min(n, len(byAge))] {
-		t.asked = now
-		list = append(list, t.Target)
-	}
-	return list
-}
-
-// lastHeard returns when the target reported its load, or was last asked to.
-func (t *target) lastHeard() time.Time {
-	if t.asked.After(t.reported) {
-		return t.asked
-	}
-	return t.reported
-}
--- a/pkg/route/picker_test.go
+++ b/pkg/route/picker_test.go
@@ -218,3 +218,20 @@
 		t.Errorf("expired %+v", shed)
 	}
 }
+
+func TestStalestAsksAllInTurn(t *testing.T) {
+	p, _ := newPicker(6, Policy{})
+	fail(p, start, "t005")
+	now := start.Add(defaultEjectMax)
+	var names []string
+	for range 3 {
+		now = now.Add(time.Second)
+		for _, target := range p.Stalest(now, 4) {
+			names = append(names, target.Name)
+		}
+	}
+	want := "[t005 t000 t001 t002 t005 t003 t004 t000 t005 t001 t002 t000]"
+	if got := fmt.Sprint(names); got != want {
+		t.Errorf("asked %s, expected %s", got, want)
+	}
+}
