--- a/internal/entry/gate_test.go
+++ b/internal/entry/gate_test.go
@@ -159,3 +159,44 @@
 		t.Errorf("got %v, %v", got, err)
 	}
 }
+
+// TestStuckEngine has an engine that stops while its side process goes on. The
+// second silence gives it up.
+func TestStuckEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld([]fault{{Kind: "stuck"}})
+		e := newEngine(w, route.Policy{}, Timeouts{})
+		end := &callerEnd{}
+		start := time.Now()
+		result, err := e.Do(t.Context(), planned{ID: "org/~1", Kind: "chat"}.request(), end)
+		if err != nil || !slices.Contains(w.answers["org/~1"], end.got.String()) || result.Attempts != 3 {
+			t.Errorf("got %q after %d attempts, %v", end.got.String(), result.Attempts, err)
+		}
+		if took := time.Since(start); took > 2*defaultProgress+time.Second {
+			t.Errorf("answered after %v", took)
+		}
+		time.Sleep(2 * stuckTime) // the stuck run ends
+	})
+}
+
+// TestWatchNotesWhoLeaves asks targets that had no request yet.
+func TestWatchNotesWhoLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(nil)
+		w.sides["t1"].leaving = true
+		e := newEngine(w, route.Policy{}, Timeouts{})
+		e.Services = func() []string { return []string{"s"} }
+		ctx, stop := context.WithCancel(t.Context())
+		go e.Watch(ctx)
+		time.Sleep(time.Millisecond)
+		stop()
+		for i := range 20 {
+			if err := ask(t.Context(), e, i, 1); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if n := w.sides["t1"].asked; n != 0 {
+			t.Errorf("the leaving target was asked %d times", n)
+		}
+	})
+}
--- a/internal/entry/side_test.go
+++ b/internal/entry/side_test.go
@@ -11,12 +11,14 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/beryllanding/beryllanding/internal/wire"
-	"github.com/beryllanding/beryllanding/pkg/ledger"
 )
 
 // tokenPause is the time that a fake engine takes for a token.
 const tokenPause = 10 * time.Millisecond
 
+// stuckTime is how long a stuck run makes no progress before it is cancelled.
+const stuckTime = 10 * time.Minute
+
 // fault is what happens to one attempt on its way.
 type fault struct {
 	// Kind is one of the faults below.
@@ -33,57 +35,13 @@
 	"lost-request", // never reaches the side process
 	"cut",          // the connection ends; the run goes on
 	"silent",       // the connection stays open and carries nothing
+	"stuck",        // the engine stops, its side process goes on
 	"gap",          // an event is left out
 	"die",          // the side process dies with its runs
 	"restart",      // so it does, and another takes its place
 	"leaving", "busy", "holder-closed", "log-unavailable", "in-progress", "unknown",
 }
 
-// world is what all side processes and the budgets share.
-type world struct {
-	mu     sync.Mutex
-	sides  map[string]*fakeSide
-	faults []fault
-	// usage holds the first bill of each request id, as the log's fold would.
-	usage map[string][]ledger.Charge
-	// runs counts the runs of each request id, and began holds the time of the
-	// first.
-	runs  map[string]int
-	began map[string]time.Time
-	// answers holds the whole answers of the runs of each request id.
-	answers map[string][]string
-	tickets map[string]*ticketState
-	lastID  uint64
-}
-
-// ticketState is what became of a ticket.
-type ticketState struct {
-	Ticket
-	ends []string
-	used []ledger.Charge
-}
-
-// nextFault returns the fault of the next attempt.
-func (w *world) nextFault() fault {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if len(w.faults) == 0 {
-		return fault{Kind: "none"}
-	}
-	f := w.faults[0]
-	w.faults = w.faults[1:]
-	return f
-}
-
-// bill records a usage; only the first of a request takes effect.
-func (w *world) bill(request string, charges []ledger.Charge) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if _, ok := w.usage[request]; !ok {
-		w.usage[request] = charges
-	}
-}
-
 // fakeSide is a side process with its target. It keeps what it is told, and
 // each connection to it may fail.
 type fakeSide struct {
@@ -117,6 +75,7 @@
 	produced  int
 	finished  bool
 	cancelled bool
+	stuck     bool
 	changed   chan struct{}
 }
 
@@ -166,7 +125,7 @@
 func (c *client) Status(context.Context, *wire.StatusRequest, ...grpc.CallOption) (*wire.TargetStatus, error) {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
-	return &wire.TargetStatus{Side: c.s.incarnation()}, nil
+	return &wire.TargetStatus{Side: c.s.incarnation(), Leaving: c.s.leaving}, nil
 }
 
 func (s *fakeSide) incarnation() string { return fmt.Sprintf("%s~%d", s.name, s.life) }
@@ -219,6 +178,11 @@
 		out.refuse("interrupted", "not-run")
 		return
 	}
+	if f.Kind == "stuck" {
+		s.mu.Lock()
+		run.stuck = true
+		s.mu.Unlock()
+	}
 	if !in.GetKeyed() && f.Kind != "silent" && f.Kind != "cut" {
 		defer context.AfterFunc(ctx, run.cancel)()
 	}
@@ -279,6 +243,12 @@
 	for {
 		time.Sleep(tokenPause)
 		r.s.mu.Lock()
+		if r.stuck {
+			r.stuck, r.cancelled = false, true
+			r.s.mu.Unlock()
+			time.Sleep(stuckTime)
+			continue
+		}
 		if r.s.dead || r.s.life != r.life {
 			close(r.changed)
 			r.changed = make(chan struct{})
