--- /dev/null
+++ b/internal/side/conn_test.go
@@ -0,0 +1,107 @@
+package side
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/fleet"
+	"github.com/beryllanding/beryllanding/pkg/fold"
+	"github.com/beryllanding/beryllanding/pkg/refuse"
+)
+
+// breakingTarget answers the first request on each connection, and breaks the
+// connection after it has read the second one.
+type breakingTarget struct {
+	listener net.Listener
+	once     atomic.Int64
+}
+
+func (b *breakingTarget) serve() {
+	for {
+		conn, err := b.listener.Accept()
+		if err != nil {
+			return
+		}
+		go b.serveConn(conn)
+	}
+}
+
+func (b *breakingTarget) serveConn(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	r := bufio.NewReader(conn)
+	for i := range 2 {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if req.URL.Path == "/once" {
+			b.once.Add(1)
+		}
+		if i > 0 {
+			return
+		}
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))
+	}
+}
+
+// The client library sends a request again on its own where a reused connection
+// breaks and the request is a GET or has an idempotency key. A non-idempotent
+// call must not be sent that way.
+func TestOnceCallIsNotRepeatedByTheClientLibrary(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	target := &breakingTarget{listener: listener}
+	go target.serve()
+	defer func() { _ = listener.Close() }()
+	s := New(Options{Incarnation: "s1", Service: "svc", Target: "http://" + listener.Addr().String(), Log: &fakeLog{}, StatusEvery: time.Hour})
+	s.Start()
+	defer s.shutDown()
+	for !s.Registered() {
+		time.Sleep(time.Millisecond)
+	}
+	for i, method := range []string{"GET", "POST", "GET", "POST"} {
+		req := callRequest(fmt.Sprint("o/", i), "a")
+		req.GetCall().Method, req.GetCall().Path = method, "/once"
+		req.GetCall().Headers = []*wire.Header{{Name: "Idempotency-Key", Value: "k"}}
+		if got := answerOf(t, "a", try(t.Context(), s, req)); got != "{}" {
+			t.Errorf("call %d got %q", i, got)
+		}
+		if n := target.once.Load(); n != int64(i+1) {
+			t.Errorf("%d requests reached the target after %d calls", n, i+1)
+		}
+	}
+}
+
+// A process may be stopped between any two steps. A run that stands before its
+// check of the closings must already be in the table, so that a closing that
+// comes meanwhile is not acknowledged. The check is held up here by the lock
+// that it needs.
+func TestRunIsInTheTableBeforeItsHolderIsChecked(t *testing.T) {
+	log := &fakeLog{}
+	s := New(Options{Incarnation: "s1", Service: "svc", Target: "http://target", Log: log, Transport: direct{handler: &engine{tokens: 1}}})
+	s.Start()
+	defer s.shutDown()
+	for !s.Registered() {
+		time.Sleep(time.Millisecond)
+	}
+	done := make(chan []*wire.RunEvent)
+	s.fleet.View(func(*fold.Reader) {
+		go func() { done <- try(t.Context(), s, modelRequest("o/1", "a1", true, 9)) }()
+		for deadline := time.Now().Add(5 * time.Second); !s.charged("r1~1"); time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Error("run waits for the check of its holder and is not in the table")
+				return
+			}
+		}
+		s.fleetState.Apply(fold.Position{Offset: 99}, fleet.Encode(fleet.HolderClose{Holder: "r1~1"}))
+	})
+	wantRefusal(t, <-done, refuse.CodeHolderClosed, refuse.NotRun)
+}
--- a/internal/side/fake_test.go
+++ b/internal/side/fake_test.go
@@ -25,6 +25,13 @@
 	l.down = down
 }
 
+// setLose makes appends take effect without an answer, or not.
+func (l *fakeLog) setLose(lose bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lose = lose
+}
+
 func (l *fakeLog) Append(_ context.Context, stream string, data []byte) (logsvc.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/side/run.go
+++ b/internal/side/run.go
@@ -48,18 +48,21 @@
 	// steps: either the run is refused here, or the closing waits until the run
 	// has ended and is billed. With the check first, a process paused after it
 	// would acknowledge and then start the work.
-	if refusal := s.admit(r); refusal != nil {
-		cancel()
-		s.refuse(sh, r, refusal, end{})
-		s.settle(sh, r)
-		return
-	}
-	s.stats.started.Add(1)
-	s.loops.Go(func() {
+	refusal := s.admit(r)
+	if refusal == nil && s.spawn(func() {
 		defer cancel()
 		s.execute(ctx, sh, r, req)
 		s.settle(sh, r)
-	})
+	}) {
+		s.stats.started.Add(1)
+		return
+	}
+	if refusal == nil {
+		refusal = notRun(refuse.CodeLeaving, 0, "the side process has stopped")
+	}
+	cancel()
+	s.refuse(sh, r, refusal, end{})
+	s.settle(sh, r)
 }
 
 // execute waits for the run's turn, and does its work.
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -56,7 +56,11 @@
 	// base is the context of all runs and loops; it outlives their callers.
 	base   context.Context
 	cancel context.CancelFunc
-	loops  sync.WaitGroup
+
+	spawnMu sync.Mutex
+	// ended says that nothing may be spawned any more.
+	ended bool
+	loops sync.WaitGroup
 }
 
 // shard is a run table under its lock.
@@ -125,7 +129,19 @@
 
 // loop runs fn until Stop.
 func (s *Server) loop(fn func(ctx context.Context)) {
-	s.loops.Go(func() { fn(s.base) })
+	s.spawn(func() { fn(s.base) })
+}
+
+// spawn runs fn in a goroutine that shutDown waits for. It is false, and fn is
+// not run, once the server was shut down.
+func (s *Server) spawn(fn func()) bool {
+	s.spawnMu.Lock()
+	defer s.spawnMu.Unlock()
+	if s.ended {
+		return false
+	}
+	s.loops.Go(fn)
+	return true
 }
 
 // usageWriter returns the writer of a budget's stream.
--- a/internal/side/stop.go
+++ b/internal/side/stop.go
@@ -35,6 +35,9 @@
 
 // shutDown ends the loops and what still runs.
 func (s *Server) shutDown() {
+	s.spawnMu.Lock()
+	s.ended = true
+	s.spawnMu.Unlock()
 	s.cancel()
 	s.loops.Wait()
 	s.client.CloseIdleConnections()
--- a/internal/side/util_test.go
+++ b/internal/side/util_test.go
@@ -281,3 +281,8 @@
 func gone(side ident.Incarnation) fold.Item {
 	return fleet.Encode(fleet.SideGone{Side: side, By: "operator"})
 }
+
+// incarnationOf returns the n-th incarnation in the slot.
+func incarnationOf(slot, n int) ident.Incarnation {
+	return ident.Incarnation(fmt.Sprintf("side-%d~%d", slot, n))
+}
