internal/budget, internal/trial: tests of a fold that is not current

Three ways in which the fold must not call a budget spent: behind a gap, not yet at the end of the stream, and not read for longer than Fresh. The large test files are split; no test changed by that.

--- a/internal/budget/service_test.go
+++ b/internal/budget/service_test.go
@@ -3,166 +3,16 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"google.golang.org/grpc"
-
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/fold"
-	"github.com/beryllanding/beryllanding/pkg/ident"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 )
 
-// memLog is a log service with one stream.
-type memLog struct {
-	mu      sync.Mutex
-	records []logsvc.Record
-	down    bool
-	// lose makes the next appends take effect without an answer.
-	lose int
-}
-
-func (l *memLog) Append(_ context.Context, _ string, data []byte) (logsvc.Offset, error) {
-	time.Sleep(5 * time.Millisecond)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.down {
-		return 0, logsvc.ErrUnavailable
-	}
-	at := logsvc.Offset(len(l.records) + 1)
-	l.records = append(l.records, logsvc.Record{Offset: at, Data: data})
-	if l.lose > 0 {
-		l.lose--
-		return 0, logsvc.ErrOutcomeUnknown
-	}
-	return at, nil
-}
-
-func (l *memLog) Read(ctx context.Context, _ string, from logsvc.Offset, limit int, wait time.Duration) (logsvc.Page, error) {
-	for end := time.Now().Add(wait); ; time.Sleep(time.Millisecond) {
-		page, err := l.page(from, limit)
-		if err != nil || len(page.Records) > 0 || time.Now().After(end) || ctx.Err() != nil {
-			return page, err
-		}
-	}
-}
-
-func (l *memLog) page(from logsvc.Offset, limit int) (logsvc.Page, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.down {
-		return logsvc.Page{}, logsvc.ErrUnavailable
-	}
-	page := logsvc.Page{First: 1, Next: logsvc.Offset(len(l.records) + 1)}
-	for at := max(1, from); at < page.Next && len(page.Records) < limit; at++ {
-		page.Records = append(page.Records, l.records[at-1])
-	}
-	return page, nil
-}
-
-func (l *memLog) setDown(down bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.down = down
-}
-
-// peer reaches another service in memory.
-type peer struct {
-	wire.PeerClient
-	to *Service
-	// lose drops so many answers after they took effect.
-	lose int
-}
-
-func (p *peer) Transfer(ctx context.Context, req *wire.TransferRequest, _ ...grpc.CallOption) (*wire.TransferReply, error) {
-	reply, err := p.to.Transfer(ctx, req)
-	if p.lose > 0 {
-		p.lose--
-		return nil, errors.New("answer lost")
-	}
-	return reply, err
-}
-
-// bed is a service under test with its log.
-type bed struct {
-	*Service
-	t   *testing.T
-	log *memLog
-	end func()
-}
-
-// run starts a service; it ends with the test's bubble.
-func run(t *testing.T, log *memLog, opts Options) *bed {
-	opts.Log = log
-	opts.Instance = "r"
-	ctx, cancel := context.WithCancel(t.Context())
-	b := &bed{Service: New(opts), t: t, log: log}
-	done := make(chan struct{})
-	go func() { defer close(done); b.Run(ctx) }()
-	b.end = func() { cancel(); <-done }
-	b.settle()
-	return b
-}
-
-// settle lets what is under way come to its end.
-func (b *bed) settle() { time.Sleep(3 * time.Second); synctest.Wait() }
-
-func (b *bed) pay(id string, n ledger.Tokens) {
-	b.put(ledger.TopUp{ID: id, Budget: "maint", Tokens: n})
-}
-
-// put appends an item under a writer of its own.
-func (b *bed) put(item ledger.Item) {
-	w := &fold.Writer{Log: b.log, Stream: ledger.Stream(0), Name: ident.NewRequest()}
-	ctx, cancel := context.WithCancel(b.t.Context())
-	defer cancel()
-	go w.Run(ctx)
-	if _, err := w.ProposeWait(ctx, ledger.Encode(item)); err != nil {
-		b.t.Error(err)
-	}
-	b.settle()
-}
-
-func (b *bed) reserve(n ledger.Tokens) Ticket {
-	b.t.Helper()
-	tk, err := b.Reserve(b.t.Context(), "maint", n)
-	if err != nil {
-		b.t.Fatal(err)
-	}
-	return tk
-}
-
-func (b *bed) budget() (v ledger.Budget) {
-	b.Query("maint", func(state *ledger.State) { v, _ = state.Budget("maint") })
-	return v
-}
-
-// refusal asserts that a reservation is refused, and how long that took.
-func (b *bed) refusal(n ledger.Tokens, code refuse.Code, within time.Duration) {
-	b.t.Helper()
-	start := time.Now()
-	_, err := b.Reserve(b.t.Context(), "maint", n)
-	r, ok := refuse.As(err)
-	if !ok || r.Code != code || r.Outcome != refuse.NotRun {
-		b.t.Errorf("reserving %d: %v, want %s, not run", n, err, code)
-		return
-	}
-	if (code == refuse.CodeBudgetSpent) != (r.RetryAfter == 0) {
-		b.t.Errorf("%s comes with retry after %v", code, r.RetryAfter)
-	}
-	if took := time.Since(start); took > within {
-		b.t.Errorf("%s came after %v, want at most %v", code, took, within)
-	}
-}
-
-// within runs a test in a bubble of fake time.
-func within(t *testing.T, fn func(t *testing.T)) { t.Helper(); synctest.Test(t, fn) }
-
 func TestReserveGrantedFromLog(t *testing.T) {
 	within(t, func(t *testing.T) {
 		b := run(t, &memLog{lose: 2}, Options{})
@@ -318,3 +168,63 @@
 		}
 	})
 }
+
+// TestStaleGrantsNothing starts behind a gap: what the fold shows then is no
+// reason to call a budget spent, and no grant is proposed on it.
+func TestStaleGrantsNothing(t *testing.T) {
+	within(t, func(t *testing.T) {
+		log := &memLog{}
+		b := run(t, log, Options{})
+		defer b.end()
+		b.pay("one", 1000)
+		b.pay("two", 1000)
+		log.first = 2
+		before := len(log.records)
+		late := run(t, log, Options{})
+		defer late.end()
+		late.refusal(10, refuse.CodeBudgetAway, time.Second)
+		late.settle()
+		if got := len(log.records); got != before {
+			t.Errorf("%d records were appended by a stale instance", got-before)
+		}
+		if _, err := late.Snapshot(ledger.Stream(0)); !errors.Is(err, fold.ErrGap) {
+			t.Errorf("snapshot of a stale instance: %v", err)
+		}
+	})
+}
+
+// TestBehindIsNotSpent reads a stream of more than one page: a budget paid on
+// the last page must not be called spent by then.
+func TestBehindIsNotSpent(t *testing.T) {
+	within(t, func(t *testing.T) {
+		log := &memLog{}
+		b := run(t, log, Options{})
+		for i := range 2000 {
+			log.records = append(log.records, logsvc.Record{Offset: logsvc.Offset(i + 1), Data: []byte("{}")})
+		}
+		b.pay("one", 1000)
+		b.end()
+		late := New(Options{Log: log, Instance: "r"})
+		if err := late.Ledger(0).Poll(t.Context(), 0); err != nil {
+			t.Fatal(err)
+		}
+		_, err := late.Reserve(t.Context(), "maint", 10)
+		if r, ok := refuse.As(err); !ok || r.Code != refuse.CodeBudgetAway {
+			t.Errorf("reserving on the first page: %v, want %s", err, refuse.CodeBudgetAway)
+		}
+	})
+}
+
+// TestOldIsNotSpent asks in an outage for more than the fold has seen paid: a
+// top-up may have come since.
+func TestOldIsNotSpent(t *testing.T) {
+	within(t, func(t *testing.T) {
+		b := run(t, &memLog{}, Options{})
+		defer b.end()
+		b.pay("one", 1000)
+		b.refusal(1001, refuse.CodeBudgetSpent, 0)
+		b.log.setDown(true)
+		time.Sleep(DefaultFresh + time.Second)
+		b.refusal(1001, refuse.CodeBudgetAway, time.Second)
+	})
+}
--- /dev/null
+++ b/internal/trial/world_test.go
@@ -0,0 +1,139 @@
+package trial
+
+import (
+	"fmt"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/beryllanding/beryllanding/pkg/fold"
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+	"github.com/beryllanding/beryllanding/pkg/slice"
+)
+
+const (
+	worldNodes = 3
+	worldSides = 2
+)
+
+var worldBudgets = []string{"maint", "stock"}
+
+// ticket is a reservation as its node knows it, and the message that it sent.
+type ticket struct {
+	id, budget, request string
+	node                *Node
+	life                ident.Incarnation
+	charges             []ledger.Charge
+	sent, started       bool
+}
+
+// run is work at a side.
+type run struct {
+	*ticket
+	side  int
+	ended bool
+	used  []ledger.Charge
+	// answered is set when the node got the answer or gave up on it.
+	answered bool
+}
+
+// move is a transfer's answer on its way.
+type move struct {
+	id, budget string
+	taker      *Node
+	charges    []ledger.Charge
+}
+
+type side struct {
+	fenced map[ident.Incarnation]bool
+	writer Writer
+	// unbilled holds the runs whose usage is not on the log.
+	unbilled []*run
+}
+
+type world struct {
+	t       *rapid.T
+	now     time.Time
+	log     *Log
+	nodes   []*Node
+	sides   []*side
+	tickets []*ticket
+	runs    []*run
+	moves   []move
+	// zombies holds batches of dead lives that may still reach the log.
+	zombies [][]byte
+	// closing holds the holders that sides are told to fence.
+	closing   []ident.Incarnation
+	reclaimed map[ident.Incarnation]bool
+	// all follows the log without retention.
+	all    *fold.Reader
+	ledger *ledger.State
+	// The naive ledger.
+	paid   map[string]ledger.Tokens
+	topUps map[string]bool
+	billed map[string]bool
+	bills  map[string]ledger.Tokens
+	count  int
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, now: time.Unix(1, 0), log: &Log{},
+		reclaimed: map[ident.Incarnation]bool{},
+		paid:      map[string]ledger.Tokens{}, topUps: map[string]bool{},
+		billed: map[string]bool{}, bills: map[string]ledger.Tokens{},
+	}
+	w.ledger = &ledger.State{OnDecision: w.oracle}
+	w.all = &fold.Reader{Machine: w.ledger}
+	for i := range worldNodes {
+		w.nodes = append(w.nodes, NewNode(fmt.Sprintf("n%d", i), w.log, worldPolicy))
+	}
+	for i := range worldSides {
+		w.sides = append(w.sides, &side{fenced: map[ident.Incarnation]bool{}, writer: Writer{Name: fmt.Sprintf("side%d", i)}})
+	}
+	return w
+}
+
+var worldPolicy = slice.Policy{Floor: 200, Horizon: time.Minute, IdleReturn: time.Minute}
+
+// oracle notes bills in the order of the log, on its own account of what was
+// billed before.
+func (w *world) oracle(d ledger.Decision) {
+	if u, ok := d.Item.(ledger.Usage); ok && !w.billed[u.Request] {
+		w.billed[u.Request] = true
+		for _, c := range u.Charges {
+			w.bills[u.Budget] += c.Tokens
+		}
+	}
+}
+
+func (w *world) next(prefix string) string {
+	w.count++
+	return fmt.Sprintf("%s%d", prefix, w.count)
+}
+
+// pick draws one of the candidates and skips the step where there is none.
+func pick[T any](t *rapid.T, label string, all []T) T {
+	if len(all) == 0 {
+		t.Skip("no " + label)
+	}
+	return all[rapid.IntRange(0, len(all)-1).Draw(t, label)]
+}
+
+func filter[T any](all []T, keep func(T) bool) []T {
+	var kept []T
+	for _, v := range all {
+		if keep(v) {
+			kept = append(kept, v)
+		}
+	}
+	return kept
+}
+
+func (w *world) node(t *rapid.T) *Node {
+	w.now = w.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
+	return pick(t, "node", w.nodes)
+}
+
+func (w *world) append(data []byte) { w.log.Append(data) }
