internal/procs: wait until the entry instances see the targets

Cause: TestKilledRouterIsReclaimed failed once in a run of all packages with no-target: the entry instance was asked before it had read the instance list. Ruled out: a refusal by the side process (its log shows no run). Change: the tests wait for the listing, and for the targets metric that the entry instances now have.

--- a/internal/boot/router.go
+++ b/internal/boot/router.go
@@ -309,6 +309,7 @@
 	section("entry", r.engine.Counts.Publish)
 	m.Set("catalogue-offset", expvar.Func(func() any { return r.catalogue.Offset() }))
 	m.Set("fleet-offset", expvar.Func(func() any { return r.fleet.Offset() }))
+	m.Set("targets", expvar.Func(func() any { return len(r.members.addresses()) }))
 	m.Set("holder", expvar.Func(func() any { return r.budget.Holder() }))
 	m.Set("reserved", expvar.Func(func() any { return r.reserved() }))
 	return m
--- a/internal/procs/budget_test.go
+++ b/internal/procs/budget_test.go
@@ -1,12 +1,14 @@
 package procs
 
 import (
+	"encoding/json"
 	"net/http"
 	"strings"
 	"syscall"
 	"testing"
 
 	"github.com/beryllanding/beryllanding/internal/stand/engd"
+	"github.com/beryllanding/beryllanding/pkg/insts"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 )
 
@@ -98,10 +100,21 @@
 	return ledger.Tokens(c.PromptTokens + c.Tokens)
 }
 
-// ready waits until each entry instance answers a free request from the
-// catalogue and sees the targets.
+// ready waits until each entry instance serves and sees all side processes, and
+// these are registered.
 func (w *world) ready(routers ...*proc) {
 	w.t.Helper()
+	listed, err := w.list.Instances()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	sides := 0
+	for _, inst := range listed {
+		if inst.Role == insts.Side {
+			sides++
+		}
+	}
+	w.eventually("all side processes are registered", func() bool { return len(w.fleet().Sides()) >= sides })
 	for _, p := range routers {
 		w.eventually(p.name+" is ready", func() bool {
 			resp, err := http.Get(p.http + "/readyz")
@@ -109,17 +122,22 @@
 				return false
 			}
 			_ = resp.Body.Close()
-			return resp.StatusCode == http.StatusOK
+			return resp.StatusCode == http.StatusOK && p.targets() >= sides
 		})
 	}
-	listed, _ := w.list.Instances()
-	w.eventually("all sides are registered", func() bool {
-		sides := 0
-		for _, inst := range listed {
-			if inst.Role == "side" {
-				sides++
-			}
-		}
-		return len(w.fleet().Sides()) >= sides
-	})
+}
+
+// targets returns the number of targets that an entry instance sees.
+func (p *proc) targets() int {
+	p.t.Helper()
+	resp, err := http.Get(p.debug + "/debug/vars")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var vars struct{ Beryl struct{ Targets int } }
+	if err := json.NewDecoder(resp.Body).Decode(&vars); err != nil {
+		p.t.Fatal(err)
+	}
+	return vars.Beryl.Targets
 }
--- a/internal/procs/fleet_test.go
+++ b/internal/procs/fleet_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -29,6 +30,7 @@
 	"github.com/beryllanding/beryllanding/pkg/fleet"
 	"github.com/beryllanding/beryllanding/pkg/fold"
 	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/insts"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 )
 
@@ -137,8 +139,8 @@
 	t    testing.TB
 	name string
 	cmd  *exec.Cmd
-	// http and grpc are the addresses that it serves.
-	http, grpc string
+	// http, grpc and debug are the addresses that it serves.
+	http, grpc, debug string
 	// exited closes when the process has ended, with err set before.
 	exited chan struct{}
 	err    error
@@ -160,9 +162,14 @@
 	if w.advertise != "" {
 		listen += "advertise = " + w.advertise + "\n"
 	}
-	return w.start("beryl-side", name, listen+fmt.Sprintf(
+	p := w.start("beryl-side", name, listen+fmt.Sprintf(
 		"[target]\nurl = %s\nslot = %s\nservice = %s\nkind = %s\n%s",
 		target, name, service, kind, strings.Join(extra, "\n")))
+	w.eventually(name+" is listed", func() bool {
+		list, err := w.list.Instances()
+		return err == nil && slices.ContainsFunc(list, func(inst insts.Instance) bool { return inst.Name == name })
+	})
+	return p
 }
 
 // engine starts an engine and its side process.
@@ -216,9 +223,9 @@
 		p.mu.Lock()
 		p.logs.WriteString(lines.Text() + "\n")
 		p.mu.Unlock()
-		var line struct{ Msg, HTTP, GRPC string }
+		var line struct{ Msg, HTTP, GRPC, Debug string }
 		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == "serving" {
-			p.http, p.grpc = "http://"+line.HTTP, line.GRPC
+			p.http, p.grpc, p.debug = "http://"+line.HTTP, line.GRPC, "http://"+line.Debug
 			close(serving)
 		}
 	}
