internal/budget: a planned stop waits for open outcomes; quiet budgets are kept

Cause: two faults. A planned stop returned the slices while a ticket of unknown outcome was open, so the rest of its reservation was stranded until the reaper came (TestSilentConnection: 173 tokens granted, 24 billed after the stop). And budget streams had checkpoints by the number of records alone, so a budget on which nothing happens expired with its top-up. Ruled out: settling the ticket at its bound (the caller would pay for tokens that were never made). Change: Stop returns again until nothing is reserved or its time is over; fold.Keeper renews the budget streams; writers know what was folded. Before/after: go test ./internal/procs -run Silent and go test ./internal/budget -run Quiet fail on the service as it was, and pass now.

--- a/internal/boot/router.go
+++ b/internal/boot/router.go
@@ -134,11 +134,12 @@
 	r.catalogue = newCatalogue(log)
 	r.fleetFold = new(fleet.State)
 	r.fleet = &fold.Follower{Log: log, Stream: ledger.FleetStream, Reader: fold.Reader{Machine: r.fleetFold}}
-	r.fleetLog = &fold.Writer{Log: log, Stream: ledger.FleetStream, Name: string(holder) + "/fleet"}
-	r.catalogueLog = &fold.Writer{Log: log, Stream: ledger.CatalogueStream, Name: string(holder) + "/catalogue"}
+	r.fleetLog = &fold.Writer{Log: log, Stream: ledger.FleetStream, Name: string(holder) + "/fleet", Folded: r.fleet.Folded}
+	r.catalogueLog = &fold.Writer{Log: log, Stream: ledger.CatalogueStream, Name: string(holder) + "/catalogue", Folded: r.catalogue.follower.Folded}
 	r.budget = budget.New(budget.Options{
 		Log: log, Instance: settings.Instance.Name, Holder: holder, Shards: settings.Budget.Shards,
 		Policy: policy(settings.Budget), Wait: settings.Budget.Wait, Peers: r.otherRouters,
+		CheckpointInterval: settings.Platform.CheckpointEvery,
 	})
 	r.planner = reaper.Planner{Self: holder, Absence: settings.Fleet.CloseAfter, Stagger: settings.Fleet.Stagger}
 	r.conns = &entry.Conns{Options: dial}
--- a/internal/budget/service.go
+++ b/internal/budget/service.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"hash/fnv"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -29,13 +28,14 @@
 	// DefaultFresh is the age up to which the folded state counts as current. A
 	// read of a quiet stream takes up to two seconds to answer.
 	DefaultFresh = 5 * time.Second
-	// DefaultCheckpointEvery is the number of records between two checkpoints.
-	DefaultCheckpointEvery = 4096
 	// defaultRetryAfter is what a refused caller is told to wait.
 	defaultRetryAfter = 2 * time.Second
 	// grantPatience is how long a request waits for the verdict on a grant before
 	// it turns to the peers.
 	grantPatience = 100 * time.Millisecond
+	// outcomePause is the pause between two looks at the open tickets during a
+	// planned stop.
+	outcomePause = 10 * time.Millisecond
 	// transferTimeout bounds one attempt at a transfer.
 	transferTimeout = 100 * time.Millisecond
 )
@@ -56,9 +56,11 @@
 	PlanEvery time.Duration
 	// Fresh is the age up to which the fold is current; 0 is DefaultFresh.
 	Fresh time.Duration
-	// CheckpointEvery is the number of records between checkpoints; 0 is
-	// DefaultCheckpointEvery.
-	CheckpointEvery uint64
+	// CheckpointEvery is the number of records between checkpoints, and
+	// CheckpointInterval the time between those of a quiet stream; 0 stands for
+	// the defaults of fold.Renewal.
+	CheckpointEvery    uint64
+	CheckpointInterval time.Duration
 	// Group is how long proposals are collected for one append; 0 is
 	// fold.DefaultGroup.
 	Group time.Duration
@@ -92,8 +94,7 @@
 	writer   *fold.Writer
 	// restores is the reader's count of restores at the last look.
 	restores uint64
-	// checkpointAt is the offset after which this instance appends a checkpoint.
-	checkpointAt logsvc.Offset
+	keeper   *fold.Keeper
 }
 
 // New returns a service that does nothing until Run.
@@ -119,7 +120,6 @@
 	orDefault(&o.Wait, DefaultWait)
 	orDefault(&o.PlanEvery, DefaultPlanEvery)
 	orDefault(&o.Fresh, DefaultFresh)
-	orDefault(&o.CheckpointEvery, DefaultCheckpointEvery)
 }
 
 // orDefault sets a zero value to its default.
@@ -143,8 +143,10 @@
 	// The name must never be used again, also not when the holder goes on as a
 	// new incarnation within this process.
 	name := string(s.opts.Holder) + "/" + stream
-	sh.writer = &fold.Writer{Log: s.opts.Log, Stream: stream, Name: name, Group: s.opts.Group}
-	sh.checkpointAt = s.nextCheckpoint(0)
+	sh.writer = &fold.Writer{Log: s.opts.Log, Stream: stream, Name: name, Group: s.opts.Group, Folded: sh.follower.Folded}
+	sh.keeper = &fold.Keeper{Follower: sh.follower, Writer: sh.writer, Renewal: fold.Renewal{
+		Records: s.opts.CheckpointEvery, Interval: s.opts.CheckpointInterval,
+	}}
 	return sh
 }
 
@@ -165,6 +167,7 @@
 	for _, sh := range s.shards {
 		g.Go(func() error { sh.follower.Run(ctx); return nil })
 		g.Go(func() error { sh.writer.Run(ctx); return nil })
+		g.Go(func() error { sh.keeper.Run(ctx); return nil })
 	}
 	g.Go(func() error { s.planLoop(ctx); return nil })
 	_ = g.Wait() // the functions return no errors
@@ -184,7 +187,6 @@
 		case <-tick.C:
 		}
 		s.planAll()
-		s.checkpoint()
 	}
 }
 
@@ -217,12 +219,26 @@
 	s.shardOf(budget).writer.Propose(ledger.Encode(item), nil)
 }
 
-// Stop gives back all tokens that are not reserved and waits until that is on
-// the log or the context ends. Run must still be running.
+// Stop gives back all tokens. Those of tickets whose outcome is not known yet go
+// back when the fold shows it. It waits until all is on the log or the context
+// ends. Run must still be running.
 func (s *Service) Stop(ctx context.Context) error {
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
+	for {
+		open := s.reserved()
+		if err := s.returnAll(ctx); err != nil || open == 0 {
+			return err
+		}
+		if err := s.awaitOutcome(ctx, open); err != nil {
+			return err
+		}
+	}
+}
+
+// returnAll gives back what is not reserved.
+func (s *Service) returnAll(ctx context.Context) error {
 	for _, e := range s.holder.ReturnAll() {
 		s.carryOut(e)
 	}
@@ -234,52 +250,30 @@
 	return nil
 }
 
-func (s *Service) isStopping() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.stopping
-}
-
-// nextCheckpoint returns the offset after which to append a checkpoint: a part
-// at random, so that few instances race.
-func (s *Service) nextCheckpoint(last logsvc.Offset) logsvc.Offset {
-	every := s.opts.CheckpointEvery
-	return last + logsvc.Offset(every+rand.Uint64N(every/2+1))
-}
-
-// checkpoint appends a checkpoint on each shard that is due.
-func (s *Service) checkpoint() {
-	for _, sh := range s.shards {
-		if cp, due := s.checkpointDue(sh); due {
-			s.appendCheckpoint(sh, cp)
+// awaitOutcome waits until fewer tokens than before are reserved.
+func (s *Service) awaitOutcome(ctx context.Context, before ledger.Tokens) error {
+	look := time.NewTicker(outcomePause)
+	defer look.Stop()
+	for s.reserved() >= before {
+		select {
+		case <-look.C:
+		case <-ctx.Done():
+			return fmt.Errorf("%d tokens of %q are reserved for requests of unknown outcome: %w", s.reserved(), s.Holder(), ctx.Err())
 		}
 	}
+	return nil
 }
 
-func (s *Service) checkpointDue(sh *shard) (cp fold.Checkpoint, due bool) {
-	sh.follower.View(func(r *fold.Reader) {
-		if r.Stale() || r.Offset() < sh.checkpointAt {
-			return
-		}
-		last := r.LastCheckpoint()
-		sh.checkpointAt = s.nextCheckpoint(last)
-		if r.Offset() < sh.checkpointAt {
-			return // a peer was faster
-		}
-		var err error
-		cp, err = r.Checkpoint()
-		due = err == nil
-		sh.checkpointAt = s.nextCheckpoint(r.Offset())
-	})
-	return cp, due
+// reserved returns the tokens of all budgets that are reserved here.
+func (s *Service) reserved() (sum ledger.Tokens) {
+	for _, h := range s.holder.Holdings() {
+		sum += h.Reserved
+	}
+	return sum
 }
 
-func (s *Service) appendCheckpoint(sh *shard, cp fold.Checkpoint) {
-	chunks, err := cp.Chunks()
-	if err != nil {
-		return // only a state that cannot be encoded, which New rules out
-	}
-	for _, c := range chunks {
-		sh.writer.Propose(c, nil)
-	}
+func (s *Service) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
 }
