--- a/internal/procs/silent_test.go
+++ b/internal/procs/silent_test.go
@@ -32,4 +32,3 @@
 		t.Errorf("billed %d, granted %d, want both equal", b.Billed, b.Granted)
 	}
 }
-
