--- a/internal/side/body.go
+++ b/internal/side/body.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/beryllanding/beryllanding/pkg/ledger"
@@ -19,10 +20,10 @@
 	}
 	out := make(map[string]any, len(in)+3)
 	for key, value := range in {
-		switch strings.ToLower(key) {
-		case "max_tokens", "max_completion_tokens", "stream", "stream_options":
+		switch {
+		case equalsAny(key, "max_tokens", "max_completion_tokens", "stream", "stream_options"):
 			continue
-		case "n", "best_of":
+		case equalsAny(key, "n", "best_of"):
 			if s := string(value); s != "1" && s != "null" {
 				return nil, fmt.Errorf("%q is %s, only 1 is served", key, s)
 			}
@@ -36,6 +37,12 @@
 	return json.Marshal(out)
 }
 
+// equalsAny reports whether the key is one of the names under Unicode case
+// folding, as encoding/json compares them.
+func equalsAny(key string, names ...string) bool {
+	return slices.ContainsFunc(names, func(name string) bool { return strings.EqualFold(key, name) })
+}
+
 // usage is the token count in an answer.
 type usage struct {
 	PromptTokens     ledger.Tokens `json:"prompt_tokens"`
