internal/side: a late answer holds no slot; tests of bounds

Cause: a non-idempotent call on a silent connection kept its slot while its late answer was awaited, up to five minutes, so a few of them stopped all other work. The slot is now given up when the callers are refused. TestLateAnswerHoldsNoSlot failed before and passes now. Further: the queue's order and bound, a caller that never reads, malformed requests. go test -race ./internal/side passes.

--- a/internal/side/call.go
+++ b/internal/side/call.go
@@ -24,6 +24,8 @@
 	r        *run
 	work     *wire.CallWork
 	priority uint32
+	// exit gives the run's turn to the next one. It may be called again.
+	exit func()
 	// claim is set for a non-idempotent call.
 	claim *ownClaim
 }
@@ -34,14 +36,13 @@
 	body []byte
 }
 
-// runCall runs a call until its end.
-func (s *Server) runCall(ctx context.Context, sh *shard, r *run, priority uint32, work *wire.CallWork) {
-	c := &callRun{s: s, sh: sh, r: r, work: work, priority: priority}
+// run runs a call until its end.
+func (c *callRun) run(ctx context.Context) {
 	if _, err := c.url(); err != nil {
-		s.refuse(sh, r, notRun(refuse.CodeBadRequest, 0, err.Error()), end{})
+		c.refuse(notRun(refuse.CodeBadRequest, 0, err.Error()))
 		return
 	}
-	if r.once && !c.acquire(ctx) {
+	if c.r.once && !c.acquire(ctx) {
 		return
 	}
 	c.call(ctx)
@@ -119,6 +120,7 @@
 		wait = c.s.opts.LateAnswer
 		late := time.AfterFunc(c.s.opts.CallWait, func() {
 			c.refuse(unknown(refuse.CodeInProgress, time.Second, "the target has not answered in time"))
+			c.exit() // else calls on silent connections would stop all others
 		})
 		defer late.Stop()
 	}
--- a/internal/side/call_test.go
+++ b/internal/side/call_test.go
@@ -232,3 +232,46 @@
 		stop(t, s)
 	})
 }
+
+func TestLateAnswerHoldsNoSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &app{drop: true}
+		s := newServer(t, &fakeLog{}, "s1", a, func(o *Options) { o.MaxRunning, o.MaxQueue = 1, 1 })
+		wantRefusal(t, try(t.Context(), s, callRequest("o/1", "a1")), refuse.CodeInProgress, refuse.Unknown)
+		a.set(func() { a.drop = false })
+		if got := answerOf(t, "a2", try(t.Context(), s, callRequest("o/2", "a2"))); got != "reserved o/2" {
+			t.Errorf("call behind a silent one got %q", got)
+		}
+		stop(t, s)
+	})
+}
+
+func TestQueueIsBoundedAndGoesByPriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &app{wait: time.Second}
+		s := newServer(t, &fakeLog{}, "s1", a, func(o *Options) { o.MaxRunning, o.MaxQueue = 1, 2 })
+		var mu sync.Mutex
+		var order []string
+		var tries sync.WaitGroup
+		for i, priority := range []uint32{5, 5, 1, 3} {
+			req := callRequest(fmt.Sprint("o/", i), fmt.Sprint("a", i))
+			req.Once, req.Priority = false, priority
+			tries.Go(func() {
+				events := try(t.Context(), s, req)
+				mu.Lock()
+				defer mu.Unlock()
+				if code, outcome := refusalOf(events); code != "" {
+					order = append(order, fmt.Sprint(i, " ", code, " ", outcome))
+					return
+				}
+				order = append(order, fmt.Sprint(i))
+			})
+			time.Sleep(time.Millisecond)
+		}
+		tries.Wait()
+		if want := "[3 busy not-run 0 2 1]"; fmt.Sprint(order) != want {
+			t.Errorf("calls ended in the order %v, want %s", order, want)
+		}
+		stop(t, s)
+	})
+}
--- a/internal/side/model_test.go
+++ b/internal/side/model_test.go
@@ -258,3 +258,63 @@
 		stop(t, s)
 	})
 }
+
+// stuck is a caller that never reads.
+type stuck struct {
+	caller
+}
+
+func (c *stuck) Send(*wire.RunEvent) error {
+	<-c.ctx.Done()
+	return c.ctx.Err()
+}
+
+func TestCallerThatDoesNotReadHoldsNothingUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{}
+		s := newServer(t, log, "s1", &engine{tokens: 20, pause: time.Second}, func(o *Options) { o.MaxRunning = 1 })
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = s.Run(modelRequest("o/1", "a1", true, 100), &stuck{caller{ctx: ctx}}) }()
+		time.Sleep(time.Minute)
+		if u := usages(t, log); len(u) != 1 || sum(u[0].Charges) != 27 {
+			t.Errorf("usages are %v, want one of 27", u)
+		}
+		if f := last(try(t.Context(), s, modelRequest("o/2", "b1", true, 100))).GetFinish(); f.GetBilled() != 27 {
+			t.Errorf("next request finished with %v", f)
+		}
+		stop(t, s)
+	})
+}
+
+func TestMalformedRequestsAreRefusedAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &engine{tokens: 1}
+		s := newServer(t, &fakeLog{}, "s1", e, func(o *Options) { o.MaxBody = 100 })
+		for name, change := range map[string]func(r *wire.RunRequest){
+			"no request id":     func(r *wire.RunRequest) { r.RequestId = "" },
+			"no attempt id":     func(r *wire.RunRequest) { r.AttemptId = "" },
+			"other service":     func(r *wire.RunRequest) { r.Service = "other" },
+			"other side":        func(r *wire.RunRequest) { r.Side = "s0" },
+			"negative charge":   func(r *wire.RunRequest) { r.Charges[0].Tokens = -1 },
+			"overflow":          func(r *wire.RunRequest) { r.Charges[0].Tokens = 1 << 62 },
+			"no holder":         func(r *wire.RunRequest) { r.Charges[0].Holder = "" },
+			"prompt over bound": func(r *wire.RunRequest) { r.GetModel().PromptBound = 1000 },
+			"no output":         func(r *wire.RunRequest) { r.GetModel().OutputBound = 0 },
+			"once model":        func(r *wire.RunRequest) { r.Once = true },
+			"no work":           func(r *wire.RunRequest) { r.Work = nil },
+			"not JSON":          func(r *wire.RunRequest) { r.GetModel().Body = []byte("x") },
+			"two choices":       func(r *wire.RunRequest) { r.GetModel().Body = []byte(`{"n":2}`) },
+			"too large":         func(r *wire.RunRequest) { r.GetModel().Body = make([]byte, 101) },
+			"price over charge": func(r *wire.RunRequest) { r.Work = callRequest("x", "x").Work; r.GetCall().Price = 1000 },
+			"relative path":     func(r *wire.RunRequest) { r.Work = callRequest("x", "x").Work; r.GetCall().Path = "@evil/" },
+		} {
+			req := modelRequest("o/1", "a1", true, 9)
+			change(req)
+			if _, outcome := refusalOf(try(t.Context(), s, req)); outcome != "not-run" || e.started() != 0 {
+				t.Errorf("%s: outcome %q after %d runs", name, outcome, e.started())
+			}
+		}
+		stop(t, s)
+	})
+}
--- a/internal/side/run.go
+++ b/internal/side/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc"
@@ -71,12 +72,14 @@
 		s.refuse(sh, r, queueRefusal(err), end{})
 		return
 	}
-	defer s.queue.exit()
+	exit := sync.OnceFunc(s.queue.exit)
+	defer exit()
 	switch work := req.GetWork().(type) {
 	case *wire.RunRequest_Model:
 		s.runModel(ctx, sh, r, req.GetPriority(), work.Model)
 	case *wire.RunRequest_Call:
-		s.runCall(ctx, sh, r, req.GetPriority(), work.Call)
+		c := &callRun{s: s, sh: sh, r: r, work: work.Call, priority: req.GetPriority(), exit: exit}
+		c.run(ctx)
 	}
 }
 
