--- /dev/null
+++ b/internal/side/bench_test.go
@@ -0,0 +1,101 @@
+package side
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/beryllanding/beryllanding/internal/wire"
+)
+
+// benchTokens is the length of each answer in tokens.
+const benchTokens = 500
+
+// discard is a caller that counts tokens.
+type discard struct {
+	caller
+	tokens int64
+}
+
+func (d *discard) Send(ev *wire.RunEvent) error {
+	d.tokens += ev.GetChunk().GetTokens()
+	return nil
+}
+
+// burst is an engine on loopback that puts out its tokens one write each.
+func burst(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	for i := range benchTokens {
+		_, _ = fmt.Fprintf(w, "data: {\"id\":\"c1\",\"choices\":[{\"delta\":{\"content\":\"t%d \"}}]}\n\n", i)
+		w.(http.Flusher).Flush()
+	}
+	_, _ = io.WriteString(w, "data: {\"usage\":{\"prompt_tokens\":7}}\n\ndata: [DONE]\n\n")
+}
+
+// BenchmarkAnswer compares an answer of 500 tokens through the server with the
+// same read from the engine directly.
+func BenchmarkAnswer(b *testing.B) {
+	ts := httptest.NewServer(http.HandlerFunc(burst))
+	defer ts.Close()
+	b.Run("direct", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			resp, err := http.Post(ts.URL, "application/json", strings.NewReader("{}"))
+			if err != nil {
+				b.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/benchTokens, "ns/token")
+	})
+	b.Run("side", func(b *testing.B) {
+		s := New(Options{Incarnation: "s1", Service: "svc", Target: ts.URL, Log: &fakeLog{}, StatusEvery: time.Hour})
+		s.Start()
+		defer s.shutDown()
+		for !s.Registered() {
+			time.Sleep(time.Millisecond)
+		}
+		n := 0
+		b.ReportAllocs()
+		for b.Loop() {
+			n++
+			d := &discard{caller: caller{ctx: context.Background()}}
+			if err := s.Run(modelRequest(fmt.Sprint("o/", n), fmt.Sprint("a", n), true, benchTokens), d); err != nil || d.tokens != benchTokens {
+				b.Fatalf("%d tokens, error %v", d.tokens, err)
+			}
+		}
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/benchTokens, "ns/token")
+	})
+}
+
+// BenchmarkClaim is a non-idempotent call against a log in memory, so that its
+// time is that of grouping the claim and of the fold.
+func BenchmarkClaim(b *testing.B) {
+	ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	defer ts.Close()
+	s := New(Options{Incarnation: "s1", Service: "svc", Target: ts.URL, Log: &fakeLog{}, StatusEvery: time.Hour})
+	s.Start()
+	defer s.shutDown()
+	for !s.Registered() {
+		time.Sleep(time.Millisecond)
+	}
+	for _, once := range []bool{false, true} {
+		b.Run(fmt.Sprint("once=", once), func(b *testing.B) {
+			n := 0
+			for b.Loop() {
+				n++
+				req := callRequest(fmt.Sprint("o/", once, b.N, n), fmt.Sprint("a", once, b.N, n))
+				req.Once = once
+				if ev := last(try(context.Background(), s, req)); ev.GetFinish() == nil {
+					b.Fatal(ev)
+				}
+			}
+		})
+	}
+}
