internal/side: checkpoints of the fleet and claims streams

Cause: a side that starts after the first records of these streams expired is behind a gap for good, since nobody appended checkpoints of them, and nothing is served. Each side now appends one when it is due by records or by time; the sides are staggered by their rank among the open ones, so that as a rule one does it. Ruled out: one chosen side (it may be paused). TestStateOutlivesRetention fails without the loop; TestKeeperIsStaggeredByRank fails without the stagger.

--- a/internal/side/fake_test.go
+++ b/internal/side/fake_test.go
@@ -13,11 +13,23 @@
 	mu      sync.Mutex
 	streams map[string][]logsvc.Record
 	changed chan struct{}
+	// expired counts the records of a stream that are no longer kept.
+	expired map[string]int
 	down    bool
 	// lose makes appends take effect without an answer.
 	lose bool
 }
 
+// expire drops the records of a stream but for the last ones.
+func (l *fakeLog) expire(stream string, keep int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.expired == nil {
+		l.expired = make(map[string]int)
+	}
+	l.expired[stream] = len(l.streams[stream]) - keep
+}
+
 // set makes the log fail, or serve again.
 func (l *fakeLog) set(down bool) {
 	l.mu.Lock()
@@ -58,7 +70,9 @@
 	for {
 		l.mu.Lock()
 		records := l.streams[stream]
-		page := logsvc.Page{First: 1, Next: logsvc.Offset(len(records) + 1)}
+		expired := l.expired[stream]
+		from = max(from, logsvc.Offset(expired+1))
+		page := logsvc.Page{First: logsvc.Offset(expired + 1), Next: logsvc.Offset(len(records) + 1)}
 		if int(from) <= len(records) && !l.down {
 			page.Records = records[from-1 : min(len(records), int(from)-1+limit)]
 		}
--- /dev/null
+++ b/internal/side/keep_test.go
@@ -0,0 +1,89 @@
+package side
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+	"github.com/beryllanding/beryllanding/pkg/logsvc"
+	"github.com/beryllanding/beryllanding/pkg/refuse"
+)
+
+// Records expire. A side that starts later still has to know the closings and
+// the claims that were made before.
+func TestStateOutlivesRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, a := &fakeLog{}, &app{}
+		s1 := newServer(t, log, "s1", a, nil)
+		s2 := newServer(t, log, "s2", a, nil)
+		try(t.Context(), s1, callRequest("o/1", "a1"))
+		s1.fleetWriter.Propose(closeHolder("dead~1"), nil)
+		time.Sleep(keepPeriod + 2*keepLook)
+		checkpoints := 0
+		for _, stream := range []string{ledger.FleetStream, ledger.ClaimsStream} {
+			for _, item := range itemsOf(t, log, stream) {
+				if item.Kind == "checkpoint-chunk" {
+					checkpoints++
+				}
+			}
+			log.expire(stream, 1)
+		}
+		if checkpoints != 2 {
+			t.Errorf("%d checkpoints of 2 streams by 2 sides, want 2", checkpoints)
+		}
+		s3 := newServer(t, log, "s3", a, nil)
+		if got := answerOf(t, "a2", try(t.Context(), s3, callRequest("o/1", "a2"))); got != "reserved o/1" || a.count("o/1") != 1 {
+			t.Errorf("retry at a new side got %q after %d runs", got, a.count("o/1"))
+		}
+		dead := callRequest("o/2", "a3")
+		dead.Charges = []*wire.Charge{{Holder: "dead~1", Tokens: 5}}
+		wantRefusal(t, try(t.Context(), s3, dead), refuse.CodeHolderClosed, refuse.NotRun)
+		stop(t, s1)
+		stop(t, s2)
+		stop(t, s3)
+	})
+}
+
+// A side that cannot close the gap must not decide.
+func TestSideBehindAGapStartsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, a := &fakeLog{}, &app{}
+		s1 := newServer(t, log, "s1", a, nil)
+		try(t.Context(), s1, callRequest("o/1", "a1"))
+		time.Sleep(time.Second)
+		log.expire(ledger.ClaimsStream, 0)
+		s2 := newServer(t, log, "s2", a, nil)
+		wantRefusal(t, try(t.Context(), s2, callRequest("o/1", "a2")), refuse.CodeLogDown, refuse.NotRun)
+		if a.count("o/1") != 1 {
+			t.Errorf("target ran %d times", a.count("o/1"))
+		}
+		s2.shutDown()
+		stop(t, s1)
+	})
+}
+
+func TestKeeperIsStaggeredByRank(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		at, last logsvc.Offset
+		rank     int
+		after    time.Duration
+		want     bool
+	}{
+		{at: 5, last: 4, rank: 0, after: keepPeriod, want: true},
+		{at: 5, last: 4, rank: 1, after: keepPeriod, want: false},
+		{at: 5, last: 4, rank: 1, after: keepPeriod + keepPeriod/keepShare, want: true},
+		{at: 5, last: 5, rank: 0, after: 10 * keepPeriod, want: false},
+		{at: keepEvery, last: 0, rank: 0, want: true},
+		{at: keepEvery, last: 0, rank: 1, want: false},
+		{at: keepEvery + keepEvery/keepShare, last: 0, rank: 1, want: true},
+	} {
+		var k keeper
+		k.due(c.last, c.last, c.rank, start)
+		if got := k.due(c.at, c.last, c.rank, start.Add(c.after)); got != c.want {
+			t.Errorf("%+v: due is %v", c, got)
+		}
+	}
+}
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -125,6 +125,7 @@
 	s.loop(s.acknowledge)
 	s.loop(s.sweepClaims)
 	s.loop(s.pollLoad)
+	s.loop(s.keepStreams)
 }
 
 // loop runs fn until Stop.
--- a/internal/side/util_test.go
+++ b/internal/side/util_test.go
@@ -286,3 +286,8 @@
 func incarnationOf(slot, n int) ident.Incarnation {
 	return ident.Incarnation(fmt.Sprintf("side-%d~%d", slot, n))
 }
+
+// closeHolder returns the item that closes a holder.
+func closeHolder(holder ident.Incarnation) fold.Item {
+	return fleet.Encode(fleet.HolderClose{Holder: holder})
+}
