internal/entry: the deadline of the first event covers the opening

Cause: opening a stream waits for its connection, and the timer started after that. A connection that went silent before its first byte was noticed by grpc's own handshake timeout alone.

Each request gets its whole answer from one run.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -58,19 +58,21 @@
 
 // receive opens the stream and passes its events on until it ends. A timer
 // cancels the stream where it carries nothing for too long; grpc offers no
-// deadline for a single message.
-func (r *run) receive(ctx context.Context, a *Attempt) (End, error) {
-	stream, cancel, err := r.open(ctx, a)
+// deadline for a single message. The timer covers the opening as well, which
+// waits for the connection.
+func (r *run) receive(parent context.Context, a *Attempt) (End, error) {
+	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	if err != nil {
-		return Broken{Cause: err}, r.gone(ctx)
-	}
 	watch := time.AfterFunc(r.firstEvent(), func() { cancel(ErrSilent) })
 	defer watch.Stop()
+	stream, err := r.open(ctx, a)
+	if err != nil {
+		return Broken{Cause: causeOf(ctx, err)}, r.gone(parent)
+	}
 	for {
 		event, err := stream.Recv()
 		if err != nil {
-			return Broken{Cause: causeOf(stream.Context(), err)}, r.gone(ctx)
+			return Broken{Cause: causeOf(ctx, err)}, r.gone(parent)
 		}
 		if err := a.accept(event); errors.Is(err, errForeign) {
 			r.e.Counts.Dropped.Add(1)
@@ -94,15 +96,13 @@
 }
 
 // open starts the attempt's stream.
-func (r *run) open(ctx context.Context, a *Attempt) (wire.Side_RunClient, context.CancelCauseFunc, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
+func (r *run) open(ctx context.Context, a *Attempt) (wire.Side_RunClient, error) {
 	client, err := r.e.Dialer.Side(a.Target)
 	if err != nil {
-		return nil, cancel, err
+		return nil, err
 	}
 	r.client = client
-	stream, err := client.Run(ctx, r.message(a))
-	return stream, cancel, err
+	return client.Run(ctx, r.message(a))
 }
 
 // gone returns ErrHungUp where the caller's context has ended.
--- /dev/null
+++ b/internal/entry/silent_test.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/test/bufconn"
+
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/route"
+)
+
+// server serves a fake side process over gRPC.
+type server struct {
+	wire.UnimplementedSideServer
+	client
+}
+
+func (s *server) Run(in *wire.RunRequest, out grpc.ServerStreamingServer[wire.RunEvent]) error {
+	stream, err := s.client.Run(out.Context(), in)
+	if err != nil {
+		return err
+	}
+	for {
+		event, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if err := out.Send(event); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *server) Outcome(ctx context.Context, in *wire.OutcomeRequest) (*wire.OutcomeReply, error) {
+	return s.client.Outcome(ctx, in)
+}
+
+func (s *server) Status(ctx context.Context, in *wire.StatusRequest) (*wire.TargetStatus, error) {
+	return s.client.Status(ctx, in)
+}
+
+// mutedConn is a connection that something between its ends has lost track of:
+// once muted, it stays open and carries nothing.
+type mutedConn struct {
+	net.Conn
+	// left counts the writes until it is muted; below 0 it is muted.
+	left atomic.Int64
+}
+
+func (c *mutedConn) Write(b []byte) (int, error) {
+	if c.left.Add(-1) < 0 {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// TestSilentConnection loses track of the first connection after some of the
+// answer's events, for each number of them; later connections work.
+func TestSilentConnection(t *testing.T) {
+	for writes := range int64(14) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(nil)
+			listener := bufconn.Listen(1 << 16)
+			grpcServer := grpc.NewServer()
+			wire.RegisterSideServer(grpcServer, &server{client: client{s: w.sides["t1"]}})
+			serving := &mutingListener{Listener: listener, writes: writes}
+			go func() { _ = grpcServer.Serve(serving) }()
+			conns := &Conns{Options: []grpc.DialOption{
+				grpc.WithTransportCredentials(insecure.NewCredentials()),
+				grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return listener.DialContext(ctx) }),
+			}}
+			e := newEngine(w, route.Policy{}, Timeouts{})
+			e.Targets, e.Dialer = oneTarget{}, conns
+			e.gate("s").seen("t1", w.sides["t1"].incarnation()) // as Watch would
+			end := &callerEnd{}
+			start := time.Now()
+			_, err := e.Do(t.Context(), planned{ID: "org/a", Kind: "once", Keyed: true}.request(), end)
+			took := time.Since(start)
+			if err != nil || !slices.Contains(w.answers["org/a"], end.got.String()) || w.runs["org/a"] != 1 {
+				t.Errorf("after %d writes: got %q, %v, %d runs", writes, end.got.String(), err, w.runs["org/a"])
+			}
+			if limit := keepaliveTime + keepaliveTimeout + time.Second; took > limit {
+				t.Errorf("after %d writes: answered after %v", writes, took)
+			}
+			_ = e.Drain(t.Context())
+			conns.Close()
+			grpcServer.Stop()
+			time.Sleep(time.Hour)
+		})
+	}
+}
+
+// mutingListener mutes the server's end of the first connection.
+type mutingListener struct {
+	net.Listener
+	writes int64
+	later  bool
+}
+
+func (l *mutingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil || l.later {
+		return c, err
+	}
+	l.later = true
+	muted := &mutedConn{Conn: c}
+	muted.left.Store(l.writes)
+	return muted, nil
+}
+
+// oneTarget lists the first target alone.
+type oneTarget struct{}
+
+func (oneTarget) Targets(string) []route.Target {
+	return []route.Target{{Name: "t1", DataCentre: "dc", Address: "t1"}}
+}
