internal/front: affinity by the first message alone

Cause: the hash covered 2048 bytes of all messages, so that a short system prompt with a question after it gave each request a prefix of its own. Rendezvous order of such a hash is a random choice within the bound, worse than two choices (docs/ROUTING.md), and no cache is hit by it.

Seen failing: TestPrefix, with short messages counted and with the whole first message hashed.

--- a/internal/front/chat.go
+++ b/internal/front/chat.go
@@ -22,8 +22,10 @@
 	maxMessages = 10000
 	// maxChoices bounds the answers asked for in one request.
 	maxChoices = 16
-	// prefixBytes is how much of the messages is hashed for prefix affinity.
-	prefixBytes = 2048
+	// prefixBytes is how much of the first message is hashed for prefix
+	// affinity, and minPrefixBytes what makes it worth while.
+	prefixBytes    = 2048
+	minPrefixBytes = 256
 )
 
 // chatBody is what is read of a chat-completion request. All other fields go to
@@ -193,16 +195,16 @@
 	return b.MaxTokens
 }
 
-// prefixHash hashes the beginning of the messages.
+// prefixHash hashes the beginning of the first message, which conversations and
+// questions about one document have in common. Further messages differ, and a
+// hash that no other request shares would only take the choice away from the
+// load. 0 is no prefix.
 func prefixHash(messages []json.RawMessage) uint64 {
-	prefix := make([]byte, 0, prefixBytes)
-	for _, m := range messages {
-		prefix = append(prefix, m[:min(len(m), prefixBytes-len(prefix))]...)
-		if len(prefix) == prefixBytes {
-			break
-		}
+	first := messages[0]
+	if len(first) < minPrefixBytes {
+		return 0
 	}
-	return route.HashPrefix(prefix)
+	return route.HashPrefix(first[:min(len(first), prefixBytes)])
 }
 
 // malformed returns the refusal of a body, or of a field of it, that is not the
--- a/internal/front/serve_test.go
+++ b/internal/front/serve_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"github.com/beryllanding/beryllanding/internal/entry"
+	"github.com/beryllanding/beryllanding/internal/front"
 )
 
 const chatRequest = `{"model":"llm","messages":[{"role":"user","content":"hi"}],"x":1}`
@@ -57,3 +61,25 @@
 		t.Errorf("got %q", got)
 	}
 }
+
+// TestPrefix holds the prefixes of prompts against each other.
+func TestPrefix(t *testing.T) {
+	prefix := func(messages ...string) uint64 {
+		c := &catcher{}
+		s := &front.Server{Engine: c, Catalogue: catalogue{}}
+		body := `{"model":"llm","messages":[` + strings.Join(messages, ",") + `]}`
+		s.Handler().ServeHTTP(httptest.NewRecorder(), input{method: "POST", path: chatPath, body: body}.request())
+		return c.req.Work.(entry.Chat).Prefix
+	}
+	manual := `{"role":"system","content":"` + strings.Repeat("manual ", 400)
+	one, two := prefix(manual+`one"}`, `{"content":"a"}`), prefix(manual+`two"}`, `{"content":"b"}`)
+	if one == 0 || one != two {
+		t.Errorf("questions about one document have the prefixes %d and %d", one, two)
+	}
+	if other := prefix(`{"role":"system","content":"` + strings.Repeat("other ", 400) + `"}`); other == one {
+		t.Error("another document has the same prefix")
+	}
+	if short := prefix(`{"content":"hi"}`, manual+`"}`); short != 0 {
+		t.Errorf("a short first message has the prefix %d", short)
+	}
+}
