--- a/internal/front/serve_test.go
+++ b/internal/front/serve_test.go
@@ -45,7 +45,7 @@
 	if res.StatusCode != http.StatusCreated || got != "POST /reserve?part=7 Accept-Encoding,User-Agent,X-Mine b" {
 		t.Errorf("got %d %q", res.StatusCode, got)
 	}
-	if res.Header.Get("X-App") != "1" {
+	if res.Header.Get("X-App") != "1" || res.Header.Get("Content-Type") != "" {
 		t.Errorf("headers are %v", res.Header)
 	}
 	if got := f.budgets.balance(); got != 100000-5 {
--- a/internal/front/sink.go
+++ b/internal/front/sink.go
@@ -49,6 +49,9 @@
 		}
 		h.Add(header.GetName(), header.GetValue())
 	}
+	if len(h["Content-Type"]) == 0 {
+		h["Content-Type"] = nil // keeps net/http from guessing one
+	}
 	k.begin(status)
 	return nil
 }
