internal/wire: keepalive of both ends in one place

grpc's default policy of servers ends a connection that is checked more often than once in five minutes, with the streams on it; a long prefill is silent for longer than three checks. TestIdleConnectionStays leaves a connection idle for ten minutes on a fake clock and counts connections. Seen failing: with the default interval, and with checks forbidden while there is no call.

--- a/internal/entry/conns.go
+++ b/internal/entry/conns.go
@@ -5,32 +5,16 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/keepalive"
 
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/route"
 )
 
-const (
-	// keepaliveTime is the silence on a connection after which it is checked.
-	keepaliveTime = 10 * time.Second
-	// keepaliveTimeout is the time for the answer to that check.
-	keepaliveTimeout = 3 * time.Second
-)
-
-// Keepalive is how connections to side processes are checked. Servers allow it
-// with keepalive.EnforcementPolicy.
-var Keepalive = keepalive.ClientParameters{
-	Time:                keepaliveTime,
-	Timeout:             keepaliveTimeout,
-	PermitWithoutStream: true,
-}
-
 // Conns is a Dialer with one shared connection for each address. The zero value
-// dials with Options alone, which must name transport credentials.
+// dials with Options alone, which must name transport credentials. The servers
+// allow wire.KeepalivePolicy.
 type Conns struct {
 	Options []grpc.DialOption
 
@@ -95,7 +79,7 @@
 
 // dial opens a connection. The caller holds the lock.
 func (c *Conns) dial(t route.Target) (wire.SideClient, error) {
-	options := append([]grpc.DialOption{grpc.WithKeepaliveParams(Keepalive)}, c.Options...)
+	options := append([]grpc.DialOption{grpc.WithKeepaliveParams(wire.Keepalive)}, c.Options...)
 	cc, err := grpc.NewClient("passthrough:///"+t.Address, options...)
 	if err != nil {
 		return nil, fmt.Errorf("target %q at %q: %w", t.Name, t.Address, err)
--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -69,7 +69,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(nil)
 			listener := bufconn.Listen(1 << 16)
-			grpcServer := grpc.NewServer()
+			grpcServer := grpc.NewServer(grpc.KeepaliveEnforcementPolicy(wire.KeepalivePolicy))
 			wire.RegisterSideServer(grpcServer, &server{client: client{s: w.sides["t1"]}})
 			serving := &mutingListener{Listener: listener, writes: writes}
 			go func() { _ = grpcServer.Serve(serving) }()
@@ -87,7 +87,7 @@
 			if err != nil || !slices.Contains(w.answers["org/a"], end.got.String()) || w.runs["org/a"] != 1 {
 				t.Errorf("after %d writes: got %q, %v, %d runs", writes, end.got.String(), err, w.runs["org/a"])
 			}
-			if limit := keepaliveTime + keepaliveTimeout + time.Second; took > limit {
+			if limit := wire.Keepalive.Time + wire.Keepalive.Timeout + time.Second; took > limit {
 				t.Errorf("after %d writes: answered after %v", writes, took)
 			}
 			_ = e.Drain(t.Context())
@@ -98,15 +98,48 @@
 	}
 }
 
+// TestIdleConnectionStays leaves a connection without calls for ten minutes, in
+// which the checks go on.
+func TestIdleConnectionStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(nil)
+		listener := bufconn.Listen(1 << 16)
+		grpcServer := grpc.NewServer(grpc.KeepaliveEnforcementPolicy(wire.KeepalivePolicy))
+		wire.RegisterSideServer(grpcServer, &server{client: client{s: w.sides["t1"]}})
+		serving := &mutingListener{Listener: listener, later: true}
+		go func() { _ = grpcServer.Serve(serving) }()
+		conns := &Conns{Options: []grpc.DialOption{
+			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return listener.DialContext(ctx) }),
+		}}
+		for range 2 {
+			side, _ := conns.Side(route.Target{Name: "t1", Address: "t1"})
+			if _, err := side.Status(t.Context(), &wire.StatusRequest{}); err != nil {
+				t.Error(err)
+			}
+			time.Sleep(10 * time.Minute)
+		}
+		if n := serving.accepted.Load(); n != 1 {
+			t.Errorf("%d connections were opened", n)
+		}
+		conns.Close()
+		grpcServer.Stop()
+		time.Sleep(time.Hour)
+	})
+}
+
 // mutingListener mutes the server's end of the first connection.
 type mutingListener struct {
 	net.Listener
 	writes int64
 	later  bool
+	// accepted counts the connections.
+	accepted atomic.Int64
 }
 
 func (l *mutingListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
+	l.accepted.Add(1)
 	if err != nil || l.later {
 		return c, err
 	}
