internal/entry, internal/side: attempts name the incarnation they are meant for

Cause: the two ends of the protocol were built apart: the side process knew neither join-only attempts nor got the incarnation, so "not run" of an attempt that never arrived was never proved, and a join could have started a run. Change: requests and questions carry the incarnation from the last answer, or else from the instance list; a join without a run is refused as not run. After: go test ./internal/entry ./internal/side ./internal/procs

--- a/internal/boot/fleet.go
+++ b/internal/boot/fleet.go
@@ -121,10 +121,11 @@
 	targets := make([]route.Target, 0, len(sides))
 	for _, s := range sides {
 		targets = append(targets, route.Target{
-			Name:       s.Name,
-			DataCentre: s.DataCentre,
-			Address:    s.Addr,
-			Leaving:    s.State == insts.Leaving,
+			Name:        s.Name,
+			DataCentre:  s.DataCentre,
+			Address:     s.Addr,
+			Incarnation: string(s.Incarnation),
+			Leaving:     s.State == insts.Leaving,
 		})
 	}
 	return targets
--- a/internal/boot/grpc.go
+++ b/internal/boot/grpc.go
@@ -11,13 +11,11 @@
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/beryllanding/beryllanding/internal/config"
-	"github.com/beryllanding/beryllanding/internal/entry"
 	"github.com/beryllanding/beryllanding/internal/trace"
+	"github.com/beryllanding/beryllanding/internal/wire"
 )
 
 const (
-	// keepaliveSlack is how much more often than announced a client may ping.
-	keepaliveSlack = 2
 	// serverKeepalive is after which quiet time the server checks a client.
 	serverKeepalive = 20 * time.Second
 	// serverKeepaliveTimeout is how long the client may take to answer.
@@ -38,7 +36,7 @@
 	}
 	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(creds),
-		grpc.WithKeepaliveParams(entry.Keepalive),
+		grpc.WithKeepaliveParams(wire.Keepalive),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
@@ -55,10 +53,7 @@
 	options := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverKeepalive, Timeout: serverKeepaliveTimeout}),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
-			MinTime:             entry.Keepalive.Time / keepaliveSlack,
-			PermitWithoutStream: true,
-		}),
+		grpc.KeepaliveEnforcementPolicy(wire.KeepalivePolicy),
 	}
 	if conf != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(conf)))
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -29,7 +29,7 @@
 // the caller has gone; each other end is returned as an End.
 func (r *run) attempt(ctx context.Context) (End, error) {
 	a := &Attempt{
-		ID: ident.NewRequest(), Target: r.target, Side: r.g.side(r.target.Name),
+		ID: ident.NewRequest(), Target: r.target, Side: r.g.side(r.target),
 		Hold: len(r.flow.Holds) - 1, Join: r.join,
 	}
 	r.flow.Attempts = append(r.flow.Attempts, a)
@@ -227,6 +227,7 @@
 		CatalogueOffset: r.e.Catalogue.Offset(),
 		Fingerprint:     r.req.Fingerprint,
 		Join:            a.Join,
+		Side:            a.Side,
 	}
 	if r.e.FleetOffset != nil {
 		m.FleetOffset = r.e.FleetOffset()
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -182,11 +183,12 @@
 	g.sides[name] = side
 }
 
-// side returns the last known incarnation of a target's side process.
-func (g *gate) side(name string) string {
+// side returns the last known incarnation of a target's side process: the one
+// that answered last, or else the one that is listed.
+func (g *gate) side(t route.Target) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.sides[name]
+	return cmp.Or(g.sides[t.Name], t.Incarnation)
 }
 
 // blame records that a target gave no answer on a fresh connection either.
--- a/internal/entry/settle.go
+++ b/internal/entry/settle.go
@@ -106,7 +106,7 @@
 func (e *Engine) ask(ctx context.Context, request string, a *Attempt, client wire.SideClient) Fact {
 	ctx, cancel := context.WithTimeout(ctx, e.Timeouts.Probe)
 	defer cancel()
-	reply, err := client.Outcome(ctx, &wire.OutcomeRequest{RequestId: request, AttemptId: a.ID})
+	reply, err := client.Outcome(ctx, &wire.OutcomeRequest{RequestId: request, AttemptId: a.ID, Side: a.Side})
 	if err != nil {
 		return Fact{State: StateUnreachable}
 	}
--- a/internal/side/admit.go
+++ b/internal/side/admit.go
@@ -87,6 +87,7 @@
 		charges:     chargesOf(req),
 		keyed:       req.GetKeyed(),
 		once:        req.GetOnce(),
+		joinOnly:    req.GetJoin(),
 	}
 }
 
--- a/internal/side/table.go
+++ b/internal/side/table.go
@@ -51,6 +51,8 @@
 	charges     []ledger.Charge
 	keyed       bool
 	once        bool
+	// joinOnly attempts start no run of their own.
+	joinOnly bool
 }
 
 // decision is what an attempt does: start, join or reject.
@@ -82,6 +84,9 @@
 	if r := t.runs[a.request]; r != nil {
 		return t.joinRun(r, a)
 	}
+	if a.joinOnly {
+		return reject{refusal: notRun(refuse.CodeInterrupted, 0, "no run of the request is known here")}
+	}
 	if t.live >= t.maxLive {
 		return reject{refusal: notRun(refuse.CodeBusy, time.Second, "too many requests are in progress")}
 	}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -23,7 +23,10 @@
 	DataCentre string
 	// Address is the side process's host:port.
 	Address string
-	Leaving bool
+	// Incarnation is the life of the side process that was listed. It may be
+	// empty, and lags.
+	Incarnation string
+	Leaving     bool
 }
 
 // Status is a target's own report of its load. It lags.
