internal/entry, internal/boot: what was never sent is told as not run

Cause: a reservation whose side process is dead, with the connection refused, was refused as unknown and never tried elsewhere, since only the side process can say that an attempt did not run (seen in the log of TestSideDiesInReservation). Ruled out: asking the successor, which cannot know of its predecessor's runs. Change: a stream that could not be opened marks the attempt as not run: the request goes out only on an open stream, and the side process does nothing before it has all of it. Also wired: Watch, listed services, requests that the log shows as billed, the retry share and the queue from the settings; the side process names the closed holder and itself in its answers. Before/after: TestSideDiesInReservation asks for order-0 at the dead side process: unknown before, not-run now.

--- a/internal/boot/fleet.go
+++ b/internal/boot/fleet.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -131,6 +132,19 @@
 	return targets
 }
 
+// services returns the services that have listed targets.
+func (m *members) services() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []string
+	for _, inst := range m.view.All() {
+		if inst.Role == insts.Side && !slices.Contains(names, inst.Service) {
+			names = append(names, inst.Service)
+		}
+	}
+	return names
+}
+
 // routers returns the entry instances on the list and when it was read.
 func (m *members) routers() ([]insts.Instance, time.Time) {
 	m.mu.Lock()
--- a/internal/boot/router.go
+++ b/internal/boot/router.go
@@ -33,6 +33,7 @@
 	"github.com/beryllanding/beryllanding/pkg/insts"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
+	"github.com/beryllanding/beryllanding/pkg/route"
 	"github.com/beryllanding/beryllanding/pkg/slice"
 )
 
@@ -184,9 +185,27 @@
 		FleetOffset: func() uint64 { return uint64(r.fleet.Offset()) },
 		Timeouts:    entry.Timeouts{FirstEvent: limits.FirstEventTimeout, Progress: limits.EventTimeout},
 		Tracer:      r.tracing.Tracer("entry"),
+		Services:    r.members.services,
+		Ran:         r.ran,
+		Retry:       route.RetryBudget{Share: float64(limits.RetryShare)},
+		QueueLen:    limits.Queue,
 	}
 }
 
+// ran reports whether the log shows that a request with the id was billed.
+func (r *Router) ran(id string) bool {
+	for i := range r.budget.Shards() {
+		billed := false
+		r.budget.Ledger(i).View(func(reader *fold.Reader) {
+			_, billed = reader.Machine.(*ledger.State).Billed(id)
+		})
+		if billed {
+			return true
+		}
+	}
+	return false
+}
+
 // ready reports whether the catalogue has been read, from the log or a peer.
 func (r *Router) ready() bool { return r.catalogue.follower.Offset() > 0 }
 
@@ -250,6 +269,7 @@
 	run(r.budget.Run)
 	run(r.keeper(r.catalogue.follower, r.catalogueLog).Run)
 	run(r.keeper(r.fleet, r.fleetLog).Run)
+	run(r.engine.Watch)
 	run(r.seed)
 	run(func(ctx context.Context) { every(ctx, reapEvery, r.reap) })
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -20,6 +20,9 @@
 var (
 	// ErrSilent reports a connection that was open and carried nothing.
 	ErrSilent = errors.New("connection went silent")
+	// ErrUnsent reports that a request was not sent, since its stream could not
+	// be opened.
+	ErrUnsent = errors.New("request was not sent")
 	// ErrHungUp reports that the caller went away before the answer was
 	// complete.
 	ErrHungUp = errors.New("caller hung up")
@@ -67,6 +70,9 @@
 	defer watch.Stop()
 	stream, err := r.open(ctx, a)
 	if err != nil {
+		if r.client == nil || errors.Is(err, ErrUnsent) {
+			a.Fate = FateNotRun
+		}
 		return Broken{Cause: causeOf(ctx, err)}, r.gone(parent)
 	}
 	for {
--- a/internal/entry/conns.go
+++ b/internal/entry/conns.go
@@ -79,7 +79,10 @@
 
 // dial opens a connection. The caller holds the lock.
 func (c *Conns) dial(t route.Target) (wire.SideClient, error) {
-	options := append([]grpc.DialOption{grpc.WithKeepaliveParams(wire.Keepalive)}, c.Options...)
+	options := append([]grpc.DialOption{
+		grpc.WithKeepaliveParams(wire.Keepalive),
+		grpc.WithChainStreamInterceptor(markUnsent),
+	}, c.Options...)
 	cc, err := grpc.NewClient("passthrough:///"+t.Address, options...)
 	if err != nil {
 		return nil, fmt.Errorf("target %q at %q: %w", t.Name, t.Address, err)
@@ -120,3 +123,15 @@
 		_ = c.cc.Close()
 	}
 }
+
+// markUnsent marks the failure to open a stream. The request goes out only on an
+// open stream, and the server does nothing before it has the whole request.
+func markUnsent(ctx context.Context, desc *grpc.StreamDesc, cc *grpc.ClientConn, method string,
+	streamer grpc.Streamer, opts ...grpc.CallOption,
+) (grpc.ClientStream, error) {
+	stream, err := streamer(ctx, desc, cc, method, opts...)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
+	}
+	return stream, nil
+}
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -67,6 +67,10 @@
 	Ran      func(id string) bool
 	Timeouts Timeouts
 	Policy   route.Policy
+	// Retry is the retry budget that each service starts with, and QueueLen the
+	// bound of its queue. Their zero values stand for the defaults.
+	Retry    route.RetryBudget
+	QueueLen int
 	// Tracer is optional.
 	Tracer trace.Tracer
 	// Seed makes the choice of targets repeatable. Where it is 0, the choice is
@@ -126,6 +130,8 @@
 		g = &gate{
 			service: service,
 			picker:  route.Picker{DataCentre: e.DataCentre, Policy: e.Policy},
+			queue:   route.Queue{Len: e.QueueLen},
+			retry:   e.Retry,
 			rnd:     rand.New(rand.NewPCG(e.seed(), 0)),
 		}
 		e.gates[service] = g
--- a/internal/procs/once_test.go
+++ b/internal/procs/once_test.go
@@ -74,6 +74,9 @@
 	if got := <-done; got.status < http.StatusBadRequest || got.outcome != "unknown" {
 		t.Errorf("the caller got %+v, want a refusal with an unknown outcome", got)
 	}
+	if got := r.reserve("order-0"); got.outcome != "not-run" {
+		t.Errorf("a reservation that could not be sent got %+v, want a refusal as not run", got)
+	}
 	second, _ := w.application("app-1", appd.Switches{})
 	w.ready(r)
 	for range 5 {
--- a/internal/side/admit.go
+++ b/internal/side/admit.go
@@ -123,7 +123,9 @@
 	case st.stale:
 		return notRun(refuse.CodeLogDown, readyAfter, "the fleet state is behind a gap in the log")
 	case st.closed != "":
-		return notRun(refuse.CodeHolderClosed, 0, fmt.Sprintf("holder %q is closed", st.closed))
+		r := notRun(refuse.CodeHolderClosed, 0, fmt.Sprintf("holder %q is closed", st.closed))
+		r.Holder = string(st.closed)
+		return r
 	}
 	return nil
 }
--- a/internal/side/cursor.go
+++ b/internal/side/cursor.go
@@ -80,7 +80,7 @@
 func refused(r *refuse.Refusal) *wire.Refused {
 	return &wire.Refused{
 		Code: string(r.Code), Outcome: string(r.Outcome),
-		RetryAfterMs: r.RetryAfter.Milliseconds(), Message: r.Message,
+		RetryAfterMs: r.RetryAfter.Milliseconds(), Message: r.Message, Holder: r.Holder,
 	}
 }
 
--- a/internal/side/status.go
+++ b/internal/side/status.go
@@ -115,12 +115,16 @@
 	sh := s.shard(req.GetRequestId())
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
+	var reply *wire.OutcomeReply
 	if req.GetAttemptId() == "" {
-		return outcomeOf(sh.table.runs[req.GetRequestId()], true), nil
+		reply = outcomeOf(sh.table.runs[req.GetRequestId()], true)
+	} else {
+		here := req.GetSide() == string(s.opts.Incarnation)
+		r := sh.table.fate(req.GetAttemptId(), here)
+		reply = outcomeOf(r, r == nil || r.owner == req.GetAttemptId())
 	}
-	here := req.GetSide() == string(s.opts.Incarnation)
-	r := sh.table.fate(req.GetAttemptId(), here)
-	return outcomeOf(r, r == nil || r.owner == req.GetAttemptId()), nil
+	reply.Side = string(s.opts.Incarnation)
+	return reply, nil
 }
 
 // fate returns the run of an attempt, or nil where it is not known. Where the
--- a/pkg/refuse/refuse.go
+++ b/pkg/refuse/refuse.go
@@ -64,6 +64,9 @@
 	RetryAfter time.Duration
 	// Message says what and which, without secrets.
 	Message string
+	// Holder is the closed holder, for CodeHolderClosed between the system's own
+	// processes. Callers are not told.
+	Holder string
 }
 
 // Error returns the refusal in one line.
