internal/side: an attempt that is delivered twice starts one run

Looking at it, an attempt that was refused as not run could also start a run when delivered again, which makes the refusal false. Change: an attempt delivered again is told the bill of its own run, gets the same refusal again, or an unknown outcome where its answer is gone.

--- a/internal/side/run.go
+++ b/internal/side/run.go
@@ -29,7 +29,7 @@
 		return s.follow(stream, &c, sh, d.run)
 	case join:
 		s.stats.joined.Add(1)
-		c.joined = true
+		c.joined = d.run.owner != req.GetAttemptId() // an attempt may be delivered twice
 		return s.follow(stream, &c, sh, d.run)
 	case reject:
 		return s.sendRefusal(stream, &c, d.refusal)
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -98,6 +98,15 @@
 	return true
 }
 
+// again returns the refusal of an attempt at this run that is delivered a second
+// time, when the run can no longer be joined. An attempt starts at most one run.
+func (r *run) again() *refuse.Refusal {
+	if r.phase == phaseRefused {
+		return r.refusal
+	}
+	return unknown(refuse.CodeInterrupted, 0, "the attempt was made before, and its answer is no longer kept")
+}
+
 // notify wakes the readers that wait for a change.
 func (r *run) notify() {
 	if r.changed != nil {
--- a/internal/side/status.go
+++ b/internal/side/status.go
@@ -125,7 +125,8 @@
 
 // fate returns the run of an attempt, or nil where it is not known. Where the
 // attempt was meant for this incarnation and certainly never arrived, it is
-// barred from arriving later, so that "not run" stays true.
+// barred from arriving later, so that "not run" stays true. The bar is forgotten
+// only after Options.MaxAttempts more attempts have ended.
 func (t *table) fate(id string, here bool) *run {
 	r := t.attempts[id]
 	if r != nil || !here || t.forgot {
--- a/internal/side/table.go
+++ b/internal/side/table.go
@@ -76,10 +76,11 @@
 // begin decides on an attempt that arrives.
 func (t *table) begin(a attempt, now time.Time) decision {
 	t.forgetAnswers(now)
-	if t.attempts[a.id] == barred {
-		return reject{refusal: barred.refusal}
+	r := t.runs[a.request]
+	if old := t.attempts[a.id]; old != nil && old != r {
+		return reject{refusal: old.again()}
 	}
-	if r := t.runs[a.request]; r != nil {
+	if r != nil {
 		return t.joinRun(r, a)
 	}
 	if t.live >= t.maxLive {
