--- a/internal/side/status.go
+++ b/internal/side/status.go
@@ -112,6 +112,9 @@
 // Outcome tells the fate of an attempt, or of a request where no attempt is
 // named.
 func (s *Server) Outcome(_ context.Context, req *wire.OutcomeRequest) (*wire.OutcomeReply, error) {
+	if req.GetRequestId() == "" {
+		return outcomeOf(nil, false), nil // the attempt's table is not known
+	}
 	sh := s.shard(req.GetRequestId())
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
