--- a/internal/side/call.go
+++ b/internal/side/call.go
@@ -252,5 +252,6 @@
 	req.Header.Set(headerRequest, c.r.request)
 	req.Header.Set(headerPriority, strconv.FormatUint(uint64(c.priority), 10))
 	setFence(req.Header, c.s.fence.Load())
+	propagate(ctx, req.Header)
 	return req, nil
 }
--- a/internal/side/engine.go
+++ b/internal/side/engine.go
@@ -106,6 +106,7 @@
 	req.Header.Set(headerRequest, m.name)
 	req.Header.Set(headerPriority, strconv.FormatUint(uint64(priority), 10))
 	setFence(req.Header, m.s.fence.Load())
+	propagate(ctx, req.Header)
 	m.sh.update(m.r, func(*table) { m.r.begin() })
 	resp, err := m.s.client.Do(req)
 	if err == nil {
--- /dev/null
+++ b/internal/side/grpc_test.go
@@ -0,0 +1,82 @@
+package side
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/test/bufconn"
+
+	"github.com/beryllanding/beryllanding/internal/wire"
+)
+
+// dial serves the server over gRPC in memory and returns a client.
+func dial(t *testing.T, s *Server) wire.SideClient {
+	t.Helper()
+	listener := bufconn.Listen(1 << 16)
+	server := grpc.NewServer()
+	wire.RegisterSideServer(server, s)
+	go func() { _ = server.Serve(listener) }()
+	conn, err := grpc.NewClient("passthrough:///side", grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return listener.DialContext(ctx) }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = conn.Close()
+		server.Stop()
+	})
+	return wire.NewSideClient(conn)
+}
+
+// A caller's stream that ends reaches the engine as a cancellation, and its
+// neighbour on the same connection has its whole answer.
+func TestRunOverGRPC(t *testing.T) {
+	e := &engine{tokens: 90_000, pause: time.Millisecond}
+	s := New(Options{Incarnation: "s1", Service: "svc", Target: "http://target", Log: &fakeLog{}, Transport: direct{handler: e}})
+	s.Start()
+	defer s.shutDown()
+	client := dial(t, s)
+	for !s.Registered() {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	leaving, err := client.Run(ctx, modelRequest("o/1", "a1", true, 90_000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := leaving.Recv(); err != nil {
+		t.Fatal(err)
+	}
+	staying, err := client.Run(t.Context(), modelRequest("o/2", "b1", true, 50))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	var events []*wire.RunEvent
+	for {
+		ev, err := staying.Recv()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		events = append(events, ev)
+	}
+	answerOf(t, "b1", events)
+	if f := last(events).GetFinish(); f.GetBilled() != 57 {
+		t.Errorf("answer beside a cancelled one finished with %v", f)
+	}
+	for e.cancels() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if st, err := client.Status(t.Context(), &wire.StatusRequest{CatalogueOffset: 42}); err != nil || st.GetCatalogueOffset() != 42 {
+		t.Errorf("status is %v, error %v", st, err)
+	}
+}
--- a/internal/side/options.go
+++ b/internal/side/options.go
@@ -7,9 +7,12 @@
 
 import (
 	"hash/fnv"
+	"io"
 	"net/http"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/beryllanding/beryllanding/pkg/ident"
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
 )
@@ -54,6 +57,8 @@
 	Shard func(budget string) int
 	// Transport reaches the target; nil stands for one of the server's own.
 	Transport http.RoundTripper
+	// Logger gets a line for each run that ended; nil stands for none.
+	Logger *log.Logger
 
 	// MaxRunning bounds the runs at the target at one time.
 	MaxRunning int
@@ -106,6 +111,9 @@
 	setDefault(&o.ClaimWait, defaultClaimWait)
 	setDefault(&o.QueueWait, defaultQueueWait)
 	setDefault(&o.StatusEvery, defaultStatusEvery)
+	if o.Logger == nil {
+		o.Logger = log.New(io.Discard)
+	}
 	if o.Shard == nil {
 		o.Shard = func(string) int { return 0 }
 	}
--- a/internal/side/run.go
+++ b/internal/side/run.go
@@ -25,7 +25,7 @@
 	sh.mu.Unlock()
 	switch d := d.(type) {
 	case start:
-		s.launch(sh, d.run, req)
+		s.launch(stream.Context(), sh, d.run, req)
 		return s.follow(stream, &c, sh, d.run)
 	case join:
 		s.stats.joined.Add(1)
@@ -38,7 +38,7 @@
 }
 
 // launch starts the work of a run that has just been put into the table.
-func (s *Server) launch(sh *shard, r *run, req *wire.RunRequest) {
+func (s *Server) launch(caller context.Context, sh *shard, r *run, req *wire.RunRequest) {
 	ctx, cancel := context.WithCancel(s.base)
 	sh.mu.Lock()
 	r.cancel = cancel
@@ -52,8 +52,11 @@
 	refusal := s.admit(r)
 	if refusal == nil && s.spawn(func() {
 		defer cancel()
+		ctx, span := s.traceRun(ctx, caller, r)
+		defer span.End()
 		s.execute(ctx, sh, r, req)
 		s.settle(sh, r)
+		s.logEnd(sh, r, span)
 	}) {
 		s.stats.started.Add(1)
 		return
