--- a/internal/side/status.go
+++ b/internal/side/status.go
@@ -112,6 +112,9 @@
 // Outcome tells the fate of an attempt, or of a request where no attempt is
 // named.
 func (s *Server) Outcome(_ context.Context, req *wire.OutcomeRequest) (*wire.OutcomeReply, error) {
+	if req.GetRequestId() == "" {
+		return outcomeOf(nil, false), nil // the attempt's table is not known
+	}
 	sh := s.shard(req.GetRequestId())
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -129,7 +132,8 @@
 
 // fate returns the run of an attempt, or nil where it is not known. Where the
 // attempt was meant for this incarnation and certainly never arrived, it is
-// barred from arriving later, so that "not run" stays true.
+// barred from arriving later, so that "not run" stays true. The bar is forgotten
+// only after Options.MaxAttempts more attempts have ended.
 func (t *table) fate(id string, here bool) *run {
 	r := t.attempts[id]
 	if r != nil || !here || t.forgot {
