--- a/internal/boot/router.go
+++ b/internal/boot/router.go
@@ -188,10 +188,18 @@
 		Services:    r.members.services,
 		Ran:         r.ran,
 		Retry:       route.RetryBudget{Share: float64(limits.RetryShare)},
-		QueueLen:    limits.Queue,
+		QueueLen:    queueLen(limits.Queue),
 	}
 }
 
+// queueLen maps the setting, where 0 lets nobody wait, to the queue's bound.
+func queueLen(setting int) int {
+	if setting == 0 {
+		return -1
+	}
+	return setting
+}
+
 // ran reports whether the log shows that a request with the id was billed.
 func (r *Router) ran(id string) bool {
 	for i := range r.budget.Shards() {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -123,7 +123,7 @@
 	FirstEventTimeout time.Duration `key:"first-event-timeout" min:"100ms" max:"1h" default:"1m" doc:"How long to wait for the first event of an attempt."`
 	EventTimeout      time.Duration `key:"event-timeout" min:"100ms" max:"1h" default:"30s" doc:"How long to wait for each further event before the connection is taken for silent."`
 	RetryShare        Share         `key:"retry-share" min:"1%" max:"100%" default:"10%" doc:"Attempts beyond the first, as a share of the requests."`
-	Queue             int           `key:"queue" min:"1" max:"1000000" default:"256" doc:"Requests for one service that may wait for a target."`
+	Queue             int           `key:"queue" min:"0" max:"1000000" default:"256" doc:"Requests for one service that may wait for a target."`
 }
 
 // SideLimits bounds what a target may take.
--- a/pkg/route/queue.go
+++ b/pkg/route/queue.go
@@ -36,7 +36,7 @@
 // expected to be served before its deadline. The zero value works. It is not
 // safe for concurrent use.
 type Queue struct {
-	// Len bounds the waiters; 0 stands for 1024.
+	// Len bounds the waiters; 0 stands for 1024, and less for none.
 	Len int
 
 	waiters []Waiter
@@ -61,7 +61,7 @@
 		return q.shed(w), true
 	}
 	q.waiters = slices.Insert(q.waiters, q.position(w.Class), w)
-	if len(q.waiters) <= q.limit() {
+	if len(q.waiters) <= max(0, q.limit()) {
 		return Shed{}, false
 	}
 	last := q.waiters[len(q.waiters)-1]
