internal/side: bill an empty answer, refuse what cannot be sent before the claim

Causes: a whole answer without output was not billed for its prompt; a call with a malformed header failed inside the client after its claim had won, which left the claim held for good; a fingerprint had no bound. Headers are now checked before the claim, and a failure before any connection counts as not sent. TestWholeAnswerWithoutOutputCostsItsPrompt and TestSideThatTheEngineFencedOffStartsNothing were seen failing with their rules taken out. go test -race ./internal/side passes.

--- a/internal/side/admit.go
+++ b/internal/side/admit.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/fold"
 	"github.com/beryllanding/beryllanding/pkg/ident"
@@ -17,6 +19,9 @@
 // maxID bounds the length of the ids in a request, in bytes.
 const maxID = 512
 
+// maxFingerprint bounds the fingerprint of a request, in bytes.
+const maxFingerprint = 64
+
 // readyAfter is when a caller may come back to a side that is not registered.
 const readyAfter = 500 * time.Millisecond
 
@@ -46,6 +51,9 @@
 	if n := len(req.GetAttemptId()); n == 0 || n > maxID {
 		return fmt.Sprintf("attempt id has %d bytes, it needs 1 to %d", n, maxID)
 	}
+	if n := len(req.GetFingerprint()); n > maxFingerprint {
+		return fmt.Sprintf("fingerprint has %d bytes, the limit is %d", n, maxFingerprint)
+	}
 	if n := len(req.GetCharges()); n > maxCharges {
 		return fmt.Sprintf("%d charges exceed the limit of %d", n, maxCharges)
 	}
@@ -59,10 +67,7 @@
 	case *wire.RunRequest_Model:
 		return modelProblem(work.Model, req.GetOnce(), reserved)
 	case *wire.RunRequest_Call:
-		if work.Call.GetPrice() < 0 || work.Call.GetPrice() > reserved {
-			return fmt.Sprintf("price of %d tokens is not within the %d reserved", work.Call.GetPrice(), reserved)
-		}
-		return ""
+		return callProblem(work.Call, reserved)
 	}
 	return "request has no work"
 }
@@ -77,6 +82,18 @@
 	return ""
 }
 
+func callProblem(c *wire.CallWork, reserved ledger.Tokens) string {
+	if c.GetPrice() < 0 || c.GetPrice() > reserved {
+		return fmt.Sprintf("price of %d tokens is not within the %d reserved", c.GetPrice(), reserved)
+	}
+	for _, h := range c.GetHeaders() {
+		if !httpguts.ValidHeaderFieldName(h.GetName()) || !httpguts.ValidHeaderFieldValue(h.GetValue()) {
+			return fmt.Sprintf("header %q is not valid", h.GetName())
+		}
+	}
+	return ""
+}
+
 // attemptOf returns the attempt that a request stands for.
 func attemptOf(req *wire.RunRequest) attempt {
 	return attempt{
--- a/internal/side/call.go
+++ b/internal/side/call.go
@@ -208,7 +208,7 @@
 // where no connection was had. The answer is returned beside an error where its
 // head came.
 func (c *callRun) exchange(ctx context.Context) (*answer, error) {
-	var trace sendTrace
+	trace := c.s.newTrace()
 	req, err := c.request(trace.attach(ctx))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
--- a/internal/side/engine.go
+++ b/internal/side/engine.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 )
 
@@ -96,7 +97,7 @@
 
 // send posts the request. The error is errNotSent where no connection was had.
 func (m *modelRun) send(ctx context.Context, body []byte, priority uint32) (*http.Response, error) {
-	var trace sendTrace
+	trace := m.s.newTrace()
 	url := m.s.opts.Target + "/v1/chat/completions"
 	req, err := http.NewRequestWithContext(trace.attach(ctx), http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
@@ -219,12 +220,12 @@
 			m.sh.update(m.r, func(*table) { m.r.add(chunk{data: part}) })
 		}
 	}
-	m.s.finish(m.sh, m.r, m.end(m.reason))
+	m.s.finish(m.sh, m.r, m.end(m.meter.bill(), m.reason))
 }
 
-// end returns the bill of the run so far.
-func (m *modelRun) end(reason string) end {
-	billed := min(m.meter.bill(), sum(m.r.charges))
+// end returns the end of a run that costs the given tokens.
+func (m *modelRun) end(tokens ledger.Tokens, reason string) end {
+	billed := min(tokens, sum(m.r.charges))
 	return end{billed: billed, charges: drain(m.r.charges, billed), reason: reason}
 }
 
@@ -247,7 +248,7 @@
 		m.s.refuse(m.sh, m.r, notRun(refuse.CodeInterrupted, time.Second, message), end{})
 		return
 	}
-	m.s.refuse(m.sh, m.r, unknown(refuse.CodeInterrupted, time.Second, message), m.end(""))
+	m.s.refuse(m.sh, m.r, unknown(refuse.CodeInterrupted, time.Second, message), m.end(m.meter.billPart(), ""))
 }
 
 // cancelAtEngine asks the engine to give the run up, on a fresh connection, and
--- a/internal/side/http.go
+++ b/internal/side/http.go
@@ -99,6 +99,15 @@
 	asked, got atomic.Bool
 }
 
+// newTrace returns the trace of one request. The server's own transports always
+// ask for a connection before they send, so a request that fails without one was
+// not sent. Of another transport that is known only once it has asked.
+func (s *Server) newTrace() *sendTrace {
+	t := new(sendTrace)
+	t.asked.Store(s.opts.Transport == nil)
+	return t
+}
+
 // attach returns a context that traces the request made with it.
 func (t *sendTrace) attach(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -107,6 +116,5 @@
 	})
 }
 
-// notSent reports that the transport looked for a connection and got none. A
-// transport that reports neither may have sent the request.
+// notSent reports that the request certainly had no connection.
 func (t *sendTrace) notSent() bool { return t.asked.Load() && !t.got.Load() }
--- a/internal/side/meter.go
+++ b/internal/side/meter.go
@@ -34,12 +34,9 @@
 	return true
 }
 
-// bill returns the tokens to bill. A run that put nothing out costs nothing. An
-// engine that reports more prompt tokens than were reserved is not believed.
+// bill returns the tokens to bill for a whole answer. An engine that reports more
+// prompt tokens than were reserved is not believed.
 func (m *meter) bill() ledger.Tokens {
-	if m.output == 0 {
-		return 0
-	}
 	prompt := m.prompt
 	if prompt <= 0 || prompt > m.promptBound {
 		prompt = m.promptBound
@@ -47,6 +44,15 @@
 	return prompt + m.output
 }
 
+// billPart returns the tokens to bill for an answer that was interrupted. One of
+// which nothing was put out costs nothing.
+func (m *meter) billPart() ledger.Tokens {
+	if m.output == 0 {
+		return 0
+	}
+	return m.bill()
+}
+
 // sum returns the tokens of all charges.
 func sum(charges []ledger.Charge) ledger.Tokens {
 	var n ledger.Tokens
--- a/internal/side/model_test.go
+++ b/internal/side/model_test.go
@@ -11,6 +11,7 @@
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/fleet"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
+	"github.com/beryllanding/beryllanding/pkg/refuse"
 )
 
 func TestModelRunIsStreamedAndBilledOnce(t *testing.T) {
@@ -248,6 +249,33 @@
 	})
 }
 
+func TestWholeAnswerWithoutOutputCostsItsPrompt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, &fakeLog{}, "s1", &engine{tokens: 0}, nil)
+		if f := last(try(t.Context(), s, modelRequest("o/1", "a1", true, 9))).GetFinish(); f.GetBilled() != 7 {
+			t.Errorf("finish is %v, want 7 billed", f)
+		}
+		stop(t, s)
+	})
+}
+
+func TestSideThatTheEngineFencedOffStartsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &engine{tokens: 1, fencedOff: true}
+		s := New(Options{
+			Incarnation: "s1", Service: "svc", Target: "http://target", Log: &fakeLog{},
+			Transport: direct{handler: e}, EngineChecksFence: true,
+		})
+		s.Start()
+		time.Sleep(time.Minute)
+		wantRefusal(t, try(t.Context(), s, modelRequest("o/1", "a1", true, 9)), refuse.CodeLeaving, refuse.NotRun)
+		if len(e.fences) != 1 || s.Registered() {
+			t.Errorf("%d orders, registered %v", len(e.fences), s.Registered())
+		}
+		stop(t, s)
+	})
+}
+
 func TestEngineIsFencedBeforeWorkStarts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &engine{tokens: 1}
@@ -307,7 +335,12 @@
 			"two choices":       func(r *wire.RunRequest) { r.GetModel().Body = []byte(`{"n":2}`) },
 			"too large":         func(r *wire.RunRequest) { r.GetModel().Body = make([]byte, 101) },
 			"price over charge": func(r *wire.RunRequest) { r.Work = callRequest("x", "x").Work; r.GetCall().Price = 1000 },
-			"relative path":     func(r *wire.RunRequest) { r.Work = callRequest("x", "x").Work; r.GetCall().Path = "@evil/" },
+			"bad header": func(r *wire.RunRequest) {
+				r.Work = callRequest("x", "x").Work
+				r.GetCall().Headers = []*wire.Header{{Name: "A b", Value: "c"}}
+			},
+			"long fingerprint": func(r *wire.RunRequest) { r.Fingerprint = make([]byte, 65) },
+			"relative path":    func(r *wire.RunRequest) { r.Work = callRequest("x", "x").Work; r.GetCall().Path = "@evil/" },
 		} {
 			req := modelRequest("o/1", "a1", true, 9)
 			change(req)
--- a/internal/side/run.go
+++ b/internal/side/run.go
@@ -100,7 +100,10 @@
 	for {
 		sh.mu.Lock()
 		events := c.read(r)
-		changed := r.wait()
+		var changed <-chan struct{}
+		if len(events) == 0 {
+			changed = r.wait()
+		}
 		sh.mu.Unlock()
 		for _, ev := range events {
 			s.addStatus(ev)
@@ -111,6 +114,9 @@
 		if c.done {
 			return nil
 		}
+		if len(events) > 0 {
+			continue
+		}
 		select {
 		case <-changed:
 		case <-stream.Context().Done():
--- a/internal/side/util_test.go
+++ b/internal/side/util_test.go
@@ -90,6 +90,8 @@
 	runs       int
 	cancelled  []string
 	fences     []string
+	// fencedOff makes it refuse orders, for a higher fencing number.
+	fencedOff bool
 }
 
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -107,6 +109,9 @@
 		e.mu.Lock()
 		e.fences = append(e.fences, r.Header.Get(headerFence)+" "+string(body))
 		e.mu.Unlock()
+		if e.fencedOff {
+			w.WriteHeader(http.StatusConflict)
+		}
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
