--- a/pkg/ledger/item.go
+++ b/pkg/ledger/item.go
@@ -114,6 +114,8 @@
 	FleetStream = "fleet"
 	// ClaimsStream carries the claims of non-idempotent requests.
 	ClaimsStream = "claims"
+	// LoadsStream carries the queues of the targets that load weights.
+	LoadsStream = "loads"
 	// budgetStreamPrefix starts the name of each shard's budget stream.
 	budgetStreamPrefix = "budgets-"
 )
--- /dev/null
+++ b/pkg/loads/query.go
@@ -0,0 +1,39 @@
+package loads
+
+import (
+	"slices"
+
+	"github.com/beryllanding/beryllanding/pkg/ident"
+)
+
+// Own returns the side's unfinished want and its index in the queue.
+func (s *State) Own(side ident.Incarnation) (place Place, index int, ok bool) {
+	for _, q := range s.queues {
+		if i := slices.IndexFunc(q, func(p Place) bool { return p.Side == side }); i >= 0 {
+			return q[i], i, true
+		}
+	}
+	return Place{}, 0, false
+}
+
+// Turn reports whether the side's want is among the first maxLoads unfinished
+// ones of its service.
+func (s *State) Turn(side ident.Incarnation, maxLoads int) bool {
+	_, i, ok := s.Own(side)
+	return ok && i < maxLoads
+}
+
+// Queue returns the unfinished wants of a service in order. The caller must not
+// modify them.
+func (s *State) Queue(service string) []Place { return s.queues[service] }
+
+// Held returns the weights that the slot's target was last known to hold in
+// full, or nil. Only the target's own report tells whether it still does.
+func (s *State) Held(slot string) []string {
+	for _, h := range s.held {
+		if h.Slot == slot {
+			return h.Weights
+		}
+	}
+	return nil
+}
