internal/side, pkg/catal: targets' weights and role follow the catalogue

Cause: nothing told an engine which version and adapters to hold.

Change: a service entry names weights, role and max-loads. The side process of a model follows the catalogue and the queue, and gives the orders that pkg/loads plans. A target without weights refuses as not run, and is reported as leaving, so that entry instances pass over it.

--- a/internal/boot/side.go
+++ b/internal/boot/side.go
@@ -16,6 +16,7 @@
 	"github.com/beryllanding/beryllanding/internal/side"
 	"github.com/beryllanding/beryllanding/internal/trace"
 	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/catal"
 	"github.com/beryllanding/beryllanding/pkg/ident"
 	"github.com/beryllanding/beryllanding/pkg/insts"
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
@@ -74,6 +75,10 @@
 		MaxRunning:        settings.Target.Concurrent,
 		FirstByte:         settings.Limits.FirstEventTimeout,
 		BetweenTokens:     settings.Limits.EventTimeout,
+		FollowWeights:     settings.Target.Kind == string(catal.Model),
+		LoadTimeout:       settings.Target.LoadTimeout,
+		CheckpointEvery:   settings.Platform.CheckpointEvery,
+		Warn:              s.logger.Warn,
 	})
 	s.members = newMembers(settings.Platform, insts.Instance{
 		Name: settings.Instance.Name, Role: insts.Side, Service: settings.Target.Service,
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -140,6 +140,7 @@
 	Kind         string        `key:"kind" oneof:"model|app" required:"yes" doc:"How the target is called."`
 	FenceChecked bool          `key:"fence-checked" default:"no" doc:"Whether the target refuses orders with an old fencing number."`
 	Concurrent   int           `key:"concurrent" min:"1" max:"100000" default:"64" doc:"Requests that may run at the target at one time."`
+	LoadTimeout  time.Duration `key:"load-timeout" min:"10s" max:"24h" default:"10m" doc:"How long another target of the service may take to load its weights before this side process takes it off the queue. It must be longer than a load takes; a wrong guess costs load on the weight store and nothing else."`
 	Grace        time.Duration `key:"grace" min:"0s" max:"1h" default:"30s" doc:"How long a planned stop waits for the requests in progress."`
 }
 
--- a/internal/side/body.go
+++ b/internal/side/body.go
@@ -9,10 +9,11 @@
 )
 
 // engineBody returns the chat-completion body as the engine gets it: streamed,
-// with the usage reported, and with the output bounded by the reservation. Keys
+// with the usage reported, with the output bounded by the reservation, and for
+// the given model where it is not empty. Keys
 // that differ from the controlled ones in case only are dropped, since an
 // engine may take one for the other.
-func engineBody(body []byte, maxTokens ledger.Tokens) ([]byte, error) {
+func engineBody(body []byte, model string, maxTokens ledger.Tokens) ([]byte, error) {
 	var in map[string]json.RawMessage
 	if err := json.Unmarshal(body, &in); err != nil {
 		return nil, fmt.Errorf("body is not a JSON object: %w", err)
@@ -22,6 +23,10 @@
 		switch strings.ToLower(key) {
 		case "max_tokens", "max_completion_tokens", "stream", "stream_options":
 			continue
+		case "model":
+			if model != "" {
+				continue
+			}
 		case "n", "best_of":
 			if s := string(value); s != "1" && s != "null" {
 				return nil, fmt.Errorf("%q is %s, only 1 is served", key, s)
@@ -30,6 +35,9 @@
 		}
 		out[key] = value
 	}
+	if model != "" {
+		out["model"] = model
+	}
 	out["max_tokens"] = maxTokens
 	out["stream"] = true
 	out["stream_options"] = map[string]bool{"include_usage": true}
--- a/internal/side/engine.go
+++ b/internal/side/engine.go
@@ -51,7 +51,10 @@
 	work *wire.ModelWork
 	// name is the run's id at the engine. A request that is run again has
 	// another one, so that a late cancellation cannot hit the wrong run.
-	name  string
+	name string
+	// model is the weights that the run is ordered on, empty where the caller's
+	// name for the model is passed on.
+	model string
 	meter meter
 	// first is the first event, for the fields that all events share.
 	first   delta
@@ -65,7 +68,14 @@
 		s: s, sh: sh, r: r, work: work, name: s.attemptName(r), reason: reasonStop,
 		meter: newMeter(work.GetPromptBound(), work.GetOutputBound(), sum(r.charges)),
 	}
-	body, err := engineBody(work.GetBody(), m.meter.allowed)
+	model, release, refusal := s.beginModel()
+	if refusal != nil {
+		s.refuse(sh, r, refusal, end{})
+		return
+	}
+	defer release()
+	m.model = model
+	body, err := engineBody(work.GetBody(), model, m.meter.allowed)
 	if err != nil {
 		s.refuse(sh, r, notRun(refuse.CodeBadRequest, 0, err.Error()), end{})
 		return
@@ -232,6 +242,11 @@
 // refused the request or confirmed that it gave the run up.
 func (m *modelRun) interrupt(err error) {
 	var status statusError
+	if errors.As(err, &status) && status == http.StatusNotFound && m.model != "" {
+		// The target was restarted since it reported the weights.
+		m.s.refuse(m.sh, m.r, notRun(refuse.CodeNoTarget, weightsAfter, err.Error()), end{})
+		return
+	}
 	if errors.As(err, &status) && refusesWork(int(status)) {
 		m.s.refuse(m.sh, m.r, notRun(codeOf(int(status)), retryOf(int(status)), err.Error()), end{})
 		return
--- a/internal/side/options.go
+++ b/internal/side/options.go
@@ -52,6 +52,17 @@
 	Log logsvc.Service
 	// Shard returns the shard of a budget; nil stands for one shard.
 	Shard func(budget string) int
+	// FollowWeights says that the target's weights and role follow the catalogue
+	// where its entry names weights.
+	FollowWeights bool
+	// LoadTimeout is how long a load may take at another side of the service
+	// before it is skipped; 0 stands for loads.DefaultTimeout.
+	LoadTimeout time.Duration
+	// CheckpointEvery is the time after which the state of a quiet stream is
+	// appended again; 0 stands for fold.DefaultKeepInterval.
+	CheckpointEvery time.Duration
+	// Warn logs what an operator should see; nil logs nothing.
+	Warn func(msg any, keyvals ...any)
 	// Transport reaches the target; nil stands for one of the server's own.
 	Transport http.RoundTripper
 
@@ -106,6 +117,9 @@
 	setDefault(&o.ClaimWait, defaultClaimWait)
 	setDefault(&o.QueueWait, defaultQueueWait)
 	setDefault(&o.StatusEvery, defaultStatusEvery)
+	if o.Warn == nil {
+		o.Warn = func(any, ...any) {}
+	}
 	if o.Shard == nil {
 		o.Shard = func(string) int { return 0 }
 	}
--- a/internal/side/register.go
+++ b/internal/side/register.go
@@ -34,6 +34,9 @@
 	if err != nil {
 		return
 	}
+	if !s.awaitCatalogue(ctx) {
+		return
+	}
 	if s.opts.EngineChecksFence {
 		if !s.orderFence(ctx, uint64(own.Fence)) {
 			return
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -35,6 +35,8 @@
 
 	shards [tableShards]shard
 	queue  gate
+	// orders is nil where the side follows no weights.
+	orders *orders
 
 	usageMu sync.Mutex
 	// usage are the writers of the budget streams, by shard.
@@ -89,6 +91,7 @@
 		}
 	}
 	s.initStreams()
+	s.orders = s.newOrders()
 	return s
 }
 
@@ -121,6 +124,9 @@
 	s.loop(s.acknowledge)
 	s.loop(s.sweepClaims)
 	s.loop(s.pollLoad)
+	if s.orders != nil {
+		s.startOrders()
+	}
 }
 
 // loop runs fn until Stop.
--- a/internal/side/status.go
+++ b/internal/side/status.go
@@ -9,6 +9,7 @@
 
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/fold"
+	"github.com/beryllanding/beryllanding/pkg/loads"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 )
 
@@ -20,6 +21,7 @@
 	Running           int64 `json:"running"`
 	Waiting           int64 `json:"waiting"`
 	CacheUsedPermille int64 `json:"cache-used-permille"`
+	loads.Report
 }
 
 // stats are the counters of a server.
@@ -43,6 +45,9 @@
 	m.Set("tokens-billed", &s.stats.billed)
 	m.Set("claims-proposed", &s.stats.claims)
 	m.Set("claims-released", &s.stats.released)
+	if s.orders != nil {
+		m.Set("weights", s.orders.vars())
+	}
 	return m
 }
 
@@ -53,12 +58,13 @@
 }
 
 // status returns the target's status. Where the target reports no load, the
-// runs here are counted.
+// runs here are counted. A target that has not loaded its weights is shown as
+// leaving, so that entry instances pass over it for a while.
 func (s *Server) status() *wire.TargetStatus {
 	inside, waiting := s.queue.counts()
 	st := &wire.TargetStatus{
 		Side:            string(s.opts.Incarnation),
-		Leaving:         s.leaving.Load(),
+		Leaving:         s.leaving.Load() || s.lacksWeights(),
 		Running:         int64(inside),
 		Waiting:         int64(waiting),
 		CatalogueOffset: s.catalogue.Load(),
--- a/pkg/catal/entry.go
+++ b/pkg/catal/entry.go
@@ -87,6 +87,15 @@
 	// FenceChecked says that the targets refuse orders with an old fencing
 	// number.
 	FenceChecked bool `json:"fence-checked,omitempty"`
+	// Weights are what the targets of a model hold, in the order in which they
+	// are loaded: a version, and then adapters of it. Requests run on the last.
+	// Where it is empty, the targets are taken as they are.
+	Weights []string `json:"weights,omitempty"`
+	// Role is the role that the engines of a model are ordered to take. Where it
+	// is empty, they keep theirs.
+	Role string `json:"role,omitempty"`
+	// MaxLoads is how many targets may load weights at one time; 0 stands for 2.
+	MaxLoads int64 `json:"max-loads,omitempty"`
 }
 
 // EntryName returns the service's name.
--- a/pkg/catal/valid.go
+++ b/pkg/catal/valid.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"regexp"
+	"slices"
 	"strings"
 )
 
@@ -22,9 +23,15 @@
 	maxPathLen = 256
 	// maxOwnerLen bounds the owner's name, in bytes.
 	maxOwnerLen = 128
+	// maxWeights bounds the weights of one service.
+	maxWeights = 16
+	// maxMaxLoads bounds the targets that load at one time.
+	maxMaxLoads = 1000
 )
 
 var (
+	weightPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9@+_./-]{0,127}$`)
+	rolePattern   = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,31}$`)
 	namePattern   = regexp.MustCompile(`^[a-z0-9][a-z0-9./-]{0,127}$`)
 	methodPattern = regexp.MustCompile(`^[A-Z]{1,16}$`)
 )
@@ -88,6 +95,26 @@
 	c.inRange("max-output", s.MaxOutput, 1, maxTokens)
 	c.inRange("default-output", s.DefaultOutput, 1, max(1, s.MaxOutput))
 	c.unused("price", s.Price, s.Kind)
+	c.weights(s)
+}
+
+func (c *checker) weights(s *Service) {
+	c.length("weights", len(s.Weights), maxWeights)
+	for i, w := range s.Weights {
+		if !weightPattern.MatchString(w) {
+			c.fault("weights has %q, expected a letter or digit, then up to 127 of these, '@', '+', '_', '.', '/' and '-'", w)
+		}
+		if slices.Contains(s.Weights[:i], w) {
+			c.fault("weights has %q twice", w)
+		}
+	}
+	if s.Role != "" && !rolePattern.MatchString(s.Role) {
+		c.fault("role is %q, expected a lower-case letter or digit, then up to 31 of these and '-'", s.Role)
+	}
+	c.inRange("max-loads", s.MaxLoads, 0, maxMaxLoads)
+	if len(s.Weights) == 0 && (s.Role != "" || s.MaxLoads != 0) {
+		c.fault("role is %q and max-loads is %d, but no weights are named", s.Role, s.MaxLoads)
+	}
 }
 
 func (c *checker) app(s *Service) {
@@ -95,6 +122,10 @@
 	c.unused("prompt-bytes-per-token", s.PromptBytesPerToken, s.Kind)
 	c.unused("max-output", s.MaxOutput, s.Kind)
 	c.unused("default-output", s.DefaultOutput, s.Kind)
+	c.unused("max-loads", s.MaxLoads, s.Kind)
+	if len(s.Weights) > 0 || s.Role != "" {
+		c.fault("weights are %q and role is %q, but a service of kind %q has none", s.Weights, s.Role, s.Kind)
+	}
 }
 
 func (c *checker) budget(b *Budget) {
