--- a/pkg/loads/plan.go
+++ b/pkg/loads/plan.go
@@ -77,7 +77,7 @@
 	Timeout time.Duration
 
 	serve []string
-	// settled says that serve was what is wanted before this step. Only then is
+	// settled says that serve is what it was before this step. Only then is
 	// View.InUse certain to hold all runs on other weights.
 	settled bool
 	// next is when an effect of a kind may be repeated.
@@ -112,16 +112,17 @@
 // chooseServe keeps to the weights served so far until those wanted are loaded
 // in full. A new incarnation learns from the log what was served before.
 func (p *Planner) chooseServe(v View) {
+	before := p.serve
 	if p.serve == nil && v.Queue != nil {
 		p.serve = v.Queue.Held(p.Slot)
 	}
-	p.settled = slices.Equal(p.serve, v.Wanted.Weights)
 	switch {
 	case v.Report.holds(v.Wanted.Weights):
 		p.serve = v.Wanted.Weights
 	case !v.Report.holds(p.serve):
 		p.serve = nil
 	}
+	p.settled = slices.Equal(before, p.serve)
 }
 
 // holds reports whether all weights are loaded.
@@ -167,6 +168,9 @@
 	if !v.Queue.Turn(p.Side, v.Wanted.MaxLoads) {
 		return nil
 	}
+	if effects := p.unload(v, now); len(effects) > 0 {
+		return effects
+	}
 	return p.load(v, own, now)
 }
 
@@ -183,15 +187,16 @@
 	return []Effect{Propose{Done{Side: p.Side, Slot: p.Slot, Service: p.Service, Weights: v.Wanted.Weights}}}
 }
 
-// unload gives up what is not wanted and not in use, and an adapter before the
-// version that it is named after.
+// unload gives up what is neither wanted nor served nor in use, and an adapter
+// before the version that it is named after. So the target holds two versions at
+// most, also where the catalogue changes before a load has ended.
 func (p *Planner) unload(v View, now time.Time) []Effect {
-	if !p.settled {
+	if !p.settled || len(p.serve) == 0 {
 		return nil
 	}
 	var effects []Effect
 	for _, m := range slices.Backward(slices.Sorted(maps.Keys(v.Report.Models))) {
-		if slices.Contains(v.Wanted.Weights, m) || v.InUse[m] || !p.may("unload "+m, now) {
+		if slices.Contains(v.Wanted.Weights, m) || slices.Contains(p.serve, m) || v.InUse[m] || !p.may("unload "+m, now) {
 			continue
 		}
 		effects = append(effects, Unload{Model: m})
