pkg/loads: a side gives its place up where its target gives no report

Cause: a target that is dead at its turn held a place for the whole timeout, ten minutes by default, though its own side process saw at once that it gave no report.

Change: after 15 s without a report the side skips itself; with its target's next report it wants again, and stands last. Faults of the new catalogue fields are in the golden file.

--- a/pkg/catal/entry_test.go
+++ b/pkg/catal/entry_test.go
@@ -35,6 +35,11 @@
 			Limits: Limits{MaxTokens: -1, MaxConcurrent: maxTokens + 1}, KeyHashes: []KeyHash{h, h},
 		},
 		&Budget{Name: "b", Owner: "o", Class: Batch, KeyHashes: manyHashes},
+		&Service{
+			Name: "w", Owner: "o", Class: Batch, Kind: Model, PromptBytesPerToken: 1, MaxOutput: 1, DefaultOutput: 1,
+			Weights: []string{"v7", "a b", "v7"}, Role: "Decode", MaxLoads: -1,
+		},
+		&Service{Name: "a", Owner: "o", Class: Batch, Kind: App, Weights: []string{"v7"}, MaxLoads: 1},
 	}
 	var got strings.Builder
 	for _, e := range entries {
--- a/pkg/loads/plan.go
+++ b/pkg/loads/plan.go
@@ -26,6 +26,9 @@
 	// goneAfter is how long a head is left alone whose side is not open on the
 	// fleet stream, since the fleet stream may be read later than this one.
 	goneAfter = 5 * time.Second
+	// silentAfter is how long a target may give no report before its side gives
+	// the place in the queue up.
+	silentAfter = 15 * time.Second
 	// stagger is how much longer each further side in the queue waits before it
 	// skips the head, so that one of them proposes it and not all.
 	stagger = 2 * time.Second
@@ -80,6 +83,8 @@
 	// settled says that serve is what it was before this step. Only then is
 	// View.InUse certain to hold all runs on other weights.
 	settled bool
+	// reported is when the target last gave a report, or the first step.
+	reported time.Time
 	// next is when an effect of a kind may be repeated.
 	next map[string]time.Time
 	// ordered holds the want in whose turn each model was ordered last.
@@ -98,8 +103,12 @@
 		v.Wanted.MaxLoads = DefaultMaxLoads
 	}
 	d := Decision{Managed: true}
+	if v.Report != nil || p.reported.IsZero() {
+		p.reported = now
+	}
 	if v.Report == nil {
 		d.Serve = p.serve
+		d.Effects = p.silent(v, now)
 		return d
 	}
 	p.chooseServe(v)
@@ -235,59 +244,6 @@
 	return []Effect{Load{Model: model}}
 }
 
-// skips ends the wants at the head that make no progress, where this side waits
-// behind them. A head's time runs on this side's clock from when it was first
-// seen there.
-func (p *Planner) skips(v View, now time.Time) []Effect {
-	if v.Queue == nil {
-		return nil
-	}
-	queue := v.Queue.Queue(p.Service)
-	heads := queue[:min(len(queue), v.Wanted.MaxLoads)]
-	p.noteHeads(heads, now)
-	_, index, ok := v.Queue.Own(p.Side)
-	if !ok || index < len(heads) {
-		return nil
-	}
-	patience := time.Duration(index-len(heads)) * stagger
-	var effects []Effect
-	for _, h := range heads {
-		limit, reason := p.timeout(), "no progress in time"
-		if !v.Open(h.Side) {
-			limit, reason = goneAfter, "side is not open"
-		}
-		if now.Sub(p.heads[h.At]) < limit+patience || !p.may(fmt.Sprintf("skip %d", h.At), now) {
-			continue
-		}
-		effects = append(effects, p.skip(h, reason))
-	}
-	return effects
-}
-
-func (p *Planner) skip(place Place, reason string) Effect {
-	return Propose{Skip{Side: place.Side, Want: place.At, By: p.Side, Reason: reason}}
-}
-
-// noteHeads notes since when each want is at the head.
-func (p *Planner) noteHeads(heads []Place, now time.Time) {
-	seen := make(map[logsvc.Offset]time.Time, len(heads))
-	for _, h := range heads {
-		since, ok := p.heads[h.At]
-		if !ok {
-			since = now
-		}
-		seen[h.At] = since
-	}
-	p.heads = seen
-}
-
-func (p *Planner) timeout() time.Duration {
-	if p.Timeout > 0 {
-		return p.Timeout
-	}
-	return DefaultTimeout
-}
-
 // may reports whether an effect may be tried now, and notes that it is.
 func (p *Planner) may(key string, now time.Time) bool {
 	if now.Before(p.next[key]) {
