--- a/internal/side/orders.go
+++ b/internal/side/orders.go
@@ -14,6 +14,16 @@
 	"github.com/beryllanding/beryllanding/pkg/loads"
 )
 
+const (
+	// stepTimeout bounds one look at the target with the orders that follow from
+	// it. It runs on while the process is stopped, so that a process that resumes
+	// doesn't give the orders that it had planned.
+	stepTimeout = 5 * time.Second
+	// fleetFresh is how long ago the fleet stream may have been read for orders
+	// to be given. It is longer than a read waits for a record.
+	fleetFresh = 5 * time.Second
+)
+
 // orders keeps the target's weights and role as the catalogue has them.
 type orders struct {
 	catalogue      fold.Follower
@@ -79,14 +89,22 @@
 }
 
 // orderStep looks at the target once and does what the planner asks for. It is
-// false where the target refused an order because of its fencing number.
+// false where a later side process of the slot has taken over.
+//
+// Where the target checks fencing numbers, it is the judge. Where it does not,
+// the fleet stream is, and a process that was paused may give one order before
+// it reads there that it was replaced; see docs/LOADS.md.
 func (s *Server) orderStep(ctx context.Context) bool {
 	if !s.Registered() || s.Leaving() {
 		return true
 	}
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
 	view := s.orderView(ctx)
-	if !view.Open(s.opts.Incarnation) {
-		return true // another side process of the slot gives the orders
+	if s.superseded() {
+		s.yieldTarget("a later side process of the slot is on the fleet stream")
+		return false
 	}
 	var d loads.Decision
 	s.orders.queue.View(func(r *fold.Reader) {
@@ -96,17 +114,41 @@
 		d = s.orders.planner.Step(view, time.Now())
 	})
 	s.orders.serving.set(d)
+	if !view.Open(s.opts.Incarnation) || time.Since(s.fleet.FreshAt()) > fleetFresh {
+		return true // planned again, and done if this side may give orders then
+	}
 	for _, e := range d.Effects {
+		// After a pause the context's timer may not have run yet.
+		if time.Since(began) > stepTimeout {
+			return true
+		}
 		if !s.carryOut(ctx, e) {
-			s.opts.Warn("target refused an order as fenced, a later side process has taken over",
-				"slot", s.opts.Slot, "fence", s.fence.Load())
-			s.SetLeaving()
+			s.yieldTarget("the target refused an order by its fencing number")
 			return false
 		}
 	}
 	return true
 }
 
+// superseded reports whether a later side process of the slot is on the fleet
+// stream.
+func (s *Server) superseded() bool {
+	later := false
+	fence := s.fence.Load()
+	s.fleet.View(func(*fold.Reader) {
+		for _, side := range s.fleetState.Sides() {
+			later = later || side.Slot == s.opts.Slot && uint64(side.Fence) > fence
+		}
+	})
+	return later
+}
+
+// yieldTarget leaves the target to a later side process.
+func (s *Server) yieldTarget(reason string) {
+	s.opts.Warn("giving no more orders, leaving", "slot", s.opts.Slot, "fence", s.fence.Load(), "reason", reason)
+	s.SetLeaving()
+}
+
 // orderView returns what the planner looks at, but the queue.
 func (s *Server) orderView(ctx context.Context) loads.View {
 	view := loads.View{Wanted: s.orders.wanted(), InUse: s.orders.serving.inUse(), Open: s.sidesOpen()}
--- a/internal/side/orders_test.go
+++ b/internal/side/orders_test.go
@@ -121,28 +121,41 @@
 		b.put("m@v8", "m@v8+lora")
 		b.settle("m@v6", "m@v8+lora")
 		time.Sleep(time.Minute)
+		e := b.engines[2]
+		if err := e.Do(engd.Order{Action: "unload", Model: "m@v8+lora", Fence: e.Status().Fence}); err != nil {
+			t.Fatal(err)
+		}
+		if got := b.ask(2); got != lacking {
+			t.Errorf("side whose target lost its weights answered %q, want %q", got, lacking)
+		}
+		time.Sleep(time.Minute)
 		for i, e := range b.engines {
 			if st := e.Status(); len(st.Models) != 2 || st.Models["m@v8"] != "loaded" || st.Role != "decode" {
 				t.Errorf("engine %d reports %v and role %q", i, st.Models, st.Role)
 			}
 		}
-		if c := b.store.Counts(); c.Peak != 2 || c.Transfers != 17 {
-			t.Errorf("store had %d transfers, %d at one time, want 17 and 2", c.Transfers, c.Peak)
+		if c := b.store.Counts(); c.Peak != 2 || c.Transfers != 18 {
+			t.Errorf("store had %d transfers, %d at one time, want 18 and 2", c.Transfers, c.Peak)
 		}
 		if n := len(slices.DeleteFunc(itemsOf(t, &b.log, ledger.LoadsStream), func(it fold.Item) bool {
 			return it.Kind != "want" && it.Kind != "done"
-		})); n != 25 {
-			t.Errorf("%d wants and ends on the log, want 25", n)
+		})); n != 27 {
+			t.Errorf("%d wants and ends on the log, want 27", n)
 		}
 
-		// A later side process of the first slot has taken over.
+		// Later side processes take over: one whose number the target checks, and
+		// one that is seen on the fleet stream only.
 		if err := b.engines[0].Do(engd.Order{Action: "fence", Fence: 1 << 40}); err != nil {
 			t.Fatal(err)
 		}
+		b.engines[1].Switches.Update(func(sw *engd.Switches) { sw.CheckFence = false })
+		b.sides = append(b.sides, newServer(t, &b.log, "s1~2", b.engines[1].Handler(), func(o *Options) {
+			o.FollowWeights, o.Slot = true, b.sides[1].opts.Slot
+		}))
 		b.put("m@v9")
 		time.Sleep(time.Minute)
 		for i, s := range b.sides {
-			if s.Leaving() != (i == 0) {
+			if s.Leaving() != (i < 2) {
 				t.Errorf("side %d leaving: %v", i, s.Leaving())
 			}
 		}
--- a/pkg/loads/report_test.go
+++ b/pkg/loads/report_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"strings"
 	"testing"
@@ -32,17 +33,20 @@
 	left    float64
 	state   string
 	served  int
+	begins  int
 	frozen  bool
 }
 
 // simulate lets the targets come back at second 0, in steps of one second, and
 // returns the peak of transfers and when each target served, in order. Frozen
-// targets stop for good when they are ordered to load.
-func simulate(maxLoads, frozen int) (peak int, served []int) {
+// targets stop for good when they are ordered to load. Each begins
+// at a random second up to spread.
+func simulate(maxLoads, frozen, spread int) (peak int, served []int) {
 	targets := make([]*simTarget, fleetSize)
+	random := rand.New(rand.NewPCG(1, 2))
 	for i := range targets {
 		name := fmt.Sprintf("t%d", i)
-		targets[i] = &simTarget{planner: Planner{Side: ident.Incarnation(name), Slot: name, Service: "s"}, frozen: i < frozen}
+		targets[i] = &simTarget{planner: Planner{Side: ident.Incarnation(name), Slot: name, Service: "s"}, frozen: i < frozen, begins: random.IntN(spread + 1)}
 	}
 	var queue State
 	offset := logsvc.Offset(0)
@@ -51,6 +55,9 @@
 		var items []Item
 		active := 0
 		for _, tg := range targets {
+			if second < tg.begins {
+				continue
+			}
 			if tg.state == Loading && tg.frozen {
 				continue // it holds no transfer, and its side gives no sign
 			}
@@ -95,9 +102,20 @@
 // -update to write the report.
 func TestReport(t *testing.T) {
 	var b strings.Builder
-	b.WriteString("max-loads frozen peak first half all mean (seconds)\n")
-	for _, c := range [][2]int{{fleetSize, 0}, {1, 0}, {2, 0}, {4, 0}, {8, 0}, {4, 1}, {4, 4}} {
-		peak, served := simulate(c[0], c[1])
+	b.WriteString("max-loads frozen spread peak first half all mean (seconds)\n")
+	for _, c := range [][3]int{
+		{fleetSize, 0, 0},
+		{fleetSize, 0, 412},
+		{fleetSize, 0, 825},
+		{fleetSize, 0, 1650},
+		{1, 0, 0},
+		{2, 0, 0},
+		{4, 0, 0},
+		{8, 0, 0},
+		{4, 1, 0},
+		{4, 4, 0},
+	} {
+		peak, served := simulate(c[0], c[1], c[2])
 		if len(served) != fleetSize-c[1] {
 			t.Fatalf("%d targets served, want %d", len(served), fleetSize-c[1])
 		}
@@ -105,7 +123,7 @@
 		for _, s := range served {
 			sum += s
 		}
-		fmt.Fprintf(&b, "%9d %6d %4d %5d %4d %4d %4d\n", c[0], c[1], peak,
+		fmt.Fprintf(&b, "%9d %6d %6d %4d %5d %4d %4d %4d\n", c[0], c[1], c[2], peak,
 			served[0], served[len(served)/2], served[len(served)-1], sum/len(served))
 	}
 	const golden = "testdata/report.golden"
