--- a/internal/boot/router.go
+++ b/internal/boot/router.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"go.opentelemetry.io/otel"
 	"go.uber.org/fx"
 	"google.golang.org/grpc"
 
@@ -106,11 +107,13 @@
 	return func() (*logs.Set, error) { return logs.New(os.Stderr, settings) }
 }
 
-// newTracing returns a constructor of the tracing.
+// newTracing returns a constructor of the tracing, which is the process's.
 func newTracing(program string, instance config.Instance, settings config.Trace) func(fx.Lifecycle) (*trace.Tracing, error) {
 	return func(lc fx.Lifecycle) (*trace.Tracing, error) {
 		t, err := trace.New(program, instance, settings)
 		if err == nil {
+			otel.SetTracerProvider(t.Provider())
+			otel.SetTextMapPropagator(t.Propagator())
 			lc.Append(fx.Hook{OnStop: t.Shutdown})
 		}
 		return t, err
--- a/internal/side/options.go
+++ b/internal/side/options.go
@@ -55,9 +55,19 @@
 	Log logsvc.Service
 	// Shard returns the shard of a budget; nil stands for one shard.
 	Shard func(budget string) int
+	// FollowWeights says that the target's weights and role follow the catalogue
+	// where its entry names weights.
+	FollowWeights bool
+	// LoadTimeout is how long a load may take at another side of the service
+	// before it is skipped; 0 stands for loads.DefaultTimeout.
+	LoadTimeout time.Duration
+	// CheckpointEvery is the time after which the state of a quiet stream is
+	// appended again; 0 stands for fold.DefaultKeepInterval.
+	CheckpointEvery time.Duration
 	// Transport reaches the target; nil stands for one of the server's own.
 	Transport http.RoundTripper
-	// Logger gets a line for each run that ended; nil stands for none.
+	// Logger gets a line for each run that ended, and what an operator should
+	// see; nil stands for none.
 	Logger *log.Logger
 
 	// MaxRunning bounds the runs at the target at one time.
--- a/internal/side/sse_test.go
+++ b/internal/side/sse_test.go
@@ -77,7 +77,7 @@
 	f.Add([]byte(`{"max_tokenſ":9}`))
 	f.Add([]byte(`{"max_tokens":1,"max_tokens":2}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		out, err := engineBody(body, 17)
+		out, err := engineBody(body, "", 17)
 		if err != nil {
 			return
 		}
