internal/side: a joiner is not told that the owner's holder is closed

Cause: an attempt that joined a run in the moment before the owner's holder was found closed got that refusal as its own, and an entry instance that is told so gives up its own slice. It is now refused as interrupted, not run, and may come back at once.

--- a/internal/side/cursor.go
+++ b/internal/side/cursor.go
@@ -1,12 +1,18 @@
 package side
 
 import (
+	"time"
+
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/claim"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 )
 
+// joinAgainAfter is when an attempt may come back whose run was refused for a
+// reason of another attempt.
+const joinAgainAfter = 10 * time.Millisecond
+
 // cursor is one attempt's position in the output of a run. Every attempt reads
 // the whole output from its start, so a joiner misses nothing.
 type cursor struct {
@@ -40,7 +46,7 @@
 		out = append(out, c.event(&wire.RunEvent{Event: &wire.RunEvent_Finish{Finish: c.finish(r)}}))
 	case phaseRefused:
 		c.done = true
-		out = append(out, c.event(&wire.RunEvent{Event: &wire.RunEvent_Refused{Refused: refused(r.refusal)}}))
+		out = append(out, c.event(&wire.RunEvent{Event: &wire.RunEvent_Refused{Refused: refused(c.refusal(r))}}))
 	}
 	return out
 }
@@ -77,6 +83,15 @@
 	return f
 }
 
+// refusal returns why the run was refused, as this attempt is told. That the
+// owner's holder is closed says nothing about the joiner's own.
+func (c *cursor) refusal(r *run) *refuse.Refusal {
+	if c.joined && r.refusal.Code == refuse.CodeHolderClosed {
+		return notRun(refuse.CodeInterrupted, joinAgainAfter, "the attempt that began the run was refused")
+	}
+	return r.refusal
+}
+
 func refused(r *refuse.Refusal) *wire.Refused {
 	return &wire.Refused{
 		Code: string(r.Code), Outcome: string(r.Outcome),
--- a/internal/side/fake_test.go
+++ b/internal/side/fake_test.go
@@ -20,28 +20,24 @@
 	lose bool
 }
 
-// expire drops the records of a stream but for the last ones.
-func (l *fakeLog) expire(stream string, keep int) {
+// change changes the log under its lock.
+func (l *fakeLog) change(fn func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.expired == nil {
-		l.expired = make(map[string]int)
-	}
-	l.expired[stream] = len(l.streams[stream]) - keep
+	fn()
 }
 
 // set makes the log fail, or serve again.
-func (l *fakeLog) set(down bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.down = down
-}
+func (l *fakeLog) set(down bool) { l.change(func() { l.down = down }) }
 
-// setLose makes appends take effect without an answer, or not.
-func (l *fakeLog) setLose(lose bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.lose = lose
+// expire drops the records of a stream but for the last ones.
+func (l *fakeLog) expire(stream string, keep int) {
+	l.change(func() {
+		if l.expired == nil {
+			l.expired = make(map[string]int)
+		}
+		l.expired[stream] = len(l.streams[stream]) - keep
+	})
 }
 
 func (l *fakeLog) Append(_ context.Context, stream string, data []byte) (logsvc.Offset, error) {
--- a/internal/side/history_test.go
+++ b/internal/side/history_test.go
@@ -132,9 +132,9 @@
 		h.log.set(true)
 	case eventLogUp:
 		h.log.set(false)
-		h.log.setLose(false)
+		h.log.change(func() { h.log.lose = false })
 	case eventLoseAnswers:
-		h.log.setLose(true)
+		h.log.change(func() { h.log.lose = true })
 	case eventTargetDown:
 		h.judge.set(func() { h.judge.down = true })
 	case eventTargetUp:
--- a/internal/side/stop.go
+++ b/internal/side/stop.go
@@ -15,6 +15,9 @@
 // log, closes the side on the fleet stream, and ends the server's loops. Where
 // the context ends first, the rest is dropped, the side is not closed on the
 // log, and an error says what was left.
+//
+// The gRPC server must go on serving meanwhile and be stopped gracefully after
+// it, since attempts may still read the last events of runs that have ended.
 func (s *Server) Stop(ctx context.Context) error {
 	defer s.shutDown()
 	s.SetLeaving()
--- a/internal/side/trace.go
+++ b/internal/side/trace.go
@@ -21,6 +21,7 @@
 		attribute.String("request-id", r.request),
 		attribute.String("attempt-id", r.owner),
 		attribute.String("side", string(s.opts.Incarnation)),
+		attribute.String("data-centre", s.opts.DataCentre),
 	))
 }
 
