pkg/slice: of two short holders one goes first

Two nodes short of the same budget asked each other at once and took each other's tokens, so neither had enough, though the tokens covered one of them. Change: a holder that is short lets one with a larger name wait until its own requests are served, for at most 50 ms, and then gives what is left. Seen failing: TestGiveOrder with the order taken out, and with declined ids forgotten.

--- a/internal/budget/gather.go
+++ b/internal/budget/gather.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/ident"
@@ -196,10 +197,35 @@
 
 // Transfer answers a peer that asks for tokens. The same id yields the same
 // answer.
-func (s *Service) Transfer(_ context.Context, req *wire.TransferRequest) (*wire.TransferReply, error) {
+func (s *Service) Transfer(ctx context.Context, req *wire.TransferRequest) (*wire.TransferReply, error) {
 	reply := &wire.TransferReply{}
-	for _, c := range s.holder.Give(req.Id, req.Budget, req.Tokens, s.now()) {
+	for _, c := range s.give(ctx, req) {
 		reply.Charges = append(reply.Charges, &wire.Charge{Holder: string(c.Holder), Tokens: c.Tokens})
 	}
 	return reply, nil
 }
+
+// give lets the requests that wait here go first, for a short time, where the
+// holder asks for that.
+func (s *Service) give(ctx context.Context, req *wire.TransferRequest) []ledger.Charge {
+	ctx, cancel := context.WithTimeout(ctx, givePatience)
+	defer cancel()
+	for ctx.Err() == nil {
+		charges, ok := s.holder.Give(req.Id, ident.Incarnation(req.Taker), req.Budget, req.Tokens, s.now())
+		if ok {
+			return charges
+		}
+		sleep(ctx, givePause)
+	}
+	return s.holder.Decline(req.Id, req.Budget)
+}
+
+// sleep waits for d or for the end of the context.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/budget/service.go
+++ b/internal/budget/service.go
@@ -36,6 +36,10 @@
 	// grantPatience is how long a request waits for the verdict on a grant before
 	// it turns to the peers.
 	grantPatience = 100 * time.Millisecond
+	// givePatience is how long a peer is kept waiting while requests here go
+	// first, and givePause the pause between two looks.
+	givePatience = 50 * time.Millisecond
+	givePause    = 2 * time.Millisecond
 	// transferTimeout bounds one attempt at a transfer.
 	transferTimeout = 100 * time.Millisecond
 )
--- a/internal/trial/sim.go
+++ b/internal/trial/sim.go
@@ -25,6 +25,10 @@
 	// patience is how long a node waits for a verdict before it turns to the
 	// peers.
 	patience = 100 * time.Millisecond
+	// givePatience is how long a peer is kept waiting by one that goes first,
+	// and givePause the pause between two looks.
+	givePatience = 50 * time.Millisecond
+	givePause    = 2 * time.Millisecond
 	// waitTime bounds how long a request waits for tokens.
 	waitTime = 400 * time.Millisecond
 	// transferBytes is the size of a transfer's question and answer.
@@ -120,6 +124,14 @@
 	flushing bool
 	// asked holds the fixed shares that were asked for.
 	asked map[string]ledger.Tokens
+	// freed holds what the last settlement of each budget put back.
+	freed map[string]freed
+}
+
+// freed is a number of tokens that a settlement put back.
+type freed struct {
+	at     time.Duration
+	tokens ledger.Tokens
 }
 
 // simGather is an effort to get tokens and the requests that wait for it.
@@ -127,6 +139,8 @@
 	open           int
 	waiting, later []*work
 	deadline       time.Duration
+	// moved is set when tokens or verdicts came in during the effort.
+	moved bool
 }
 
 // work is a request.
@@ -219,6 +233,7 @@
 func (n *simNode) reset() {
 	n.gathers = map[string]*simGather{}
 	n.asked = map[string]ledger.Tokens{}
+	n.freed = map[string]freed{}
 	n.flushing = false
 }
 
--- a/pkg/slice/admit.go
+++ b/pkg/slice/admit.go
@@ -33,6 +33,9 @@
 		return nil, ErrDry
 	}
 	delete(b.lacking, id)
+	if len(b.lacking) == 0 {
+		b.shortUntil = time.Time{}
+	}
 	charges := b.draw(tokens)
 	b.reserved += tokens
 	if b.tickets == nil {
--- a/pkg/slice/peer.go
+++ b/pkg/slice/peer.go
@@ -3,23 +3,43 @@
 import (
 	"time"
 
+	"github.com/beryllanding/beryllanding/pkg/ident"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 )
 
 // Give hands free tokens of a budget over to a peer and debits them first. The
 // same id yields the same answer. It gives up to tokens, and possibly nothing.
-func (h *Holder) Give(id, budget string, tokens ledger.Tokens, now time.Time) []ledger.Charge {
-	var charges []ledger.Charge
+//
+// Two holders that are both short and take each other's tokens would both fail,
+// though the tokens cover one of them. So the one with the smaller name goes
+// first: it answers ok=false while its own reservations wait, and the caller
+// tries again soon or declines.
+func (h *Holder) Give(id string, taker ident.Incarnation, budget string, tokens ledger.Tokens, now time.Time) (charges []ledger.Charge, ok bool) {
 	h.with(budget, func(s *shard, b *book) {
-		var known bool
-		if charges, known = s.given[id]; known {
+		if charges, ok = s.given[id]; ok {
 			return
 		}
-		n := h.Policy.giving(b, tokens, now)
-		if n > 0 {
+		if b.own < taker && now.Before(b.shortUntil) {
+			return
+		}
+		if n := h.Policy.giving(b, tokens); n > 0 {
 			charges = b.draw(n)
 		}
 		s.rememberGiven(id, charges)
+		ok = true
+	})
+	return charges, ok
+}
+
+// Decline answers a transfer with nothing, unless it was answered before. It
+// returns the answer.
+func (h *Holder) Decline(id, budget string) []ledger.Charge {
+	var charges []ledger.Charge
+	h.with(budget, func(s *shard, _ *book) {
+		var known bool
+		if charges, known = s.given[id]; !known {
+			s.rememberGiven(id, nil)
+		}
 	})
 	return charges
 }
--- a/pkg/slice/plan.go
+++ b/pkg/slice/plan.go
@@ -59,7 +59,11 @@
 func (h *Holder) PlanBudget(budget string, now time.Time) []Effect {
 	var effects []Effect
 	h.with(budget, func(_ *shard, b *book) {
-		effects = h.Policy.plan(budget, b, b.takeLack(), now)
+		lack := b.takeLack()
+		if lack > 0 {
+			b.shortUntil = now.Add(shortTime)
+		}
+		effects = h.Policy.plan(budget, b, lack, now)
 	})
 	return effects
 }
--- a/pkg/slice/policy.go
+++ b/pkg/slice/policy.go
@@ -101,7 +101,7 @@
 }
 
 // giving returns how many tokens a holder parts with when a peer asks.
-func (p Policy) giving(b *book, tokens ledger.Tokens, _ time.Time) ledger.Tokens {
+func (p Policy) giving(b *book, tokens ledger.Tokens) ledger.Tokens {
 	if p.NoTransfer {
 		return 0
 	}
--- a/pkg/slice/slice.go
+++ b/pkg/slice/slice.go
@@ -15,6 +15,7 @@
 	"errors"
 	"hash/maphash"
 	"sync"
+	"time"
 
 	"github.com/beryllanding/beryllanding/pkg/ident"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
@@ -33,6 +34,8 @@
 	// remembers. An id forgotten since would be served anew, which moves more
 	// tokens than asked and never creates any.
 	givenWindow = 1024
+	// shortTime is how long an effort to get tokens from peers takes.
+	shortTime = 20 * time.Millisecond
 )
 
 // Holder is the state of one instance over all budgets.
@@ -95,8 +98,10 @@
 	// lacking holds the reservations that found the book dry since the last
 	// plan, by ticket id.
 	lacking map[string]ledger.Tokens
-	seen    Seen
-	need    demand
+	// shortUntil is when the effort for the last lack is over.
+	shortUntil time.Time
+	seen       Seen
+	need       demand
 }
 
 // Seen is what the fold shows of a budget.
--- a/pkg/slice/slice_test.go
+++ b/pkg/slice/slice_test.go
@@ -192,3 +192,27 @@
 		})
 	}
 }
+
+// TestGiveOrder lets the smaller name of two holders that are both short go
+// first, and the other one have what is left.
+func TestGiveOrder(t *testing.T) {
+	h := granted(100, Policy{})
+	_, _ = h.Reserve("t", "b", 300, start) // is dry
+	h.PlanBudget("b", start)
+	if got, ok := h.Give("m1", "zzz~1", "b", 60, start); ok || got != nil {
+		t.Errorf("gave %v to a holder that comes later", got)
+	}
+	if got, ok := h.Give("m2", "aaa~1", "b", 10, start); !ok || sum(got) != 10 {
+		t.Errorf("gave %v, %t to a holder that goes first", got, ok)
+	}
+	if got, ok := h.Give("m1", "zzz~1", "b", 60, start.Add(shortTime)); !ok || sum(got) != 60 {
+		t.Errorf("gave %v, %t after the effort", got, ok)
+	}
+	if got := h.Decline("m1", "b"); sum(got) != 60 {
+		t.Errorf("declined what was answered: %v", got)
+	}
+	h.Decline("m3", "b")
+	if got, ok := h.Give("m3", "aaa~1", "b", 5, start); !ok || got != nil {
+		t.Errorf("gave %v, %t after declining", got, ok)
+	}
+}
