internal/side: the queue of loads starts anew where all of it was forgotten

Cause: where no side process ran for longer than the log keeps records, the last checkpoint of the loads stream expires. Every reader is behind a gap then, for ever, and no target could load.

Ruled out: loading without a turn after a wait. It storms the weight store at each later change, since the stream stays unreadable.

Seen failing (TestQueueStartsAnewAfterAllWasForgotten): without it the targets answer "no-target not-run" after five minutes.

--- a/internal/side/orders.go
+++ b/internal/side/orders.go
@@ -35,6 +35,8 @@
 	serving        serving
 	// read is closed when the catalogue was read to its end.
 	read chan struct{}
+	// staleSince is since when the queue's stream is behind a gap, or zero.
+	staleSince time.Time
 
 	given, refused, skipped expvar.Int
 }
@@ -117,6 +119,7 @@
 	if !view.Open(s.opts.Incarnation) || time.Since(s.fleet.FreshAt()) > fleetFresh {
 		return true // planned again, and done if this side may give orders then
 	}
+	s.mendQueue(ctx, view.Queue == nil, began)
 	for _, e := range d.Effects {
 		// After a pause the context's timer may not have run yet.
 		if time.Since(began) > stepTimeout {
--- a/internal/side/orders_test.go
+++ b/internal/side/orders_test.go
@@ -1,6 +1,7 @@
 package side
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -73,6 +74,33 @@
 	}
 }
 
+// expired is a log whose first records of the loads stream are expired.
+type expired struct{ *fakeLog }
+
+func (l expired) Read(ctx context.Context, stream string, from logsvc.Offset, limit int, wait time.Duration) (logsvc.Page, error) {
+	first := map[string]logsvc.Offset{ledger.LoadsStream: 4}[stream]
+	page, err := l.fakeLog.Read(ctx, stream, max(from, first), limit, wait)
+	page.First = max(page.First, first)
+	return page, err
+}
+
+func TestQueueStartsAnewAfterAllWasForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &weightsBed{T: t}
+		b.put("m@v6")
+		for range 5 {
+			_, _ = b.log.Append(t.Context(), ledger.LoadsStream, []byte("{}"))
+		}
+		for i := range 3 {
+			b.engines = append(b.engines, engd.New(engd.Switches{}))
+			b.sides = append(b.sides, newServer(t, expired{&b.log}, fmt.Sprintf("s%d~1", i), b.engines[i].Handler(), func(o *Options) { o.FollowWeights = true }))
+			defer stop(t, b.sides[i])
+		}
+		time.Sleep(5 * time.Minute)
+		b.settle("m@v6", "m@v6")
+	})
+}
+
 func TestWeightsFollowTheCatalogue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := wghtd.New(wghtd.Switches{BytesPerSecond: 256 << 10})
