--- a/internal/side/orders_restart.go
+++ b/internal/side/orders_restart.go
@@ -37,7 +37,7 @@
 		return
 	}
 	o.staleSince = now
-	s.opts.Warn("the queue of loads has a gap and no checkpoint, starting it anew")
+	s.opts.Logger.Warn("the queue of loads has a gap and no checkpoint, starting it anew")
 	s.restartQueue(ctx)
 }
 
