internal/side, internal/boot: not run is told of a keyed call only where no side can have it

Ruled out: the word of one side process (a claim may be on its way to the log at a frozen one); following the claims stream at each entry instance (bytes, and it is not current in an outage). Change: before such a refusal all listed side processes of applications are asked, and each reads the claims stream to its end; any that does not answer makes the outcome unknown. A claim that is won after its time is over is released, also where the process was stopped meanwhile.

--- /dev/null
+++ b/internal/boot/prior.go
@@ -0,0 +1,85 @@
+package boot
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/catal"
+	"github.com/beryllanding/beryllanding/pkg/fold"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+	"github.com/beryllanding/beryllanding/pkg/route"
+)
+
+// priorTimeout bounds the question whether a request ran before. It is shorter
+// than the time for which the instance list shows a side process that stopped
+// answering.
+const priorTimeout = time.Second
+
+// ran reports whether a request with the id ran before or may have: it was
+// billed, or, for a call, some side process cannot exclude it.
+//
+// A caller that lost its first answer and is refused on its retry must not be
+// told that the work did not happen on the word of an instance that knows of the
+// retry alone. All listed side processes of applications are asked, since a
+// claim may be on its way to the log at any of them.
+func (r *Router) ran(id string, call bool) bool {
+	return r.wasBilled(id) || (call && !r.neverClaimed(id))
+}
+
+// wasBilled reports whether the log, as it is folded here, has the request's
+// bill.
+func (r *Router) wasBilled(id string) bool {
+	for i := range r.budget.Shards() {
+		billed := false
+		r.budget.Ledger(i).View(func(reader *fold.Reader) {
+			_, billed = reader.Machine.(*ledger.State).Billed(id)
+		})
+		if billed {
+			return true
+		}
+	}
+	return false
+}
+
+// neverClaimed reports whether all listed side processes of applications say
+// that nobody claimed the request.
+func (r *Router) neverClaimed(id string) bool {
+	ctx, cancel := context.WithTimeout(r.base, priorTimeout)
+	defer cancel()
+	targets := r.applications()
+	var denied atomic.Int64
+	var wg sync.WaitGroup
+	for _, t := range targets {
+		wg.Go(func() {
+			if r.deniesClaim(ctx, t, id) {
+				denied.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return len(targets) > 0 && denied.Load() == int64(len(targets))
+}
+
+// deniesClaim asks one side process.
+func (r *Router) deniesClaim(ctx context.Context, t route.Target, id string) bool {
+	client, err := r.conns.Side(t)
+	if err != nil {
+		return false
+	}
+	reply, err := client.Outcome(ctx, &wire.OutcomeRequest{RequestId: id})
+	return err == nil && reply.GetState() == "not-run"
+}
+
+// applications returns the listed targets of all application services.
+func (r *Router) applications() []route.Target {
+	var targets []route.Target
+	for _, name := range r.members.services() {
+		if s, ok := r.catalogue.state.ServiceEntry(name); ok && s.Kind == catal.App {
+			targets = append(targets, r.members.Targets(name)...)
+		}
+	}
+	return targets
+}
--- a/internal/boot/router.go
+++ b/internal/boot/router.go
@@ -203,20 +203,6 @@
 	return setting
 }
 
-// ran reports whether the log shows that a request with the id was billed.
-func (r *Router) ran(id string) bool {
-	for i := range r.budget.Shards() {
-		billed := false
-		r.budget.Ledger(i).View(func(reader *fold.Reader) {
-			_, billed = reader.Machine.(*ledger.State).Billed(id)
-		})
-		if billed {
-			return true
-		}
-	}
-	return false
-}
-
 // ready reports whether the catalogue has been read, from the log or a peer.
 func (r *Router) ready() bool { return r.catalogue.follower.Offset() > 0 }
 
--- a/internal/entry/do.go
+++ b/internal/entry/do.go
@@ -77,7 +77,7 @@
 // lookBack notes whether an earlier request with the same id may have run. It
 // comes before each decision that may end in a refusal.
 func (r *run) lookBack() {
-	r.flow.Prior = r.req.Keyed && r.e.mayHaveRun(r.req.ID, r.remembered)
+	r.flow.Prior = r.req.Keyed && r.e.mayHaveRun(r.req.ID, r.req.Service.Kind == KindApp, r.remembered)
 }
 
 // forget takes the request back where no attempt of it may have run.
@@ -100,7 +100,9 @@
 		if err != nil {
 			return err
 		}
-		r.lookBack()
+		if _, answered := end.(Finished); !answered {
+			r.lookBack()
+		}
 		if done, err := r.follow(ctx, r.flow.Ended(end)); done {
 			return err
 		}
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -62,9 +62,10 @@
 	// Services names the services whose targets Watch asks before their first
 	// request came. It is optional.
 	Services func() []string
-	// Ran reports whether the log shows that the request with this id ran or
-	// was claimed. It is optional, and is asked for keyed requests only.
-	Ran      func(id string) bool
+	// Ran reports whether a request with this id ran, or may have, as the log
+	// shows it; call says that it is a call of an application. It is optional,
+	// and is asked before a keyed request is refused.
+	Ran      func(id string, call bool) bool
 	Timeouts Timeouts
 	Policy   route.Policy
 	// Retry is the retry budget that each service starts with, and QueueLen the
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -66,11 +66,11 @@
 	return m.count != nil && m.count[maphash.String(m.seed, id)] > n
 }
 
-// MayHaveRun reports whether a request with this id may have run before, as far
-// as this instance knows.
-func (e *Engine) MayHaveRun(id string) bool { return e.mayHaveRun(id, 0) }
+// MayHaveRun reports whether a request with this id, which may be a call of an
+// application, may have run before, as far as this instance can learn.
+func (e *Engine) MayHaveRun(id string, call bool) bool { return e.mayHaveRun(id, call, 0) }
 
 // mayHaveRun leaves out own requests of the caller's own.
-func (e *Engine) mayHaveRun(id string, own int) bool {
-	return e.memory.over(id, own) || (e.Ran != nil && e.Ran(id))
+func (e *Engine) mayHaveRun(id string, call bool, own int) bool {
+	return e.memory.over(id, own) || (e.Ran != nil && e.Ran(id, call))
 }
--- a/internal/front/apps.go
+++ b/internal/front/apps.go
@@ -51,6 +51,9 @@
 	}}, nil
 }
 
+// isCall reports whether the request is for an application.
+func isCall(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/apps/") }
+
 // callPath returns the path below the service's, still encoded.
 func callPath(r *http.Request, service string) string {
 	rest := strings.TrimPrefix(r.URL.EscapedPath(), "/apps/"+service)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,7 +22,7 @@
 type Doer interface {
 	Do(ctx context.Context, req *entry.Request, sink entry.Sink) (entry.Result, error)
 	Drain(ctx context.Context) error
-	MayHaveRun(id string) bool
+	MayHaveRun(id string, call bool) bool
 }
 
 // Limits bounds what callers may send. A zero field stands for its default.
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -115,7 +115,7 @@
 // an earlier request with the same key may have done it.
 func (x *exchange) honest(err error) error {
 	var f *fault
-	if x.keyed && errors.As(err, &f) && x.s.Engine.MayHaveRun(x.id) {
+	if x.keyed && errors.As(err, &f) && x.s.Engine.MayHaveRun(x.id, isCall(x.r)) {
 		f.Outcome = refuse.Unknown
 	}
 	return err
--- a/internal/side/claims.go
+++ b/internal/side/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/beryllanding/beryllanding/pkg/claim"
 	"github.com/beryllanding/beryllanding/pkg/fold"
@@ -174,6 +175,13 @@
 		step, verdict := s.stepClaim(c)
 		switch step {
 		case stepRun:
+			// A process that was stopped for a while finds its claim won and its
+			// time over at once. The time goes first: others were asked about the
+			// request meanwhile, and told that it was not claimed.
+			if overdue(ctx) {
+				s.giveUp(c)
+				return false, nil
+			}
 			return true, verdict
 		case stepLost:
 			s.own.forget(c)
@@ -182,16 +190,27 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			// From here on the work is never run under this claim, whatever the
-			// fold says of it later. So the refusal that follows is true although
-			// the claim may still be on its way to the log.
-			s.own.set(c, claimGivenUp)
-			wake(s.sweepWake)
+			s.giveUp(c)
 			return false, nil
 		}
 	}
 }
 
+// giveUp ends a claim whose work was not run. From here on the work is never run
+// under it, whatever the fold says of it later. So the refusal that follows is
+// true although the claim may still be on its way to the log.
+func (s *Server) giveUp(c *ownClaim) {
+	s.own.set(c, claimGivenUp)
+	wake(s.sweepWake)
+}
+
+// overdue reports whether the context's deadline has passed, also where its
+// timer has not run yet.
+func overdue(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && !time.Now().Before(deadline)
+}
+
 // stepClaim asks the fold about a claim. A claim that won is noted as such.
 func (s *Server) stepClaim(c *ownClaim) (claimStep, claim.Verdict) {
 	step, verdict := stepWait, claim.Verdict(nil)
--- a/internal/side/status.go
+++ b/internal/side/status.go
@@ -6,8 +6,10 @@
 	"expvar"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/claim"
 	"github.com/beryllanding/beryllanding/pkg/fold"
 	"github.com/beryllanding/beryllanding/pkg/loads"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
@@ -16,6 +18,9 @@
 // maxStatus bounds a target's load report, in bytes.
 const maxStatus = 64 << 10
 
+// claimsReadTimeout bounds the reading of the claims stream to its end.
+const claimsReadTimeout = 500 * time.Millisecond
+
 // load is the target's own report of its load.
 type load struct {
 	Running           int64 `json:"running"`
@@ -117,25 +122,49 @@
 
 // Outcome tells the fate of an attempt, or of a request where no attempt is
 // named.
-func (s *Server) Outcome(_ context.Context, req *wire.OutcomeRequest) (*wire.OutcomeReply, error) {
+func (s *Server) Outcome(ctx context.Context, req *wire.OutcomeRequest) (*wire.OutcomeReply, error) {
 	if req.GetRequestId() == "" {
 		return outcomeOf(nil, false), nil // the attempt's table is not known
 	}
+	if req.GetAttemptId() == "" {
+		return s.requestOutcome(ctx, req.GetRequestId()), nil
+	}
 	sh := s.shard(req.GetRequestId())
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	var reply *wire.OutcomeReply
-	if req.GetAttemptId() == "" {
-		reply = outcomeOf(sh.table.runs[req.GetRequestId()], true)
-	} else {
-		here := req.GetSide() == string(s.opts.Incarnation)
-		r := sh.table.fate(req.GetAttemptId(), here)
-		reply = outcomeOf(r, r == nil || r.owner == req.GetAttemptId())
-	}
+	here := req.GetSide() == string(s.opts.Incarnation)
+	r := sh.table.fate(req.GetAttemptId(), here)
+	reply := outcomeOf(r, r == nil || r.owner == req.GetAttemptId())
 	reply.Side = string(s.opts.Incarnation)
 	return reply, nil
 }
 
+// requestOutcome tells what is known of a request, whichever attempt ran it and
+// at whichever side. That it did not run is told only of a request that nobody
+// has claimed on the log as it is now.
+func (s *Server) requestOutcome(ctx context.Context, request string) *wire.OutcomeReply {
+	sh := s.shard(request)
+	sh.mu.Lock()
+	r := sh.table.runs[request]
+	reply := outcomeOf(r, true)
+	sh.mu.Unlock()
+	reply.Side = string(s.opts.Incarnation)
+	if r != nil {
+		return reply
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimsReadTimeout)
+	defer cancel()
+	if s.claims.CatchUp(ctx) != nil {
+		return reply
+	}
+	s.claims.View(func(*fold.Reader) {
+		if _, free := s.claimsState.Lookup(request, nil).(claim.Free); free {
+			reply.State = "not-run"
+		}
+	})
+	return reply
+}
+
 // fate returns the run of an attempt, or nil where it is not known. Where the
 // attempt was meant for this incarnation and certainly never arrived, it is
 // barred from arriving later, so that "not run" stays true. The bar is forgotten
