internal/boot: tokens of unknown outcome come back when the side processes ended

Cause: a ticket of unknown outcome waited for its usage alone; where the side process died before it billed, the usage never came, and the tokens stayed reserved as long as the entry instance lived. Ruled out: a time after which they are freed (the side process may be frozen, and bill later). Change: the tickets remember the incarnations that may bill them; once the fleet stream shows all of these as ended, and the budget stream is read to its end, the rest is freed. Before/after: go test ./internal/procs -run Gone; without resolveDeferred the stop times out and the tokens stay granted.

--- a/internal/boot/peers.go
+++ b/internal/boot/peers.go
@@ -65,7 +65,10 @@
 }
 
 // budgets is the budget service as the request path calls it.
-type budgets struct{ service *budget.Service }
+type budgets struct {
+	service  *budget.Service
+	deferred *deferrals
+}
 
 func toTicket(t entry.Ticket) budget.Ticket { return budget.Ticket(t) }
 
@@ -81,8 +84,12 @@
 // Cancel puts all of it back.
 func (b budgets) Cancel(t entry.Ticket) { b.service.Cancel(toTicket(t)) }
 
-// Defer holds the ticket until the log tells what the request was billed.
-func (b budgets) Defer(t entry.Ticket, request string) { b.service.Defer(toTicket(t), request) }
+// Defer holds the ticket until the log tells what the request was billed, or
+// that no side process can bill it any more.
+func (b budgets) Defer(t entry.Ticket, request string, sides []string) {
+	b.service.Defer(toTicket(t), request)
+	b.deferred.add(deferral{budget: t.Budget, request: request, sides: sides})
+}
 
 // CloseHolder drops the lots of a closed holder.
 func (b budgets) CloseHolder(h ident.Incarnation) { b.service.CloseHolder(h) }
--- a/internal/boot/reap.go
+++ b/internal/boot/reap.go
@@ -15,7 +15,7 @@
 // reap proposes the closing of holders that are gone and the reclaim of those
 // whose closing is final. It also lets this instance go on as a new incarnation
 // where its own was closed.
-func (r *Router) reap(context.Context) {
+func (r *Router) reap(ctx context.Context) {
 	var effects []reaper.Effect
 	listed, at := r.listedHolders()
 	holders := r.holders()
@@ -32,6 +32,7 @@
 		r.carryOut(e)
 	}
 	r.followClosings()
+	r.resolveDeferred(ctx)
 }
 
 // carryOut proposes one effect.
--- a/internal/boot/router.go
+++ b/internal/boot/router.go
@@ -67,6 +67,7 @@
 	dial      []grpc.DialOption
 	peers     peerConns
 	planner   reaper.Planner
+	deferred  deferrals
 	fleetLog  *fold.Writer
 	// catalogueLog is for checkpoints alone.
 	catalogueLog *fold.Writer
@@ -178,13 +179,14 @@
 
 func (r *Router) newEngine() *entry.Engine {
 	limits := r.Settings.Limits
+	b := budgets{service: r.budget, deferred: &r.deferred}
 	return &entry.Engine{
 		DataCentre:  r.Settings.Instance.DataCentre,
 		Catalogue:   r.catalogue,
-		Budgets:     budgets{r.budget},
+		Budgets:     b,
 		Targets:     r.members,
 		Dialer:      r.conns,
-		Orphans:     budgets{r.budget},
+		Orphans:     b,
 		FleetOffset: func() uint64 { return uint64(r.fleet.Offset()) },
 		Timeouts:    entry.Timeouts{FirstEvent: limits.FirstEventTimeout, Progress: limits.EventTimeout},
 		Tracer:      r.tracing.Tracer("entry"),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -92,8 +92,10 @@
 	Settle(t Ticket, used []ledger.Charge)
 	// Cancel puts all of it back: nothing ran, or nothing is charged to t.
 	Cancel(t Ticket)
-	// Defer holds the ticket until the log tells what the request was billed.
-	Defer(t Ticket, request string)
+	// Defer holds the ticket until the log tells what the request was billed, or
+	// that none of the named incarnations of side processes can bill it any
+	// more. An empty name stands for one that is not known.
+	Defer(t Ticket, request string, sides []string)
 	// CloseHolder reports that a side process refused charges on the holder's
 	// slices because the holder was closed.
 	CloseHolder(h ident.Incarnation)
--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -253,6 +253,18 @@
 	return slices.ContainsFunc(f.Attempts, func(a *Attempt) bool { return a.Fate != FateNotRun })
 }
 
+// openSides returns the incarnations of the side processes that attempts of
+// unknown fate were sent to.
+func (f *Flow) openSides() []string {
+	var sides []string
+	for _, a := range f.Open() {
+		if !slices.Contains(sides, a.Side) {
+			sides = append(sides, a.Side)
+		}
+	}
+	return sides
+}
+
 // tried returns the names of the targets that were tried.
 func (f *Flow) tried() []string {
 	var names []string
--- a/internal/entry/settle.go
+++ b/internal/entry/settle.go
@@ -96,7 +96,7 @@
 			r.e.Budgets.Cancel(ticket)
 		case Defer:
 			r.e.Counts.Deferred.Add(1)
-			r.e.Budgets.Defer(ticket, r.req.ID)
+			r.e.Budgets.Defer(ticket, r.req.ID, r.flow.openSides())
 		}
 	}
 	return charged
--- a/internal/front/fake_test.go
+++ b/internal/front/fake_test.go
@@ -85,9 +85,9 @@
 	delete(b.reserved, t.ID)
 }
 
-func (b *budgets) Cancel(t entry.Ticket)         { b.Settle(t, nil) }
-func (b *budgets) Defer(entry.Ticket, string)    {}
-func (b *budgets) CloseHolder(ident.Incarnation) {}
+func (b *budgets) Cancel(t entry.Ticket)                { b.Settle(t, nil) }
+func (b *budgets) Defer(entry.Ticket, string, []string) {}
+func (b *budgets) CloseHolder(ident.Incarnation)        {}
 
 func (b *budgets) balance() ledger.Tokens {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/procs/gone_test.go
@@ -0,0 +1,40 @@
+package procs
+
+import (
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	"github.com/beryllanding/beryllanding/internal/stand/engd"
+	"github.com/beryllanding/beryllanding/pkg/insts"
+)
+
+// TestGoneSideFreesReservations kills a side process in the middle of a plain
+// chat. Its tokens stay reserved, since it may have billed them, until an
+// operator vouches that it is gone. Then nothing is stranded.
+func TestGoneSideFreesReservations(t *testing.T) {
+	w := newWorld(t, 100_000)
+	engine, side := w.engine("engine-0", engd.Switches{TokenMicros: slowToken, AnswerTokens: longAnswer})
+	r := w.router("router-a")
+	w.ready(r)
+	done := make(chan answer)
+	go func() { done <- r.chat("", "question", longAnswer) }()
+	w.eventually("the engine runs it", func() bool { return engine.Counts().Total.Runs == 1 })
+	incarnation := string(w.fleet().Sides()[0].Side)
+	side.kill()
+	<-done
+	w.eventually("the list lacks it", func() bool {
+		list, err := w.list.Instances()
+		return err == nil && !slices.ContainsFunc(list, func(inst insts.Instance) bool { return inst.Role == insts.Side })
+	})
+	gone := exec.Command(filepath.Join(binaries, "beryl"), "--log-service", w.logURL, "--instance-list", w.listURL,
+		"fleet", "gone", incarnation, "--reason", "killed by the test")
+	if out, err := gone.CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	r.terminate()
+	if b := w.budget(); b.Granted != b.Billed {
+		t.Errorf("granted %d, billed %d, want both equal", b.Granted, b.Billed)
+	}
+}
--- a/pkg/fleet/query.go
+++ b/pkg/fleet/query.go
@@ -17,6 +17,10 @@
 	Fence logsvc.Offset
 }
 
+// Ended reports whether the side was registered and has ended, as far as ended
+// sides are remembered.
+func (s *State) Ended(side ident.Incarnation) bool { return slices.Contains(s.ended, side) }
+
 // Closed reports whether the holder is closed.
 func (s *State) Closed(holder ident.Incarnation) bool { return s.closings[holder] != nil }
 
