internal/side: names in the field's terms

checkpointer, notifyClaims, resolve and admission in place of keeper, nudgeClaims, concede and standing. No change of behaviour; go test -race ./internal/side passes.

--- a/internal/side/admit.go
+++ b/internal/side/admit.go
@@ -115,8 +115,8 @@
 	return out
 }
 
-// standing is what the fleet stream says about a run that asks to start.
-type standing struct {
+// admission is what the fleet stream says about a run that asks to start.
+type admission struct {
 	// registered: the side has its fencing number.
 	registered bool
 	// stale: the fleet state is behind a gap.
@@ -127,8 +127,8 @@
 	closed ident.Incarnation
 }
 
-// decide returns the refusal that the standing calls for, if any.
-func (st standing) decide(leaving bool) *refuse.Refusal {
+// decide returns the refusal that the admission state calls for, if any.
+func (st admission) decide(leaving bool) *refuse.Refusal {
 	switch {
 	case leaving:
 		return notRun(refuse.CodeLeaving, 0, "the target is leaving")
@@ -146,7 +146,7 @@
 
 // admit decides whether a run may start. The run is in the table already.
 func (s *Server) admit(r *run) *refuse.Refusal {
-	st := standing{registered: s.fence.Load() != 0}
+	st := admission{registered: s.fence.Load() != 0}
 	s.fleet.View(func(reader *fold.Reader) {
 		st.stale = reader.Stale()
 		st.open = s.fleetState.Open(s.opts.Incarnation)
--- a/internal/side/call.go
+++ b/internal/side/call.go
@@ -53,7 +53,7 @@
 func (c *callRun) acquire(ctx context.Context) bool {
 	verdict, fresh := c.s.lookupClaim(c.r.request, c.r.fingerprint)
 	if _, free := verdict.(claim.Free); fresh && !free {
-		c.concede(verdict)
+		c.resolve(verdict)
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.s.opts.ClaimWait)
@@ -66,12 +66,12 @@
 		c.claim = own
 		return true
 	}
-	c.concede(verdict)
+	c.resolve(verdict)
 	return false
 }
 
-// concede ends a run whose request another attempt has.
-func (c *callRun) concede(verdict claim.Verdict) {
+// resolve ends a run whose request another attempt has.
+func (c *callRun) resolve(verdict claim.Verdict) {
 	switch v := verdict.(type) {
 	case claim.Finished:
 		c.replay(v)
--- a/internal/side/keep.go
+++ b/internal/side/checkpoint.go
@@ -11,23 +11,23 @@
 )
 
 const (
-	// keepEvery is the number of records after which a stream gets a new
+	// checkpointEvery is the number of records after which a stream gets a new
 	// checkpoint.
-	keepEvery = 2000
-	// keepPeriod is the time after which it gets one in any case, since records
+	checkpointEvery = 2000
+	// checkpointPeriod is the time after which it gets one in any case, since records
 	// and checkpoints alike expire by age.
-	keepPeriod = time.Hour
-	// keepLook is how often a side looks whether one is due.
-	keepLook = time.Minute
-	// keepShare divides the period between two sides of adjacent rank.
-	keepShare = 8
+	checkpointPeriod = time.Hour
+	// checkpointLook is how often a side looks whether one is due.
+	checkpointLook = time.Minute
+	// checkpointShare divides the period between two sides of adjacent rank.
+	checkpointShare = 8
 )
 
-// keeper decides when a side appends a checkpoint of one stream. Racing
+// checkpointer decides when a side appends a checkpoint of one stream. Racing
 // checkpoints do no harm but cost appends, so the sides are staggered by rank:
 // each waits a share longer than the one before it, and sees its checkpoint
 // first, unless that side is paused or dead.
-type keeper struct {
+type checkpointer struct {
 	// seen is the newest checkpoint in the stream, and since when it was known.
 	seen  logsvc.Offset
 	since time.Time
@@ -36,7 +36,7 @@
 // due reports whether the side of the given rank, counted from 0, appends a
 // checkpoint now. The stream's fold is at offset at, and its newest checkpoint
 // stands for offset last.
-func (k *keeper) due(at, last logsvc.Offset, rank int, now time.Time) bool {
+func (k *checkpointer) due(at, last logsvc.Offset, rank int, now time.Time) bool {
 	if k.since.IsZero() || last > k.seen {
 		k.seen = last
 		k.since = now
@@ -44,21 +44,21 @@
 	if at <= last {
 		return false
 	}
-	records := logsvc.Offset(keepEvery + rank*keepEvery/keepShare)
-	period := keepPeriod + time.Duration(rank)*keepPeriod/keepShare
+	records := logsvc.Offset(checkpointEvery + rank*checkpointEvery/checkpointShare)
+	period := checkpointPeriod + time.Duration(rank)*checkpointPeriod/checkpointShare
 	return at-last >= records || now.Sub(k.since) >= period
 }
 
-// keepStreams appends checkpoints of the fleet and claims streams when due.
-func (s *Server) keepStreams(ctx context.Context) {
-	var fleetKeeper, claimsKeeper keeper
-	for sleep(ctx, keepLook) {
+// checkpointStreams appends checkpoints of the fleet and claims streams when due.
+func (s *Server) checkpointStreams(ctx context.Context) {
+	var fleetDue, claimsDue checkpointer
+	for sleep(ctx, checkpointLook) {
 		rank, ok := s.rank()
 		if !ok {
 			continue
 		}
-		s.keep(&fleetKeeper, &s.fleet, &s.fleetWriter, rank)
-		s.keep(&claimsKeeper, &s.claims, &s.claimsWriter, rank)
+		s.checkpoint(&fleetDue, &s.fleet, &s.fleetWriter, rank)
+		s.checkpoint(&claimsDue, &s.claims, &s.claimsWriter, rank)
 	}
 }
 
@@ -74,8 +74,8 @@
 	return rank, rank >= 0
 }
 
-// keep proposes a checkpoint of one stream where one is due.
-func (s *Server) keep(k *keeper, f *fold.Follower, w *fold.Writer, rank int) {
+// checkpoint proposes a checkpoint of one stream where one is due.
+func (s *Server) checkpoint(k *checkpointer, f *fold.Follower, w *fold.Writer, rank int) {
 	var items []fold.Item
 	f.View(func(r *fold.Reader) {
 		if r.Stale() || !k.due(r.Offset(), r.LastCheckpoint(), rank, time.Now()) {
--- a/internal/side/claims.go
+++ b/internal/side/claims.go
@@ -138,14 +138,14 @@
 		s.own.mu.Lock()
 		c.at = at.Offset
 		s.own.mu.Unlock()
-		s.nudgeClaims()
+		s.notifyClaims()
 	})
 	return c
 }
 
-// nudgeClaims makes those that wait for a decision look again. It may be called
+// notifyClaims makes those that wait for a decision look again. It may be called
 // under the follower's lock.
-func (s *Server) nudgeClaims() {
+func (s *Server) notifyClaims() {
 	s.own.mu.Lock()
 	defer s.own.mu.Unlock()
 	if s.own.changed != nil {
@@ -155,7 +155,7 @@
 	wake(s.sweepWake)
 }
 
-// wait returns a channel that is closed at the next nudge.
+// wait returns a channel that is closed at the next notification.
 func (o *ownClaims) wait() <-chan struct{} {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -106,7 +106,7 @@
 	s.fleetWriter.Name = s.writerName()
 	s.claims.Log, s.claims.Stream = log, ledger.ClaimsStream
 	s.claims.Reader.Machine = &s.claimsState
-	s.claims.OnApply = s.nudgeClaims
+	s.claims.OnApply = s.notifyClaims
 	s.claimsWriter.Log, s.claimsWriter.Stream = log, ledger.ClaimsStream
 	s.claimsWriter.Name = s.writerName()
 }
@@ -125,7 +125,7 @@
 	s.loop(s.acknowledge)
 	s.loop(s.sweepClaims)
 	s.loop(s.pollLoad)
-	s.loop(s.keepStreams)
+	s.loop(s.checkpointStreams)
 }
 
 // loop runs fn until Stop.
