internal/budget: tests change the fake log under its lock

The race detector found TestBehindIsNotSpent writing the fake log's records beside a running follower; TestStaleGrantsNothing did the same with first. Both still fail with their condition taken out of Service.fresh.

--- a/internal/budget/bed_test.go
+++ b/internal/budget/bed_test.go
@@ -67,10 +67,13 @@
 	return page, nil
 }
 
-func (l *memLog) setDown(down bool) {
+func (l *memLog) setDown(down bool) { l.edit(func() { l.down = down }) }
+
+// edit changes the log under its lock.
+func (l *memLog) edit(fn func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.down = down
+	fn()
 }
 
 // peer reaches another service in memory.
--- a/internal/budget/service_test.go
+++ b/internal/budget/service_test.go
@@ -178,14 +178,15 @@
 		defer b.end()
 		b.pay("one", 1000)
 		b.pay("two", 1000)
-		log.first = 2
-		before := len(log.records)
+		var before, after int
+		log.edit(func() { log.first, before = 2, len(log.records) })
 		late := run(t, log, Options{})
 		defer late.end()
 		late.refusal(10, refuse.CodeBudgetAway, time.Second)
 		late.settle()
-		if got := len(log.records); got != before {
-			t.Errorf("%d records were appended by a stale instance", got-before)
+		log.edit(func() { after = len(log.records) })
+		if after != before {
+			t.Errorf("%d records were appended by a stale instance", after-before)
 		}
 		if _, err := late.Snapshot(ledger.Stream(0)); !errors.Is(err, fold.ErrGap) {
 			t.Errorf("snapshot of a stale instance: %v", err)
@@ -199,9 +200,11 @@
 	within(t, func(t *testing.T) {
 		log := &memLog{}
 		b := run(t, log, Options{})
-		for i := range 2000 {
-			log.records = append(log.records, logsvc.Record{Offset: logsvc.Offset(i + 1), Data: []byte("{}")})
-		}
+		log.edit(func() {
+			for i := range 2000 {
+				log.records = append(log.records, logsvc.Record{Offset: logsvc.Offset(i + 1), Data: []byte("{}")})
+			}
+		})
 		b.pay("one", 1000)
 		b.end()
 		late := New(Options{Log: log, Instance: "r"})
