internal/side, pkg/fold: one keeper of checkpoints for all streams

Cause: the side process had a second piece of code that decides when to append a checkpoint, with a fixed period that ignored the settings. Change: fold.Keeper also for the fleet and claims streams of the side process; its lateness comes from the writer's name, so that tests repeat. The test of the stagger by rank goes with the code that it tested; TestRenewal and TestStateOutlivesRecords hold the keeper to the same. After: go test ./internal/side ./pkg/fold

--- a/internal/side/checkpoint_test.go
+++ b/internal/side/checkpoint_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/fold"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
-	"github.com/beryllanding/beryllanding/pkg/logsvc"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 )
 
@@ -20,7 +20,7 @@
 		s2 := newServer(t, log, "s2", a, nil)
 		try(t.Context(), s1, callRequest("o/1", "a1"))
 		s1.fleetWriter.Propose(closeHolder("dead~1"), nil)
-		time.Sleep(checkpointPeriod + 2*checkpointLook)
+		time.Sleep(2 * fold.DefaultKeepInterval)
 		checkpoints := 0
 		for _, stream := range []string{ledger.FleetStream, ledger.ClaimsStream} {
 			for _, item := range itemsOf(t, log, stream) {
@@ -63,27 +63,3 @@
 		stop(t, s1)
 	})
 }
-
-func TestCheckpointsAreStaggeredByRank(t *testing.T) {
-	start := time.Unix(1000, 0)
-	for _, c := range []struct {
-		at, last logsvc.Offset
-		rank     int
-		after    time.Duration
-		want     bool
-	}{
-		{at: 5, last: 4, rank: 0, after: checkpointPeriod, want: true},
-		{at: 5, last: 4, rank: 1, after: checkpointPeriod, want: false},
-		{at: 5, last: 4, rank: 1, after: checkpointPeriod + checkpointPeriod/checkpointShare, want: true},
-		{at: 5, last: 5, rank: 0, after: 10 * checkpointPeriod, want: false},
-		{at: checkpointEvery, last: 0, rank: 0, want: true},
-		{at: checkpointEvery, last: 0, rank: 1, want: false},
-		{at: checkpointEvery + checkpointEvery/checkpointShare, last: 0, rank: 1, want: true},
-	} {
-		var k checkpointer
-		k.due(c.last, c.last, c.rank, start)
-		if got := k.due(c.at, c.last, c.rank, start.Add(c.after)); got != c.want {
-			t.Errorf("%+v: due is %v", c, got)
-		}
-	}
-}
--- a/internal/side/orders.go
+++ b/internal/side/orders.go
@@ -61,12 +61,9 @@
 
 // startOrders starts the loops that follow the streams and give the orders.
 func (s *Server) startOrders() {
-	keeper := &fold.Keeper{
-		Follower: &s.orders.queue, Writer: &s.orders.writer, Renewal: fold.Renewal{Interval: s.opts.CheckpointEvery},
-	}
 	s.loop(s.orders.queue.Run)
 	s.loop(s.orders.writer.Run)
-	s.loop(keeper.Run)
+	s.loop(s.keeper(&s.orders.queue, &s.orders.writer).Run)
 	s.loop(s.giveOrders)
 }
 
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -106,12 +106,17 @@
 	s.fleet.Reader.Machine = &s.fleetState
 	s.fleet.OnApply = func() { wake(s.ackWake) }
 	s.fleetWriter.Log, s.fleetWriter.Stream = log, ledger.FleetStream
-	s.fleetWriter.Name = s.writerName()
+	s.fleetWriter.Name, s.fleetWriter.Folded = s.writerName(), s.fleet.Folded
 	s.claims.Log, s.claims.Stream = log, ledger.ClaimsStream
 	s.claims.Reader.Machine = &s.claimsState
 	s.claims.OnApply = s.notifyClaims
 	s.claimsWriter.Log, s.claimsWriter.Stream = log, ledger.ClaimsStream
-	s.claimsWriter.Name = s.writerName()
+	s.claimsWriter.Name, s.claimsWriter.Folded = s.writerName(), s.claims.Folded
+}
+
+// keeper returns the keeper of a stream's checkpoints.
+func (s *Server) keeper(f *fold.Follower, w *fold.Writer) *fold.Keeper {
+	return &fold.Keeper{Follower: f, Writer: w, Renewal: fold.Renewal{Interval: s.opts.CheckpointEvery}}
 }
 
 // writerName is unique to this incarnation.
@@ -128,7 +133,8 @@
 	s.loop(s.acknowledge)
 	s.loop(s.sweepClaims)
 	s.loop(s.pollLoad)
-	s.loop(s.checkpointStreams)
+	s.loop(s.keeper(&s.fleet, &s.fleetWriter).Run)
+	s.loop(s.keeper(&s.claims, &s.claimsWriter).Run)
 	if s.orders != nil {
 		s.startOrders()
 	}
--- a/pkg/fold/keep.go
+++ b/pkg/fold/keep.go
@@ -3,7 +3,8 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
+	"hash/fnv"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -80,7 +81,7 @@
 // Run appends checkpoints until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
 	if k.Renewal.Late == 0 {
-		k.Renewal.Late = rand.Float64() * maxKeepJitter
+		k.Renewal.Late = lateness(k.Writer.Name)
 	}
 	for ctx.Err() == nil {
 		k.Keep(time.Now())
@@ -116,3 +117,11 @@
 		k.Writer.Propose(c, func(Position, bool) { k.flying.Add(-1) })
 	}
 }
+
+// lateness returns the share of lateness of a writer: spread evenly over the
+// names, and the same on each run of a test.
+func lateness(name string) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name)) // never fails, as hash.Hash documents
+	return maxKeepJitter * float64(h.Sum64()) / math.MaxUint64
+}
