internal/budget: a bill that the side process could not append is appended

Cause: a side process that dies between its last event and its append, or in an outage, took the bill of an answered request with it; nobody else knew it. Ruled out: appending at the entry instance always (twice the records).

--- a/internal/boot/peers.go
+++ b/internal/boot/peers.go
@@ -79,7 +79,9 @@
 }
 
 // Settle charges what was used and puts the rest back.
-func (b budgets) Settle(t entry.Ticket, used []ledger.Charge) { b.service.Settle(toTicket(t), used) }
+func (b budgets) Settle(t entry.Ticket, request, service string, used []ledger.Charge) {
+	b.service.SettleBilled(toTicket(t), ledger.Usage{Request: request, Service: service, Charges: used})
+}
 
 // Cancel puts all of it back.
 func (b budgets) Cancel(t entry.Ticket) { b.service.Cancel(toTicket(t)) }
--- a/internal/budget/fold.go
+++ b/internal/budget/fold.go
@@ -20,6 +20,7 @@
 		}
 	case ledger.Usage:
 		s.holder.Decided(d, s.now())
+		s.seen(it.Request)
 	case ledger.Reclaim:
 		s.CloseHolder(it.Holder)
 	}
@@ -34,6 +35,7 @@
 	}
 	sh.restores = n
 	s.holder.Recover(sh.state, s.fresh(sh), s.now())
+	s.forgetBilled(sh.state)
 }
 
 // sync shows the holder what the fold has of a budget.
--- a/internal/budget/keep_test.go
+++ b/internal/budget/keep_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/beryllanding/beryllanding/internal/stand/logd"
 	"github.com/beryllanding/beryllanding/pkg/fold"
+	"github.com/beryllanding/beryllanding/pkg/ident"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 )
 
@@ -19,16 +20,7 @@
 		log := logd.New(logd.Switches{RetainMS: int(time.Hour.Milliseconds())})
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		batch := fold.Batch{Writer: "op~1", Seq: 1, Items: []fold.Item{
-			ledger.Encode(ledger.TopUp{ID: "1", Budget: "b", Tokens: 1000, Operator: "op"}),
-		}}
-		data, err := json.Marshal(batch)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err := log.Append(ctx, ledger.Stream(0), data); err != nil {
-			t.Fatal(err)
-		}
+		appendItem(t, log, ledger.TopUp{ID: "1", Budget: "b", Tokens: 1000, Operator: "op"})
 		go New(Options{Log: log, Instance: "r"}).Run(ctx)
 		time.Sleep(24 * time.Hour)
 		state := new(ledger.State)
@@ -41,3 +33,47 @@
 		}
 	})
 }
+
+// TestMissingBillIsAppended settles two requests. The side process of the first
+// dies before it appends the usage; that of the second does not.
+func TestMissingBillIsAppended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logd.New(logd.Switches{})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		appendItem(t, log, ledger.TopUp{ID: "1", Budget: "b", Tokens: 1000, Operator: "op"})
+		s := New(Options{Log: log, Instance: "r"})
+		go s.Run(ctx)
+		time.Sleep(time.Second)
+		for _, request := range []string{"o/dead", "o/alive"} {
+			ticket, err := s.Reserve(ctx, "b", 100)
+			if err != nil {
+				t.Fatal(err)
+			}
+			used := []ledger.Charge{{Holder: s.Holder(), Tokens: 30}}
+			s.SettleBilled(ticket, ledger.Usage{Request: request, Service: "m", Charges: used})
+			if request == "o/alive" {
+				appendItem(t, log, ledger.Usage{Budget: "b", Request: request, Service: "m", Charges: used})
+			}
+		}
+		time.Sleep(5 * DefaultBillPatience)
+		s.Query("b", func(state *ledger.State) {
+			if b, _ := state.Budget("b"); b.Billed != 60 || state.Stats.Repeated != 0 {
+				t.Errorf("billed %d with %d repeated usages, want 60 and none", b.Billed, state.Stats.Repeated)
+			}
+		})
+	})
+}
+
+// appendItem puts an item on the first budget stream, as a writer of its own.
+func appendItem(t *testing.T, log *logd.Store, item ledger.Item) {
+	t.Helper()
+	batch := fold.Batch{Writer: ident.NewRequest(), Seq: 1, Items: []fold.Item{ledger.Encode(item)}}
+	data, err := json.Marshal(batch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := log.Append(t.Context(), ledger.Stream(0), data); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/budget/service.go
+++ b/internal/budget/service.go
@@ -65,6 +65,9 @@
 	// the defaults of fold.Renewal.
 	CheckpointEvery    uint64
 	CheckpointInterval time.Duration
+	// BillPatience is how long a bill may be missing before it is appended in a
+	// side process's place; 0 is DefaultBillPatience.
+	BillPatience time.Duration
 	// Group is how long proposals are collected for one append; 0 is
 	// fold.DefaultGroup.
 	Group time.Duration
@@ -85,6 +88,7 @@
 
 	mu       sync.Mutex
 	gathers  map[string]*gather
+	expected map[string]expected
 	stopping bool
 	// ended is set when Run ends; no effort starts then.
 	ended bool
@@ -105,10 +109,11 @@
 func New(opts Options) *Service {
 	setDefaults(&opts)
 	s := &Service{
-		opts:    opts,
-		holder:  slice.New(opts.Holder, opts.Policy),
-		now:     time.Now,
-		gathers: make(map[string]*gather),
+		opts:     opts,
+		holder:   slice.New(opts.Holder, opts.Policy),
+		now:      time.Now,
+		gathers:  make(map[string]*gather),
+		expected: make(map[string]expected),
 	}
 	for i := range opts.Shards {
 		s.shards = append(s.shards, s.newShard(i))
@@ -124,6 +129,7 @@
 	orDefault(&o.Wait, DefaultWait)
 	orDefault(&o.PlanEvery, DefaultPlanEvery)
 	orDefault(&o.Fresh, DefaultFresh)
+	orDefault(&o.BillPatience, DefaultBillPatience)
 }
 
 // orDefault sets a zero value to its default.
@@ -191,6 +197,7 @@
 		case <-tick.C:
 		}
 		s.planAll()
+		s.billMissing()
 	}
 }
 
@@ -230,6 +237,7 @@
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
+	s.billAll()
 	for {
 		open := s.reserved()
 		if err := s.returnAll(ctx); err != nil || open == 0 {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -88,8 +88,8 @@
 	// Reserve takes tokens out of reach of all others. The errors are
 	// *refuse.Refusal with the outcome not-run.
 	Reserve(ctx context.Context, budget string, tokens ledger.Tokens) (Ticket, error)
-	// Settle charges what was used and puts the rest back.
-	Settle(t Ticket, used []ledger.Charge)
+	// Settle charges what was used for the request and puts the rest back.
+	Settle(t Ticket, request, service string, used []ledger.Charge)
 	// Cancel puts all of it back: nothing ran, or nothing is charged to t.
 	Cancel(t Ticket)
 	// Defer holds the ticket until the log tells what the request was billed, or
--- a/internal/entry/settle.go
+++ b/internal/entry/settle.go
@@ -90,7 +90,7 @@
 		case Settle:
 			r.e.Counts.Settled.Add(1)
 			charged += total(s.Charges)
-			r.e.Budgets.Settle(ticket, s.Charges)
+			r.e.Budgets.Settle(ticket, r.req.ID, r.req.Service.Name, s.Charges)
 		case Cancel:
 			r.e.Counts.Cancelled.Add(1)
 			r.e.Budgets.Cancel(ticket)
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -115,10 +115,10 @@
 	state.used = used
 }
 
-func (w *world) Settle(t Ticket, used []ledger.Charge) { w.end(t, "settle", used) }
-func (w *world) Cancel(t Ticket)                       { w.end(t, "cancel", nil) }
-func (w *world) Defer(t Ticket, _ string, _ []string)  { w.end(t, "defer", nil) }
-func (w *world) CloseHolder(ident.Incarnation)         {}
+func (w *world) Settle(t Ticket, _, _ string, used []ledger.Charge) { w.end(t, "settle", used) }
+func (w *world) Cancel(t Ticket)                                    { w.end(t, "cancel", nil) }
+func (w *world) Defer(t Ticket, _ string, _ []string)               { w.end(t, "defer", nil) }
+func (w *world) CloseHolder(ident.Incarnation)                      {}
 
 func (w *world) BillOrphan(request string, _ Ticket, _ string, charges []ledger.Charge) {
 	w.bill(request, charges)
--- a/internal/front/fake_test.go
+++ b/internal/front/fake_test.go
@@ -75,7 +75,7 @@
 	return entry.Ticket{ID: id, Budget: budget, Charges: []ledger.Charge{{Holder: "h~1", Tokens: n}}}, nil
 }
 
-func (b *budgets) Settle(t entry.Ticket, used []ledger.Charge) {
+func (b *budgets) Settle(t entry.Ticket, _, _ string, used []ledger.Charge) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.free += b.reserved[t.ID]
@@ -85,7 +85,7 @@
 	delete(b.reserved, t.ID)
 }
 
-func (b *budgets) Cancel(t entry.Ticket)                { b.Settle(t, nil) }
+func (b *budgets) Cancel(t entry.Ticket)                { b.Settle(t, "", "", nil) }
 func (b *budgets) Defer(entry.Ticket, string, []string) {}
 func (b *budgets) CloseHolder(ident.Incarnation)        {}
 
