internal/budget: a reservation that the slice covers takes no further step

Cause: each reservation made a context with a timer and took the lock that all budgets share, though only one that finds its slice dry needs them. Two more flaws on the way: a request that gave up went on counting as one that lacks tokens, and what requests settled after Stop was not given back. Change: the wait is apart; Withdraw forgets who gave up; the plan of a stopping service returns what became free. Seen failing: TestWithdraw and TestStopReturnsAll with the changes taken out.

--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -25,28 +25,39 @@
 // cover them it waits, for a bounded time, for a grant or a transfer. The error
 // is a *refuse.Refusal, or the context's error where the caller left.
 func (s *Service) Reserve(ctx context.Context, budget string, tokens ledger.Tokens) (Ticket, error) {
-	id := ident.NewRequest()
+	t := Ticket{ID: ident.NewRequest(), Budget: budget}
+	var err error
+	t.Charges, err = s.holder.Reserve(t.ID, budget, tokens, s.now())
+	if errors.Is(err, slice.ErrDry) {
+		return s.reserveDry(ctx, t, tokens)
+	}
+	if err != nil {
+		return Ticket{}, refused(refuse.CodeTooLarge, 0, err.Error())
+	}
+	return t, nil
+}
+
+// reserveDry waits for tokens and reserves them.
+func (s *Service) reserveDry(ctx context.Context, t Ticket, tokens ledger.Tokens) (Ticket, error) {
+	defer s.holder.Withdraw(t.ID, t.Budget)
 	deadline, cancel := context.WithTimeout(ctx, s.opts.Wait)
 	defer cancel()
 	for {
 		// The channel is taken before the attempt, so that no progress after
 		// the attempt is missed.
-		g := s.gatherOf(budget)
-		charges, err := s.holder.Reserve(id, budget, tokens, s.now())
-		if err == nil {
-			return Ticket{ID: id, Budget: budget, Charges: charges}, nil
-		}
-		if !errors.Is(err, slice.ErrDry) {
-			return Ticket{}, refused(refuse.CodeTooLarge, 0, err.Error())
+		g := s.gatherOf(t.Budget)
+		var err error
+		if t.Charges, err = s.holder.Reserve(t.ID, t.Budget, tokens, s.now()); err == nil {
+			return t, nil
 		}
-		if r := s.balanceRefusal(budget, tokens); r != nil {
+		if r := s.balanceRefusal(t.Budget, tokens); r != nil {
 			return Ticket{}, r
 		}
 		if s.isStopping() {
 			return Ticket{}, refused(refuse.CodeLeaving, defaultRetryAfter, "the entry instance is leaving")
 		}
-		if !s.await(deadline, budget, g) {
-			return Ticket{}, s.awayRefusal(ctx, budget, tokens)
+		if !s.await(deadline, t.Budget, g) {
+			return Ticket{}, s.awayRefusal(ctx, t.Budget, tokens)
 		}
 	}
 }
--- a/internal/budget/service.go
+++ b/internal/budget/service.go
@@ -195,6 +195,7 @@
 // planAll carries out the plan for every budget.
 func (s *Service) planAll() {
 	if s.isStopping() {
+		s.returnAll()
 		return
 	}
 	now := s.now()
@@ -222,14 +223,13 @@
 }
 
 // Stop gives back all tokens that are not reserved and waits until that is on
-// the log or the context ends. Run must still be running.
+// the log or the context ends. Run must still be running; while it runs, what
+// requests settle later is given back too.
 func (s *Service) Stop(ctx context.Context) error {
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
-	for _, e := range s.holder.ReturnAll() {
-		s.carryOut(e)
-	}
+	s.returnAll()
 	for _, sh := range s.shards {
 		if err := sh.writer.Flush(ctx); err != nil {
 			return fmt.Errorf("returning the slices of %q on stream %q: %w", s.Holder(), sh.follower.Stream, err)
@@ -238,6 +238,13 @@
 	return nil
 }
 
+// returnAll proposes the return of all free tokens.
+func (s *Service) returnAll() {
+	for _, e := range s.holder.ReturnAll() {
+		s.carryOut(e)
+	}
+}
+
 func (s *Service) isStopping() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/budget/service_test.go
+++ b/internal/budget/service_test.go
@@ -108,13 +108,18 @@
 		b := run(t, &memLog{lose: 3}, Options{})
 		defer b.end()
 		b.pay("one", 1000)
-		b.Cancel(b.reserve(300))
+		tk := b.reserve(300)
 		if err := b.Stop(t.Context()); err != nil {
 			t.Fatal(err)
 		}
 		b.settle()
+		if v := b.budget(); v.Free != 700 {
+			t.Errorf("%d of 700 tokens are free after the stop", v.Free)
+		}
+		b.Cancel(tk)
+		b.settle()
 		if v := b.budget(); v.Free != 1000 {
-			t.Errorf("%d of 1000 tokens are free after the stop", v.Free)
+			t.Errorf("%d of 1000 tokens are free after the last request", v.Free)
 		}
 		b.refusal(1, refuse.CodeLeaving, 0)
 	})
--- a/pkg/slice/admit.go
+++ b/pkg/slice/admit.go
@@ -53,6 +53,11 @@
 	b.lacking[id] = tokens
 }
 
+// Withdraw forgets that a reservation lacks tokens: it no longer waits for them.
+func (h *Holder) Withdraw(id, budget string) {
+	h.with(budget, func(_ *shard, b *book) { delete(b.lacking, id) })
+}
+
 // Settle ends a ticket: what was not used goes back to the lots that it came
 // from. used is bounded by the ticket for each holder. The second settlement of
 // a ticket has no effect.
--- a/pkg/slice/slice_test.go
+++ b/pkg/slice/slice_test.go
@@ -136,6 +136,21 @@
 	}
 }
 
+// TestWithdraw plans for the reservations that still wait, and no others.
+func TestWithdraw(t *testing.T) {
+	h := granted(100, Policy{Floor: 1})
+	for id, n := range map[string]ledger.Tokens{"stays": 120, "left": 500} {
+		if _, err := h.Reserve(id, "b", n, start); !errors.Is(err, ErrDry) {
+			t.Fatal(err)
+		}
+	}
+	h.Withdraw("left", "b")
+	want := []Effect{AskPeers{Budget: "b", Tokens: 20}}
+	if diff := cmp.Diff(want, h.PlanBudget("b", start)); diff != "" {
+		t.Errorf("effects (-want +got):\n%s", diff)
+	}
+}
+
 // TestWeight raises the reservation and shortens the horizon; it grants nothing.
 func TestWeight(t *testing.T) {
 	h := granted(104, Policy{Weight: 1})
