--- a/internal/budget/service.go
+++ b/internal/budget/service.go
@@ -204,6 +204,7 @@
 // planAll carries out the plan for every budget.
 func (s *Service) planAll() {
 	if s.isStopping() {
+		s.returnAll()
 		return
 	}
 	now := s.now()
@@ -232,7 +233,8 @@
 
 // Stop gives back all tokens. Those of tickets whose outcome is not known yet go
 // back when the fold shows it. It waits until all is on the log or the context
-// ends. Run must still be running.
+// ends. Run must still be running; while it runs, what requests settle later is
+// given back too.
 func (s *Service) Stop(ctx context.Context) error {
 	s.mu.Lock()
 	s.stopping = true
@@ -240,7 +242,8 @@
 	s.billAll()
 	for {
 		open := s.reserved()
-		if err := s.returnAll(ctx); err != nil || open == 0 {
+		s.returnAll()
+		if err := s.flush(ctx); err != nil || open == 0 {
 			return err
 		}
 		if err := s.awaitOutcome(ctx, open); err != nil {
@@ -249,11 +252,15 @@
 	}
 }
 
-// returnAll gives back what is not reserved.
-func (s *Service) returnAll(ctx context.Context) error {
+// returnAll proposes the return of all free tokens.
+func (s *Service) returnAll() {
 	for _, e := range s.holder.ReturnAll() {
 		s.carryOut(e)
 	}
+}
+
+// flush waits until all proposals are on the log.
+func (s *Service) flush(ctx context.Context) error {
 	for _, sh := range s.shards {
 		if err := sh.writer.Flush(ctx); err != nil {
 			return fmt.Errorf("returning the slices of %q on stream %q: %w", s.Holder(), sh.follower.Stream, err)
--- a/internal/budget/service_test.go
+++ b/internal/budget/service_test.go
@@ -108,13 +108,22 @@
 		b := run(t, &memLog{lose: 3}, Options{})
 		defer b.end()
 		b.pay("one", 1000)
-		b.Cancel(b.reserve(300))
-		if err := b.Stop(t.Context()); err != nil {
-			t.Fatal(err)
-		}
+		tk := b.reserve(300)
+		stopped := make(chan error, 1)
+		go func() { stopped <- b.Stop(t.Context()) }()
 		b.settle()
+		if v := b.budget(); v.Free != 700 {
+			t.Errorf("%d of 700 tokens are free after the stop began", v.Free)
+		}
+		if len(stopped) > 0 {
+			t.Error("the stop ended while tokens were reserved")
+		}
+		b.Cancel(tk)
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
 		if v := b.budget(); v.Free != 1000 {
-			t.Errorf("%d of 1000 tokens are free after the stop", v.Free)
+			t.Errorf("%d of 1000 tokens are free after the last request", v.Free)
 		}
 		b.refusal(1, refuse.CodeLeaving, 0)
 	})
