internal/stand/check: golden files and fixed flags of tests, once

Ruled out: a package for each, as both are a few lines and the flag -update is then known wherever seeds are fixed.

Seeds, numbers of histories and golden files are as before. Seen failing: a line appended to router-defaults.ini fails internal/config. Flags on the command line still go before the fixed ones (go test ./pkg/claim -rapid.seed=7).

--- a/internal/cmds/cmds_test.go
+++ b/internal/cmds/cmds_test.go
@@ -3,42 +3,20 @@
 import (
 	"bytes"
 	"context"
-	"flag"
 	"fmt"
 	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"testing/synctest"
 
-	"github.com/google/go-cmp/cmp"
-
 	"github.com/beryllanding/beryllanding/pkg/catal"
 	"github.com/beryllanding/beryllanding/pkg/fleet"
 	"github.com/beryllanding/beryllanding/pkg/insts"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
-)
-
-var update = flag.Bool("update", false, "write the golden files")
 
-// golden compares the text with a file of testdata.
-func golden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), got); diff != "" {
-		t.Errorf("%s (-golden +got):\n%s", name, diff)
-	}
-}
+	"github.com/beryllanding/beryllanding/internal/stand/check"
+)
 
 // script runs commands one after the other against one platform, and writes
 // down what they print.
@@ -156,7 +134,7 @@
 		s.expired = map[string]int{ledger.CatalogueStream: 1}
 		s.run(ExitUnknown, "catalogue list")
 	})
-	golden(t, "catalogue.golden", s.out.String())
+	check.Golden(t, "catalogue.golden", s.out.String())
 }
 
 func TestBudget(t *testing.T) {
@@ -214,7 +192,7 @@
 		s.run(ExitOK, "usage")
 		s.run(ExitOK, "usage --request kowhai/1")
 	})
-	golden(t, "budget.golden", s.out.String())
+	check.Golden(t, "budget.golden", s.out.String())
 }
 
 func TestFleet(t *testing.T) {
@@ -270,7 +248,7 @@
 		s.run(ExitOK, "fleet show")
 		s.run(ExitOK, "fleet show --all -o json")
 	})
-	golden(t, "fleet.golden", s.out.String())
+	check.Golden(t, "fleet.golden", s.out.String())
 }
 
 func TestTools(t *testing.T) {
@@ -295,7 +273,7 @@
 	s.run(ExitUsage, "settings check testdata/good.ini --for engine")
 	s.run(ExitUsage, "settings check missing.ini --for operator")
 	s.run(ExitOK, "settings show-defaults --for operator")
-	golden(t, "tools.golden", s.out.String())
+	check.Golden(t, "tools.golden", s.out.String())
 }
 
 // TestKeyNew checks that each key is new, and that the hash is the key's.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"flag"
 	"os"
 	"path/filepath"
 	"strings"
@@ -11,27 +10,9 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-)
-
-var update = flag.Bool("update", false, "write the golden files")
 
-// golden compares the text with a file of testdata.
-func golden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), got); diff != "" {
-		t.Errorf("%s (-golden +got):\n%s", name, diff)
-	}
-}
+	"github.com/beryllanding/beryllanding/internal/stand/check"
+)
 
 func TestFaults(t *testing.T) {
 	for _, name := range []string{"router-faults", "side-faults", "operator-empty", "router-listen", "side-listen"} {
@@ -41,7 +22,7 @@
 			t.Errorf("%s has no faults: %v", name, err)
 			continue
 		}
-		golden(t, name+".golden", err.Error()+"\n")
+		check.Golden(t, name+".golden", err.Error()+"\n")
 	}
 }
 
@@ -87,7 +68,7 @@
 		if err := WriteDefaults(&file, name); err != nil {
 			t.Fatal(err)
 		}
-		golden(t, name+"-defaults.ini", file.String())
+		check.Golden(t, name+"-defaults.ini", file.String())
 	}
 	required := "[instance]\nname=a\ndata-centre=b\n[platform]\nlog-service=http://a\ninstance-list=http://b\n"
 	file, err := os.ReadFile(filepath.Join("testdata", "router-defaults.ini"))
--- a/internal/entry/flow_test.go
+++ b/internal/entry/flow_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -19,6 +17,8 @@
 	"github.com/beryllanding/beryllanding/pkg/ident"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
+
+	"github.com/beryllanding/beryllanding/internal/stand/check"
 )
 
 // rapidSeed makes each run of the tests draw the same histories, unless
@@ -29,14 +29,7 @@
 const rapidChecks = "2000"
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": rapidSeed, "rapid.checks": rapidChecks} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = flag.Set(name, value)
-		}
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
+	check.Main(m, map[string]string{"rapid.seed": rapidSeed, "rapid.checks": rapidChecks, "rapid.nofailfile": "true"})
 }
 
 // plan is a history: the requests, and the faults of the attempts in order.
--- a/internal/entry/table_test.go
+++ b/internal/entry/table_test.go
@@ -2,40 +2,17 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
-
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 	"github.com/beryllanding/beryllanding/pkg/route"
-)
-
-var update = flag.Bool("update", false, "rewrite the golden files")
 
-// golden compares text with a golden file.
-func golden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), got); diff != "" {
-		t.Errorf("%s differs (-want +got):\n%s", path, diff)
-	}
-}
+	"github.com/beryllanding/beryllanding/internal/stand/check"
+)
 
 // notRun returns a side process's refusal that proves that nothing ran.
 func notRun(code refuse.Code) End {
@@ -77,7 +54,7 @@
 			}
 		}
 	}
-	golden(t, "steps.golden", b.String())
+	check.Golden(t, "steps.golden", b.String())
 }
 
 // flowIn returns a flow whose last attempt is in the named state.
@@ -141,7 +118,7 @@
 		}
 		b.WriteString("\n")
 	}
-	golden(t, "settlements.golden", b.String())
+	check.Golden(t, "settlements.golden", b.String())
 }
 
 // TestProgress repeats an answer whole, in other pieces, changed and shortened.
--- a/internal/front/refuse_test.go
+++ b/internal/front/refuse_test.go
@@ -2,42 +2,19 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-
 	"github.com/beryllanding/beryllanding/internal/entry"
 	"github.com/beryllanding/beryllanding/internal/front"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
-)
-
-var update = flag.Bool("update", false, "rewrite the golden files")
 
-// golden compares text with a golden file.
-func golden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), got); diff != "" {
-		t.Errorf("%s differs (-want +got):\n%s", path, diff)
-	}
-}
+	"github.com/beryllanding/beryllanding/internal/stand/check"
+)
 
 // doer is an engine that ends each request in the same way.
 type doer struct {
@@ -159,7 +136,7 @@
 			t.Errorf("%s reached the engine", in.name)
 		}
 	}
-	golden(t, "bad-input.golden", b.String())
+	check.Golden(t, "bad-input.golden", b.String())
 }
 
 // TestRefusals writes down what callers see of the engine's refusals.
@@ -188,7 +165,7 @@
 		s := &front.Server{Engine: d, Catalogue: catalogue{}}
 		res := httptest.NewRecorder()
 		s.Handler().ServeHTTP(res, input{method: "POST", path: chatPath, body: `{"model":"llm","stream":true,` + messages + `}`}.request())
-		golden(t, strings.ReplaceAll(name, " ", "-")+".golden", fmt.Sprintf("%d\n%s", res.Code, res.Body))
+		check.Golden(t, strings.ReplaceAll(name, " ", "-")+".golden", fmt.Sprintf("%d\n%s", res.Code, res.Body))
 	}
-	golden(t, "refusals.golden", b.String())
+	check.Golden(t, "refusals.golden", b.String())
 }
--- a/internal/side/main_test.go
+++ b/internal/side/main_test.go
@@ -1,17 +1,12 @@
 package side
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/beryllanding/beryllanding/internal/stand/check"
 )
 
 // TestMain fixes the seed, so that every run of the tests is the same.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "5")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
+	check.Main(m, map[string]string{"rapid.seed": "5", "rapid.nofailfile": "true"})
 }
--- a/internal/stand/engd/engd_test.go
+++ b/internal/stand/engd/engd_test.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -18,9 +15,9 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/beryllanding/beryllanding/internal/stand/wghtd"
-)
 
-var update = flag.Bool("update", false, "write the golden files anew")
+	"github.com/beryllanding/beryllanding/internal/stand/check"
+)
 
 // reply is an answer of the engine.
 type reply struct {
@@ -84,29 +81,12 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				r := call(t.Context(), New(Switches{}).Handler(), c.method, c.path, c.body, "X-Request-Id", "req-1")
-				golden(t, name, fmt.Sprintf("%d\n%s", r.code, r.body))
+				check.Golden(t, name+".golden", fmt.Sprintf("%d\n%s", r.code, r.body))
 			})
 		})
 	}
 }
 
-func golden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name+".golden")
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), got); diff != "" {
-		t.Error(diff)
-	}
-}
-
 // TestBatching runs requests of different priorities through two slots, and
 // shows who is answered when, in steps of one token.
 func TestBatching(t *testing.T) {
--- a/pkg/catal/state_test.go
+++ b/pkg/catal/state_test.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
@@ -14,15 +12,12 @@
 
 	"github.com/beryllanding/beryllanding/pkg/fold"
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
+
+	"github.com/beryllanding/beryllanding/internal/stand/check"
 )
 
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	check.Main(m, map[string]string{"rapid.seed": "20261203", "rapid.nofailfile": "true"})
 }
 
 const testMemory = 3
--- a/pkg/fleet/state_test.go
+++ b/pkg/fleet/state_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 
@@ -14,16 +12,13 @@
 	"github.com/beryllanding/beryllanding/pkg/fold"
 	"github.com/beryllanding/beryllanding/pkg/ident"
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
+
+	"github.com/beryllanding/beryllanding/internal/stand/check"
 )
 
 // TestMain fixes the seed, so that every run of the tests is the same.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "5")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
+	check.Main(m, map[string]string{"rapid.seed": "5", "rapid.nofailfile": "true"})
 }
 
 // naive answers every query by a search through the whole history.
--- a/pkg/fold/main_test.go
+++ b/pkg/fold/main_test.go
@@ -2,23 +2,18 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
+
+	"github.com/beryllanding/beryllanding/internal/stand/check"
 )
 
 // TestMain fixes the seed and the length of the random histories; the flags of
 // the same names choose others.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.steps": "100"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	check.Main(m, map[string]string{"rapid.seed": "20261203", "rapid.steps": "100"})
 }
 
 func mustJSON(v any) []byte {
--- a/pkg/loads/report_test.go
+++ b/pkg/loads/report_test.go
@@ -1,21 +1,17 @@
 package loads
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-
 	"github.com/beryllanding/beryllanding/pkg/fold"
 	"github.com/beryllanding/beryllanding/pkg/ident"
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
-)
 
-var update = flag.Bool("update", false, "write the golden files")
+	"github.com/beryllanding/beryllanding/internal/stand/check"
+)
 
 const (
 	// fleetSize is the number of targets that come back at once.
@@ -134,14 +130,5 @@
 		}
 		got += fmt.Sprintf("%9d %6d %7s %6d %4d %5d %4d %4d %4d\n", c.maxLoads, c.spread, c.trouble, n, peak, served[0], served[n/2], served[n-1], sum/n)
 	}
-	const golden = "testdata/report.golden"
-	if *update {
-		if err := os.WriteFile(golden, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(golden)
-	if diff := cmp.Diff(string(want), got); err != nil || diff != "" {
-		t.Error(err, diff)
-	}
+	check.Golden(t, "report.golden", got)
 }
--- a/pkg/route/main_test.go
+++ b/pkg/route/main_test.go
@@ -1,9 +1,9 @@
 package route
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/beryllanding/beryllanding/internal/stand/check"
 )
 
 // rapidSeed makes each run of the tests draw the same histories, unless
@@ -11,10 +11,5 @@
 const rapidSeed = "20260"
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.seed", rapidSeed)
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
+	check.Main(m, map[string]string{"rapid.seed": rapidSeed, "rapid.nofailfile": "true"})
 }
--- a/pkg/route/report_test.go
+++ b/pkg/route/report_test.go
@@ -1,18 +1,13 @@
 package route
 
 import (
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
+	"github.com/beryllanding/beryllanding/internal/stand/check"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
 // TestReport measures the time to the first token in a queue model, under the
 // picker and under naive policies, and holds the table against a golden file.
 func TestReport(t *testing.T) {
@@ -44,7 +39,7 @@
 		}
 	}
 	t.Log("\n" + b.String())
-	golden(t, "report.golden", b.String())
+	check.Golden(t, "report.golden", b.String())
 	for _, s := range scenarios {
 		naive, two, own := got[s.name+"/random"], got[s.name+"/two choices"], got[s.name+"/picker"]
 		if 2*own.p95 > naive.p95 || 2*own.p99 > naive.p99 {
@@ -66,21 +61,3 @@
 		return picked{p}
 	}
 }
-
-// golden compares text with a golden file.
-func golden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), got); diff != "" {
-		t.Errorf("%s differs (-want +got):\n%s", path, diff)
-	}
-}
