internal/front, internal/side, internal/entry: limiter and dispatcher for door and gate

The three types had names that a reader has to have explained, two of them the same name. No behaviour changed; the tests of the three packages and of internal/boot pass as before.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -32,7 +32,7 @@
 // the caller has gone; each other end is returned as an End.
 func (r *run) attempt(ctx context.Context) (End, error) {
 	a := &Attempt{
-		ID: ident.NewRequest(), Target: r.target, Side: r.g.side(r.target),
+		ID: ident.NewRequest(), Target: r.target, Side: r.disp.side(r.target),
 		Hold: len(r.flow.Holds) - 1, Join: r.join,
 	}
 	r.flow.Attempts = append(r.flow.Attempts, a)
@@ -42,7 +42,7 @@
 		attribute.String("attempt", a.ID), attribute.String("target", a.Target.Name)))
 	defer span.End()
 	end, err := r.receive(ctx, a)
-	r.g.done(a.Target.Name, resultOf(end))
+	r.disp.done(a.Target.Name, resultOf(end))
 	if b, ok := end.(Broken); ok {
 		span.RecordError(b.Cause)
 	}
@@ -137,8 +137,8 @@
 		a.Started = true
 		a.joined = e.Started.GetJoined()
 		r.result.Joined = a.joined
-		r.g.seen(a.Target.Name, e.Started.GetSide())
-		r.g.report(a.Target.Name, e.Started.GetStatus())
+		r.disp.seen(a.Target.Name, e.Started.GetSide())
+		r.disp.report(a.Target.Name, e.Started.GetStatus())
 		return nil, nil
 	case *wire.RunEvent_Head:
 		return nil, r.passHead(e.Head)
@@ -195,7 +195,7 @@
 // finish ends the attempt. A joined run that ended before it repeated what the
 // caller has is another answer, and one that was cancelled is not whole.
 func (r *run) finish(a *Attempt, f *wire.Finish) End {
-	r.g.report(a.Target.Name, f.GetStatus())
+	r.disp.report(a.Target.Name, f.GetStatus())
 	end := Finished{Joined: a.joined, Charges: chargesOf(f.GetCharges())}
 	switch {
 	case f.GetFinishReason() == reasonCancelled:
@@ -210,10 +210,10 @@
 
 // refused ends the attempt by the side process's refusal.
 func (r *run) refused(a *Attempt, refused *wire.Refused) End {
-	r.g.report(a.Target.Name, refused.GetStatus())
+	r.disp.report(a.Target.Name, refused.GetStatus())
 	refusal := refusalOf(refused)
 	if refusal.Code == refuse.CodeLeaving {
-		r.g.leavingTarget(a.Target.Name)
+		r.disp.leavingTarget(a.Target.Name)
 	}
 	return Refused{Refusal: refusal, Holder: ident.Incarnation(refused.GetHolder())}
 }
--- a/internal/entry/gate_test.go
+++ b/internal/entry/dispatch_test.go
@@ -143,18 +143,18 @@
 // goes at the same moment: its place is free again.
 func TestPlaceOfAnAdmittedCallerThatHungUp(t *testing.T) {
 	w := newWorld(nil)
-	g := newEngine(w, route.Policy{MaxInFlight: 1}, Timeouts{}).gate("s")
+	d := newEngine(w, route.Policy{MaxInFlight: 1}, Timeouts{}).dispatcher("s")
 	for range 3 {
-		if _, err := g.acquire(t.Context(), w, route.Ask{}, 1, time.Minute); err != nil {
+		if _, err := d.acquire(t.Context(), w, route.Ask{}, 1, time.Minute); err != nil {
 			t.Fatal(err)
 		}
 	}
-	g.mu.Lock()
-	id, waiter := g.enqueue(time.Now(), route.Ask{}, 1, time.Minute)
-	g.mu.Unlock()
-	g.done("t2", route.Answered)
-	g.leave(id, waiter)
-	got, err := g.acquire(t.Context(), w, route.Ask{}, 1, time.Nanosecond)
+	d.mu.Lock()
+	id, waiter := d.enqueue(time.Now(), route.Ask{}, 1, time.Minute)
+	d.mu.Unlock()
+	d.done("t2", route.Answered)
+	d.leave(id, waiter)
+	got, err := d.acquire(t.Context(), w, route.Ask{}, 1, time.Nanosecond)
 	if err != nil || got.Name != "t2" {
 		t.Errorf("got %v, %v", got, err)
 	}
--- a/internal/entry/do.go
+++ b/internal/entry/do.go
@@ -19,7 +19,7 @@
 // run is one request in progress.
 type run struct {
 	e    *Engine
-	g    *gate
+	disp *dispatcher
 	req  *Request
 	sink Sink
 	flow Flow
@@ -44,14 +44,14 @@
 func (e *Engine) Do(ctx context.Context, req *Request, sink Sink) (Result, error) {
 	e.init()
 	e.Counts.Requests.Add(1)
-	r := &run{e: e, g: e.gate(req.Service.Name), req: req, sink: sink, arrived: time.Now()}
+	r := &run{e: e, disp: e.dispatcher(req.Service.Name), req: req, sink: sink, arrived: time.Now()}
 	r.flow.Rerunnable = req.rerunnable()
 	if err := e.enter(req.Account); err != nil {
 		e.Counts.Refused.Add(1)
 		return Result{}, r.honest(err)
 	}
 	defer e.exit(req.Account)
-	r.g.arrived()
+	r.disp.arrived()
 	err := r.serveAndSettle(ctx)
 	r.result.Target = r.target.Name
 	r.result.Attempts = len(r.flow.Attempts)
@@ -151,7 +151,7 @@
 		ask.Prefix = chat.Prefix
 	}
 	start := time.Now()
-	t, err := r.g.acquire(ctx, r.e.Targets, ask, r.req.Account.Class, r.e.Timeouts.Queue)
+	t, err := r.disp.acquire(ctx, r.e.Targets, ask, r.req.Account.Class, r.e.Timeouts.Queue)
 	r.result.Queued += time.Since(start)
 	if err != nil {
 		return r.orGone(ctx, err)
@@ -166,11 +166,11 @@
 func (r *run) again(ctx context.Context, s Retry) (bool, error) {
 	if s.Same {
 		r.e.Counts.Resumes.Add(1)
-		r.g.sent(r.target.Name)
+		r.disp.sent(r.target.Name)
 		r.join = true
 		return false, nil
 	}
-	if !s.Free && !r.g.mayRetry() {
+	if !s.Free && !r.disp.mayRetry() {
 		return true, r.honest(&s.Refusal)
 	}
 	r.e.Counts.Retries.Add(1)
@@ -215,7 +215,7 @@
 		return true, err
 	}
 	if fact.State == StateUnreachable || r.flow.Stuck() {
-		r.g.blame(r.target.Name)
+		r.disp.blame(r.target.Name)
 	}
 	r.lookBack()
 	return r.follow(ctx, r.flow.Probed(fact))
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -80,9 +80,9 @@
 	// Counts only grow.
 	Counts Counts
 
-	once  sync.Once
-	mu    sync.Mutex
-	gates map[string]*gate
+	once     sync.Once
+	mu       sync.Mutex
+	services map[string]*dispatcher
 	// inProgress counts the requests of each organisation.
 	inProgress map[string]int
 	memory     memory
@@ -97,7 +97,7 @@
 		if e.Tracer == nil {
 			e.Tracer = noop.NewTracerProvider().Tracer("entry")
 		}
-		e.gates = make(map[string]*gate)
+		e.services = make(map[string]*dispatcher)
 		e.inProgress = make(map[string]int)
 	})
 }
@@ -121,26 +121,26 @@
 	return t
 }
 
-// gate returns the routing state of a service.
-func (e *Engine) gate(service string) *gate {
+// dispatcher returns the routing state of a service.
+func (e *Engine) dispatcher(service string) *dispatcher {
 	e.init()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	g := e.gates[service]
-	if g == nil {
-		g = &gate{
+	d := e.services[service]
+	if d == nil {
+		d = &dispatcher{
 			service: service,
 			picker:  route.Picker{DataCentre: e.DataCentre, Policy: e.Policy},
 			queue:   route.Queue{Len: e.QueueLen},
 			retry:   e.Retry,
 			rnd:     rand.New(rand.NewPCG(e.seed(), 0)),
 		}
-		e.gates[service] = g
+		e.services[service] = d
 	}
-	return g
+	return d
 }
 
-// seed returns the seed of a gate's source of randomness.
+// seed returns the seed of a dispatcher's source of randomness.
 func (e *Engine) seed() uint64 {
 	if e.Seed != 0 {
 		return e.Seed
--- a/internal/entry/flow_test.go
+++ b/internal/entry/flow_test.go
@@ -102,7 +102,7 @@
 	w := newWorld(p.Faults)
 	e := &Engine{DataCentre: "dc", Catalogue: w, Budgets: w, Targets: w, Dialer: w, Orphans: w, Seed: 1}
 	if p.Known {
-		e.gate("s").refreshNow(w)
+		e.dispatcher("s").refreshNow(w)
 		e.watchOnce(context.Background(), 3)
 	}
 	ends := make([]callerEnd, len(p.Requests))
--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -79,7 +79,7 @@
 			}}
 			e := newEngine(w, route.Policy{}, Timeouts{})
 			e.Targets, e.Dialer = oneTarget{}, conns
-			e.gate("s").seen("t1", w.sides["t1"].incarnation()) // as Watch would
+			e.dispatcher("s").seen("t1", w.sides["t1"].incarnation()) // as Watch would
 			end := &callerEnd{}
 			start := time.Now()
 			_, err := e.Do(t.Context(), planned{ID: "org/a", Kind: "once", Keyed: true}.request(), end)
--- a/internal/entry/table_test.go
+++ b/internal/entry/table_test.go
@@ -158,7 +158,7 @@
 // TestFinishBeforeDelivered ends a joined run before it repeated all that the
 // caller has.
 func TestFinishBeforeDelivered(t *testing.T) {
-	r := &run{g: &gate{}}
+	r := &run{disp: &dispatcher{}}
 	_, _ = r.fresh([]byte("abcd"))
 	r.rewind()
 	_, _ = r.fresh([]byte("ab"))
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -43,11 +43,11 @@
 func (e *Engine) watchOnce(ctx context.Context, n int) {
 	var asked sync.WaitGroup
 	live := make(map[string]bool)
-	for _, g := range e.gateList() {
-		g.refreshNow(e.Targets)
-		g.addresses(live)
-		for _, t := range g.stalest(n) {
-			asked.Go(func() { e.askStatus(ctx, g, t) })
+	for _, d := range e.dispatchers() {
+		d.refreshNow(e.Targets)
+		d.addresses(live)
+		for _, t := range d.stalest(n) {
+			asked.Go(func() { e.askStatus(ctx, d, t) })
 		}
 	}
 	asked.Wait()
@@ -58,7 +58,7 @@
 
 // askStatus asks one target. One that does not answer is blamed only by the
 // requests that fail there.
-func (e *Engine) askStatus(ctx context.Context, g *gate, t route.Target) {
+func (e *Engine) askStatus(ctx context.Context, d *dispatcher, t route.Target) {
 	ctx, cancel := context.WithTimeout(ctx, e.Timeouts.Probe)
 	defer cancel()
 	client, err := e.Dialer.Side(t)
@@ -70,21 +70,21 @@
 		_, _ = e.Dialer.Fresh(t, client) // for the next round
 		return
 	}
-	g.report(t.Name, status)
+	d.report(t.Name, status)
 }
 
-// gateList returns the gates of all services known.
-func (e *Engine) gateList() []*gate {
+// dispatchers returns the dispatchers of all services known.
+func (e *Engine) dispatchers() []*dispatcher {
 	if e.Services != nil {
 		for _, name := range e.Services() {
-			e.gate(name)
+			e.dispatcher(name)
 		}
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	list := make([]*gate, 0, len(e.gates))
-	for _, g := range e.gates {
-		list = append(list, g)
+	list := make([]*dispatcher, 0, len(e.services))
+	for _, d := range e.services {
+		list = append(list, d)
 	}
 	return list
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -72,7 +71,7 @@
 
 	once    sync.Once
 	handler http.Handler
-	door    door
+	limiter limiter
 }
 
 // Handler returns the handler for all of the callers' paths.
@@ -95,7 +94,7 @@
 
 func (s *Server) init() {
 	s.Limits = s.Limits.withDefaults()
-	s.door.limit = s.Limits.Streams
+	s.limiter.limit = s.Limits.Streams
 	if s.Tracer == nil {
 		s.Tracer = noop.NewTracerProvider().Tracer("front")
 	}
@@ -116,12 +115,12 @@
 }
 
 // Leave makes the instance refuse new requests. Those in progress go on.
-func (s *Server) Leave() { s.door.leave() }
+func (s *Server) Leave() { s.limiter.close() }
 
 // Drain blocks until all requests are answered and all tickets are settled, or
 // the context ends. Leave comes before it.
 func (s *Server) Drain(ctx context.Context) error {
-	if err := s.door.wait(ctx); err != nil {
+	if err := s.limiter.wait(ctx); err != nil {
 		return err
 	}
 	return s.Engine.Drain(ctx)
@@ -135,7 +134,7 @@
 // ready answers whether the balancer should send requests here.
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
 	switch {
-	case s.door.leaving():
+	case s.limiter.isClosed():
 		writeStatus(w, http.StatusServiceUnavailable, "leaving")
 	case s.Ready != nil && !s.Ready():
 		writeStatus(w, http.StatusServiceUnavailable, "starting")
@@ -168,76 +167,3 @@
 		*field = value
 	}
 }
-
-// errFull reports that the limit of requests in progress is reached.
-var errFull = errors.New("too many requests in progress")
-
-// errLeaving reports that the instance takes no new requests.
-var errLeaving = errors.New("instance is leaving")
-
-// door counts the requests in progress and lets in new ones.
-type door struct {
-	limit int
-
-	mu     sync.Mutex
-	inside int
-	closed bool
-	empty  chan struct{}
-}
-
-// enter lets a request in. The errors are errLeaving and errFull.
-func (d *door) enter() error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.closed {
-		return errLeaving
-	}
-	if d.inside >= d.limit {
-		return errFull
-	}
-	d.inside++
-	return nil
-}
-
-// exit ends what enter let in.
-func (d *door) exit() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.inside--
-	if d.inside == 0 && d.empty != nil {
-		close(d.empty)
-		d.empty = nil
-	}
-}
-
-func (d *door) leave() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.closed = true
-}
-
-func (d *door) leaving() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.closed
-}
-
-// wait blocks until no request is in progress or the context ends.
-func (d *door) wait(ctx context.Context) error {
-	d.mu.Lock()
-	if d.inside == 0 {
-		d.mu.Unlock()
-		return nil
-	}
-	if d.empty == nil {
-		d.empty = make(chan struct{})
-	}
-	empty := d.empty
-	d.mu.Unlock()
-	select {
-	case <-empty:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- /dev/null
+++ b/internal/front/limiter.go
@@ -0,0 +1,85 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"sync"
+)
+
+// errFull reports that the limit of requests in progress is reached.
+var errFull = errors.New("too many requests in progress")
+
+// errLeaving reports that the instance takes no new requests.
+var errLeaving = errors.New("instance is leaving")
+
+// limiter counts the requests in progress and bounds them.
+type limiter struct {
+	// limit is the largest number of requests in progress.
+	limit int
+
+	mu      sync.Mutex
+	running int
+	closed  bool
+	// idle is closed when no request is in progress any more; nil while nobody
+	// waits for that.
+	idle chan struct{}
+}
+
+// acquire admits a request. The errors are errLeaving and errFull.
+func (l *limiter) acquire() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return errLeaving
+	}
+	if l.running >= l.limit {
+		return errFull
+	}
+	l.running++
+	return nil
+}
+
+// release ends a request that acquire admitted.
+func (l *limiter) release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running--
+	if l.running == 0 && l.idle != nil {
+		close(l.idle)
+		l.idle = nil
+	}
+}
+
+// close makes acquire refuse all further requests.
+func (l *limiter) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+}
+
+// isClosed reports whether close was called.
+func (l *limiter) isClosed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
+}
+
+// wait blocks until no request is in progress or the context ends.
+func (l *limiter) wait(ctx context.Context) error {
+	l.mu.Lock()
+	if l.running == 0 {
+		l.mu.Unlock()
+		return nil
+	}
+	if l.idle == nil {
+		l.idle = make(chan struct{})
+	}
+	idle := l.idle
+	l.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -38,8 +38,8 @@
 	keyed bool
 	body  []byte
 	sink  *sink
-	// inside is set while the request counts as in progress.
-	inside bool
+	// admitted is set while the request counts as in progress.
+	admitted bool
 }
 
 // fault is a refusal by this package, with the status that its code alone does
@@ -74,7 +74,7 @@
 		defer span.End()
 		s.Counts.Requests.Add(1)
 		x := &exchange{s: s, w: w, r: r.WithContext(ctx), arrived: time.Now()}
-		if s.door.leaving() {
+		if s.limiter.isClosed() {
 			w.Header().Set("Connection", "close")
 		}
 		x.sink = &sink{x: x, control: http.NewResponseController(w)}
@@ -123,8 +123,8 @@
 
 // admit lets the request in unless the instance is leaving or full.
 func (x *exchange) admit() error {
-	err := x.s.door.enter()
-	x.inside = err == nil
+	err := x.s.limiter.acquire()
+	x.admitted = err == nil
 	switch {
 	case errors.Is(err, errLeaving):
 		f := reject(http.StatusServiceUnavailable, refuse.CodeLeaving, "this instance is leaving; ask another")
@@ -140,8 +140,8 @@
 
 // leave ends what admit began, when the last byte was written.
 func (x *exchange) leave() {
-	if x.inside {
-		x.s.door.exit()
+	if x.admitted {
+		x.s.limiter.release()
 	}
 }
 
--- a/internal/side/call.go
+++ b/internal/side/call.go
@@ -24,8 +24,8 @@
 	r        *run
 	work     *wire.CallWork
 	priority uint32
-	// exit gives the run's turn to the next one. It may be called again.
-	exit func()
+	// release gives the run's turn to the next one. It may be called again.
+	release func()
 	// claim is set for a non-idempotent call.
 	claim *ownClaim
 }
@@ -120,7 +120,7 @@
 		wait = c.s.opts.LateAnswer
 		late := time.AfterFunc(c.s.opts.CallWait, func() {
 			c.refuse(unknown(refuse.CodeInProgress, time.Second, "the target has not answered in time"))
-			c.exit() // else calls on silent connections would stop all others
+			c.release() // else calls on silent connections would stop all others
 		})
 		defer late.Stop()
 	}
--- a/internal/side/gate.go
+++ b/internal/side/limiter.go
@@ -14,16 +14,16 @@
 // errQueueWait reports that a run waited too long.
 var errQueueWait = errors.New("wait in the queue was too long")
 
-// gate lets a bounded number of runs through at a time. The others wait in
+// limiter lets a bounded number of runs through at a time. The others wait in
 // order of priority, smaller first, and of arrival.
-type gate struct {
+type limiter struct {
 	// slots is the number of runs let through at a time.
 	slots int
 	// maxWaiting bounds those that wait.
 	maxWaiting int
 
 	mu      sync.Mutex
-	inside  int
+	running int
 	arrived uint64
 	waiting waiters
 }
@@ -37,10 +37,10 @@
 	ready chan struct{}
 }
 
-// enter waits for a turn. It returns errQueueFull, errQueueWait or the
+// acquire waits for a turn. It returns errQueueFull, errQueueWait or the
 // context's error.
-func (g *gate) enter(ctx context.Context, priority uint32, wait time.Duration) error {
-	w, err := g.join(priority)
+func (l *limiter) acquire(ctx context.Context, priority uint32, wait time.Duration) error {
+	w, err := l.join(priority)
 	if w == nil {
 		return err
 	}
@@ -54,57 +54,57 @@
 	case <-timer.C:
 		err = errQueueWait
 	}
-	if g.giveUp(w) {
+	if l.giveUp(w) {
 		return err
 	}
 	return nil
 }
 
 // join takes a slot, or a place in the queue: then the waiter is returned.
-func (g *gate) join(priority uint32) (*waiter, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.inside < g.slots {
-		g.inside++
+func (l *limiter) join(priority uint32) (*waiter, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.running < l.slots {
+		l.running++
 		return nil, nil
 	}
-	if len(g.waiting) >= g.maxWaiting {
+	if len(l.waiting) >= l.maxWaiting {
 		return nil, errQueueFull
 	}
-	g.arrived++
-	w := &waiter{priority: priority, arrival: g.arrived, ready: make(chan struct{})}
-	heap.Push(&g.waiting, w)
+	l.arrived++
+	w := &waiter{priority: priority, arrival: l.arrived, ready: make(chan struct{})}
+	heap.Push(&l.waiting, w)
 	return w, nil
 }
 
 // giveUp takes a waiter off the queue. It is false where it was let through.
-func (g *gate) giveUp(w *waiter) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+func (l *limiter) giveUp(w *waiter) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if w.index < 0 {
 		return false
 	}
-	heap.Remove(&g.waiting, w.index)
+	heap.Remove(&l.waiting, w.index)
 	return true
 }
 
-// exit gives the slot to the first waiter.
-func (g *gate) exit() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if len(g.waiting) == 0 {
-		g.inside--
+// release gives the slot to the first waiter.
+func (l *limiter) release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.waiting) == 0 {
+		l.running--
 		return
 	}
-	w := heap.Pop(&g.waiting).(*waiter)
+	w := heap.Pop(&l.waiting).(*waiter)
 	close(w.ready)
 }
 
 // counts returns the runs let through and those that wait.
-func (g *gate) counts() (inside, waiting int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.inside, len(g.waiting)
+func (l *limiter) counts() (running, waiting int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.running, len(l.waiting)
 }
 
 // waiters is a heap by priority and arrival.
--- a/internal/side/run.go
+++ b/internal/side/run.go
@@ -71,17 +71,17 @@
 
 // execute waits for the run's turn, and does its work.
 func (s *Server) execute(ctx context.Context, sh *shard, r *run, req *wire.RunRequest) {
-	if err := s.queue.enter(ctx, req.GetPriority(), s.opts.QueueWait); err != nil {
+	if err := s.queue.acquire(ctx, req.GetPriority(), s.opts.QueueWait); err != nil {
 		s.refuse(sh, r, queueRefusal(err), end{})
 		return
 	}
-	exit := sync.OnceFunc(s.queue.exit)
-	defer exit()
+	release := sync.OnceFunc(s.queue.release)
+	defer release()
 	switch work := req.GetWork().(type) {
 	case *wire.RunRequest_Model:
 		s.runModel(ctx, sh, r, req.GetPriority(), work.Model)
 	case *wire.RunRequest_Call:
-		c := &callRun{s: s, sh: sh, r: r, work: work.Call, priority: req.GetPriority(), exit: exit}
+		c := &callRun{s: s, sh: sh, r: r, work: work.Call, priority: req.GetPriority(), release: release}
 		c.run(ctx)
 	}
 }
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -34,7 +34,7 @@
 	own          ownClaims
 
 	shards [tableShards]shard
-	queue  gate
+	queue  limiter
 	// orders is nil where the side follows no weights.
 	orders *orders
 
@@ -84,7 +84,7 @@
 	}
 	s.base, s.cancel = context.WithCancel(context.Background())
 	s.client, s.onceClient = newClients(opts)
-	s.queue = gate{slots: opts.MaxRunning, maxWaiting: opts.MaxQueue}
+	s.queue = limiter{slots: opts.MaxRunning, maxWaiting: opts.MaxQueue}
 	for i := range s.shards {
 		s.shards[i].table = table{
 			maxLive:     opts.MaxRunning + opts.MaxQueue,
--- a/internal/side/status.go
+++ b/internal/side/status.go
@@ -66,11 +66,11 @@
 // runs here are counted. A target that has not loaded its weights is shown as
 // leaving, so that entry instances pass over it for a while.
 func (s *Server) status() *wire.TargetStatus {
-	inside, waiting := s.queue.counts()
+	running, waiting := s.queue.counts()
 	st := &wire.TargetStatus{
 		Side:            string(s.opts.Incarnation),
 		Leaving:         s.leaving.Load() || s.lacksWeights(),
-		Running:         int64(inside),
+		Running:         int64(running),
 		Waiting:         int64(waiting),
 		CatalogueOffset: s.catalogue.Load(),
 		FleetOffset:     uint64(s.fleet.Offset()),
