internal/side, internal/cmds: tests use the stand-in of the log service

Both had a log service of their own in memory. logd.Store serves instead, with two more methods for tests: Expire drops a stream's first records at once, and Records reads whatever the failures. The commands' test keeps only the failures that the store has not: appends that vanish and appends refused while reads go on.

No check was dropped; the golden files are as before.

--- a/internal/cmds/cmds_test.go
+++ b/internal/cmds/cmds_test.go
@@ -16,6 +16,7 @@
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
 
 	"github.com/beryllanding/beryllanding/internal/stand/check"
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
 )
 
 // script runs commands one after the other against one platform, and writes
@@ -126,12 +127,13 @@
 		s.down = true
 		s.input(ExitUnknown, "catalogue put -", service)
 		s.input(ExitUnknown, "catalogue put - -o json", service)
-		s.blind = true
+		s.Switches.Set(logd.Switches{Outage: true})
 		s.run(ExitUnknown, "catalogue list")
-		s.down, s.blind = false, false
+		s.down = false
+		s.Switches.Set(logd.Switches{})
 
 		s.note("records expired and no checkpoint covers them")
-		s.expired = map[string]int{ledger.CatalogueStream: 1}
+		s.Expire(ledger.CatalogueStream, len(s.Records(ledger.CatalogueStream))-1)
 		s.run(ExitUnknown, "catalogue list")
 	})
 	check.Golden(t, "catalogue.golden", s.out.String())
--- a/internal/cmds/fake_test.go
+++ b/internal/cmds/fake_test.go
@@ -6,13 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync"
-	"time"
 
 	"google.golang.org/grpc"
 
 	"github.com/beryllanding/beryllanding/internal/config"
 	"github.com/beryllanding/beryllanding/internal/opsvc"
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/fold"
 	"github.com/beryllanding/beryllanding/pkg/insts"
@@ -21,12 +20,9 @@
 
 // platform is a log service and an instance list in memory.
 type platform struct {
-	mu      sync.Mutex
-	streams map[string][]logsvc.Record
-	// expired is the number of records that are gone from the start of a stream.
-	expired map[string]int
-	// down refuses appends, and blind refuses reads.
-	down, blind bool
+	logd.Store
+	// down refuses appends.
+	down bool
 	// lost is the number of appends that take effect without an answer, and
 	// vanish that of those that have neither.
 	lost, vanish int
@@ -39,16 +35,11 @@
 	ids       int
 }
 
-func (p *platform) Append(_ context.Context, stream string, data []byte) (logsvc.Offset, error) {
-	p.mu.Lock()
-	before := p.before
-	p.before = nil
-	p.mu.Unlock()
-	if before != nil {
+func (p *platform) Append(ctx context.Context, stream string, data []byte) (logsvc.Offset, error) {
+	if before := p.before; before != nil {
+		p.before = nil
 		before()
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	switch {
 	case p.down:
 		return 0, logsvc.ErrUnavailable
@@ -56,40 +47,31 @@
 		p.vanish--
 		return 0, logsvc.ErrOutcomeUnknown
 	}
-	at := p.appendLocked(stream, data)
+	at, err := p.Store.Append(ctx, stream, data)
 	if p.lost > 0 {
 		p.lost--
 		return 0, logsvc.ErrOutcomeUnknown
 	}
-	return at, nil
-}
-
-func (p *platform) appendLocked(stream string, data []byte) logsvc.Offset {
-	if p.streams == nil {
-		p.streams = make(map[string][]logsvc.Record)
-	}
-	at := logsvc.Offset(len(p.streams[stream]) + 1)
-	p.streams[stream] = append(p.streams[stream], logsvc.Record{Offset: at, Data: data})
-	return at
+	return at, err
 }
 
 // write appends a batch of another writer.
 func (p *platform) write(stream string, items ...fold.Item) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.writers++
 	data, err := json.Marshal(fold.Batch{Writer: fmt.Sprint("w", p.writers), Seq: 1, Items: items})
 	if err != nil {
 		panic(err)
 	}
-	p.appendLocked(stream, data)
+	if _, err := p.Store.Append(context.Background(), stream, data); err != nil {
+		panic(err)
+	}
 }
 
 // checkpoint appends a checkpoint of the stream and drops what it stands for.
 func (p *platform) checkpoint(stream string, m fold.Machine) {
 	reader := fold.Reader{Machine: m}
-	page, _ := p.page(stream, 1, len(p.streams[stream]))
-	_ = reader.Feed(page)
+	records := p.Records(stream)
+	_ = reader.Feed(logsvc.Page{First: 1, Next: logsvc.Offset(len(records) + 1), Records: records})
 	cp, err := reader.Checkpoint()
 	if err != nil {
 		panic(err)
@@ -98,38 +80,10 @@
 	if err != nil {
 		panic(err)
 	}
+	p.Expire(stream, 0)
 	for _, c := range chunks {
 		p.write(stream, c)
 	}
-	p.expired = map[string]int{stream: int(cp.At)}
-}
-
-func (p *platform) Read(ctx context.Context, stream string, from logsvc.Offset, limit int, wait time.Duration) (logsvc.Page, error) {
-	for ; ; wait -= time.Millisecond {
-		page, err := p.page(stream, from, limit)
-		if err != nil || len(page.Records) > 0 || wait <= 0 {
-			return page, err
-		}
-		select {
-		case <-time.After(time.Millisecond):
-		case <-ctx.Done():
-			return logsvc.Page{}, ctx.Err()
-		}
-	}
-}
-
-func (p *platform) page(stream string, from logsvc.Offset, limit int) (logsvc.Page, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.blind {
-		return logsvc.Page{}, logsvc.ErrUnavailable
-	}
-	all := p.streams[stream]
-	first := p.expired[stream]
-	page := logsvc.Page{First: logsvc.Offset(first + 1), Next: logsvc.Offset(len(all) + 1)}
-	start := min(max(first, int(from)-1), len(all))
-	page.Records = append(page.Records, all[start:min(len(all), start+limit)]...)
-	return page, nil
 }
 
 func (p *platform) List(context.Context) ([]insts.Instance, error) {
--- a/internal/side/admit_test.go
+++ b/internal/side/admit_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
@@ -31,7 +32,7 @@
 func TestMalformedRequestsAreRefusedAsNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &engine{tokens: 1}
-		s := newServer(t, &fakeLog{}, "s1", e, func(o *Options) { o.MaxBody = 100 })
+		s := newServer(t, &logd.Store{}, "s1", e, func(o *Options) { o.MaxBody = 100 })
 		for name, change := range map[string]func(r *wire.RunRequest){
 			"no request id":     func(r *wire.RunRequest) { r.RequestId = "" },
 			"no attempt id":     func(r *wire.RunRequest) { r.AttemptId = "" },
--- a/internal/side/bench_test.go
+++ b/internal/side/bench_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/fold"
 )
@@ -56,7 +57,7 @@
 		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/benchTokens, "ns/token")
 	})
 	b.Run("side", func(b *testing.B) {
-		s := New(Options{Incarnation: "s1", Service: "svc", Target: ts.URL, Log: &fakeLog{}, StatusEvery: time.Hour})
+		s := New(Options{Incarnation: "s1", Service: "svc", Target: ts.URL, Log: &logd.Store{}, StatusEvery: time.Hour})
 		s.Start()
 		defer s.shutDown()
 		for !s.Registered() {
@@ -80,7 +81,7 @@
 func BenchmarkClaim(b *testing.B) {
 	ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
 	defer ts.Close()
-	s := New(Options{Incarnation: "s1", Service: "svc", Target: ts.URL, Log: &fakeLog{}, StatusEvery: time.Hour})
+	s := New(Options{Incarnation: "s1", Service: "svc", Target: ts.URL, Log: &logd.Store{}, StatusEvery: time.Hour})
 	s.Start()
 	defer s.shutDown()
 	for !s.Registered() {
--- a/internal/side/call_test.go
+++ b/internal/side/call_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 )
@@ -92,7 +93,7 @@
 
 func TestOnceCallRunsOnceAndIsReplayedElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log, a := &fakeLog{}, &app{}
+		log, a := &logd.Store{}, &app{}
 		s1 := newServer(t, log, "s1", a, nil)
 		s2 := newServer(t, log, "s2", a, nil)
 		first := try(t.Context(), s1, callRequest("o/1", "a1"))
@@ -119,7 +120,7 @@
 
 func TestOnceCallHeldElsewhereIsRefusedAsUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log, a := &fakeLog{}, &app{drop: true}
+		log, a := &logd.Store{}, &app{drop: true}
 		s1 := newServer(t, log, "s1", a, nil)
 		s2 := newServer(t, log, "s2", a, nil)
 		go try(t.Context(), s1, callRequest("o/1", "a1"))
@@ -138,11 +139,11 @@
 
 func TestOnceCallInALogOutageIsNeverRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log, a := &fakeLog{}, &app{}
+		log, a := &logd.Store{}, &app{}
 		s1 := newServer(t, log, "s1", a, nil)
-		log.set(true)
+		log.Switches.Set(logd.Switches{Outage: true})
 		wantRefusal(t, try(t.Context(), s1, callRequest("o/1", "a1")), refuse.CodeLogDown, refuse.NotRun)
-		log.set(false)
+		log.Switches.Set(logd.Switches{})
 		time.Sleep(10 * time.Second)
 		if a.count("o/1") != 0 {
 			t.Errorf("target ran %d times after the refusal", a.count("o/1"))
@@ -156,7 +157,7 @@
 
 func TestOnceCallWithoutAConnectionIsReleased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log, a := &fakeLog{}, &app{down: true}
+		log, a := &logd.Store{}, &app{down: true}
 		s1 := newServer(t, log, "s1", a, a.transport)
 		s2 := newServer(t, log, "s2", a, nil)
 		wantRefusal(t, try(t.Context(), s1, callRequest("o/1", "a1")), refuse.CodeNoTarget, refuse.NotRun)
@@ -171,7 +172,7 @@
 
 func TestLateAnswerIsRecordedAndBilled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log, a := &fakeLog{}, &app{wait: 30 * time.Second}
+		log, a := &logd.Store{}, &app{wait: 30 * time.Second}
 		s1 := newServer(t, log, "s1", a, nil)
 		wantRefusal(t, try(t.Context(), s1, callRequest("o/1", "a1")), refuse.CodeInProgress, refuse.Unknown)
 		wantRefusal(t, try(t.Context(), s1, callRequest("o/1", "a2")), refuse.CodeInProgress, refuse.Unknown)
@@ -192,7 +193,7 @@
 
 func TestAnswerTooLargeToKeepRanOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log, a := &fakeLog{}, &app{body: string(make([]byte, 20<<10))}
+		log, a := &logd.Store{}, &app{body: string(make([]byte, 20<<10))}
 		s1 := newServer(t, log, "s1", a, nil)
 		s2 := newServer(t, log, "s2", a, nil)
 		if n := len(answerOf(t, "a1", try(t.Context(), s1, callRequest("o/1", "a1")))); n < 20<<10 {
@@ -211,7 +212,7 @@
 func TestOutcomeOfAnAttemptThatNeverArrived(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := &app{}
-		s := newServer(t, &fakeLog{}, "s1", a, nil)
+		s := newServer(t, &logd.Store{}, "s1", a, nil)
 		ask := func(attempt, side string) string {
 			reply, _ := s.Outcome(t.Context(), &wire.OutcomeRequest{RequestId: "o/1", AttemptId: attempt, Side: side})
 			return reply.GetState()
@@ -236,7 +237,7 @@
 func TestLateAnswerHoldsNoSlot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := &app{drop: true}
-		s := newServer(t, &fakeLog{}, "s1", a, func(o *Options) { o.MaxRunning, o.MaxQueue = 1, 1 })
+		s := newServer(t, &logd.Store{}, "s1", a, func(o *Options) { o.MaxRunning, o.MaxQueue = 1, 1 })
 		wantRefusal(t, try(t.Context(), s, callRequest("o/1", "a1")), refuse.CodeInProgress, refuse.Unknown)
 		a.set(func() { a.drop = false })
 		if got := answerOf(t, "a2", try(t.Context(), s, callRequest("o/2", "a2"))); got != "reserved o/2" {
@@ -249,7 +250,7 @@
 func TestQueueIsBoundedAndGoesByPriority(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := &app{wait: time.Second}
-		s := newServer(t, &fakeLog{}, "s1", a, func(o *Options) { o.MaxRunning, o.MaxQueue = 1, 2 })
+		s := newServer(t, &logd.Store{}, "s1", a, func(o *Options) { o.MaxRunning, o.MaxQueue = 1, 2 })
 		var mu sync.Mutex
 		var order []string
 		var tries sync.WaitGroup
--- a/internal/side/checkpoint_test.go
+++ b/internal/side/checkpoint_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/fold"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
@@ -15,7 +16,7 @@
 // the claims that were made before.
 func TestStateOutlivesRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log, a := &fakeLog{}, &app{}
+		log, a := &logd.Store{}, &app{}
 		s1 := newServer(t, log, "s1", a, nil)
 		s2 := newServer(t, log, "s2", a, nil)
 		try(t.Context(), s1, callRequest("o/1", "a1"))
@@ -28,7 +29,7 @@
 					checkpoints++
 				}
 			}
-			log.expire(stream, 1)
+			log.Expire(stream, 1)
 		}
 		if checkpoints != 2 {
 			t.Errorf("%d checkpoints of 2 streams by 2 sides, want 2", checkpoints)
@@ -49,11 +50,11 @@
 // A side that cannot close the gap must not decide.
 func TestSideBehindAGapStartsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log, a := &fakeLog{}, &app{}
+		log, a := &logd.Store{}, &app{}
 		s1 := newServer(t, log, "s1", a, nil)
 		try(t.Context(), s1, callRequest("o/1", "a1"))
 		time.Sleep(time.Second)
-		log.expire(ledger.ClaimsStream, 0)
+		log.Expire(ledger.ClaimsStream, 0)
 		s2 := newServer(t, log, "s2", a, nil)
 		wantRefusal(t, try(t.Context(), s2, callRequest("o/1", "a2")), refuse.CodeLogDown, refuse.NotRun)
 		if a.count("o/1") != 1 {
--- a/internal/side/conn_test.go
+++ b/internal/side/conn_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/fleet"
 	"github.com/beryllanding/beryllanding/pkg/fold"
@@ -61,7 +62,7 @@
 	target := &breakingTarget{listener: listener}
 	go target.serve()
 	defer func() { _ = listener.Close() }()
-	s := New(Options{Incarnation: "s1", Service: "svc", Target: "http://" + listener.Addr().String(), Log: &fakeLog{}, StatusEvery: time.Hour})
+	s := New(Options{Incarnation: "s1", Service: "svc", Target: "http://" + listener.Addr().String(), Log: &logd.Store{}, StatusEvery: time.Hour})
 	s.Start()
 	defer s.shutDown()
 	for !s.Registered() {
@@ -85,7 +86,7 @@
 // comes meanwhile is not acknowledged. The check is held up here by the lock
 // that it needs.
 func TestRunIsInTheTableBeforeItsHolderIsChecked(t *testing.T) {
-	log := &fakeLog{}
+	log := &logd.Store{}
 	s := New(Options{Incarnation: "s1", Service: "svc", Target: "http://target", Log: log, Transport: direct{handler: &engine{tokens: 1}}})
 	s.Start()
 	defer s.shutDown()
--- a/internal/side/grpc_test.go
+++ b/internal/side/grpc_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/test/bufconn"
 
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
 	"github.com/beryllanding/beryllanding/internal/wire"
 )
 
@@ -38,7 +39,7 @@
 // neighbour on the same connection has its whole answer.
 func TestRunOverGRPC(t *testing.T) {
 	e := &engine{tokens: 90_000, pause: time.Millisecond}
-	s := New(Options{Incarnation: "s1", Service: "svc", Target: "http://target", Log: &fakeLog{}, Transport: direct{handler: e}})
+	s := New(Options{Incarnation: "s1", Service: "svc", Target: "http://target", Log: &logd.Store{}, Transport: direct{handler: e}})
 	s.Start()
 	defer s.shutDown()
 	client := dial(t, s)
--- a/internal/side/history_test.go
+++ b/internal/side/history_test.go
@@ -12,6 +12,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 )
@@ -86,7 +87,7 @@
 // history runs the events against three sides.
 type history struct {
 	t     *testing.T
-	log   *fakeLog
+	log   *logd.Store
 	judge *judge
 	sides [3]*Server
 	n     int
@@ -101,7 +102,7 @@
 
 func newHistory(t *testing.T) *history {
 	h := &history{
-		t: t, log: &fakeLog{}, judge: &judge{runs: map[string]int{}, byTry: map[string]int{}},
+		t: t, log: &logd.Store{}, judge: &judge{runs: map[string]int{}, byTry: map[string]int{}},
 		outcomes: map[string]*wire.RunEvent{}, answers: map[string]string{}, requests: map[string]string{},
 	}
 	for i := range h.sides {
@@ -129,12 +130,11 @@
 	case eventAttempt, eventAttempt2, eventAttempt3:
 		h.attempt(h.sides[ev.side], fmt.Sprint("o/", ev.request))
 	case eventLogDown:
-		h.log.set(true)
+		h.log.Switches.Update(func(sw *logd.Switches) { sw.Outage = true })
 	case eventLogUp:
-		h.log.set(false)
-		h.log.change(func() { h.log.lose = false })
+		h.log.Switches.Set(logd.Switches{})
 	case eventLoseAnswers:
-		h.log.change(func() { h.log.lose = true })
+		h.log.Switches.Update(func(sw *logd.Switches) { sw.LoseEvery = 1 })
 	case eventTargetDown:
 		h.judge.set(func() { h.judge.down = true })
 	case eventTargetUp:
--- a/internal/side/model_test.go
+++ b/internal/side/model_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/fleet"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
@@ -16,7 +17,7 @@
 
 func TestModelRunIsStreamedAndBilledOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{}
+		log := &logd.Store{}
 		s := newServer(t, log, "s1", &engine{tokens: 5, pause: time.Millisecond}, nil)
 		events := try(t.Context(), s, modelRequest("o/1", "a1", true, 20))
 		if got := strings.Count(answerOf(t, "a1", events), "content"); got != 5 {
@@ -35,7 +36,7 @@
 
 func TestPlainAnswerIsAssembledFromTheStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newServer(t, &fakeLog{}, "s1", &engine{tokens: 3}, nil)
+		s := newServer(t, &logd.Store{}, "s1", &engine{tokens: 3}, nil)
 		defer stop(t, s)
 		var out struct {
 			Choices []struct {
@@ -56,7 +57,7 @@
 
 func TestOutputIsCutAtTheReservation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{}
+		log := &logd.Store{}
 		e := &engine{tokens: 50, ignoreMax: true}
 		s := newServer(t, log, "s1", e, nil)
 		events := try(t.Context(), s, modelRequest("o/1", "a1", true, 8))
@@ -73,7 +74,7 @@
 
 func TestCallerThatGoesCancelsAnUnkeyedRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{}
+		log := &logd.Store{}
 		e := &engine{tokens: 100, pause: time.Second}
 		s := newServer(t, log, "s1", e, nil)
 		ctx, cancel := context.WithTimeout(t.Context(), 4500*time.Millisecond)
@@ -92,7 +93,7 @@
 
 func TestRetryJoinsAKeyedRunWithinTheGrace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{}
+		log := &logd.Store{}
 		e := &engine{tokens: 20, pause: time.Second}
 		s := newServer(t, log, "s1", e, nil)
 		req := modelRequest("o/1", "a1", true, 100)
@@ -129,7 +130,7 @@
 func TestKeyedRunIsCancelledAfterTheGrace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &engine{tokens: 100, pause: time.Second}
-		s := newServer(t, &fakeLog{}, "s1", e, nil)
+		s := newServer(t, &logd.Store{}, "s1", e, nil)
 		req := modelRequest("o/1", "a1", true, 200)
 		req.Keyed = true
 		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
@@ -159,7 +160,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				log := &fakeLog{}
+				log := &logd.Store{}
 				e := &engine{tokens: 10, stallAfter: c.after}
 				if c.after == 0 {
 					e.pause = 24 * time.Hour
@@ -181,7 +182,7 @@
 
 func TestClosingIsAcknowledgedAfterTheRunIsBilled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{}
+		log := &logd.Store{}
 		s := newServer(t, log, "s1", &engine{tokens: 20, pause: time.Second}, nil)
 		done := make(chan []*wire.RunEvent)
 		go func() { done <- try(t.Context(), s, modelRequest("o/1", "a1", true, 100)) }()
@@ -199,9 +200,9 @@
 		if f := last(<-done).GetFinish(); f.GetBilled() != 27 {
 			t.Errorf("run in progress finished with %v", f)
 		}
-		log.set(true)
+		log.Switches.Set(logd.Switches{Outage: true})
 		time.Sleep(time.Minute)
-		log.set(false)
+		log.Switches.Set(logd.Switches{})
 		time.Sleep(5 * time.Second)
 		if acks := acksOf(t, log, "s1"); len(acks) != 1 || len(usages(t, log)) != 1 {
 			t.Errorf("acknowledgements are %v with usages %v", acks, usages(t, log))
@@ -212,7 +213,7 @@
 }
 
 // acksOf returns the holders whose closing the side acknowledged.
-func acksOf(t *testing.T, log *fakeLog, side string) []string {
+func acksOf(t *testing.T, log *logd.Store, side string) []string {
 	t.Helper()
 	var out []string
 	for _, item := range itemsOf(t, log, ledger.FleetStream) {
@@ -227,7 +228,7 @@
 
 func TestLeavingRefusesAndStopEndsRunsAndCloses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{}
+		log := &logd.Store{}
 		s := newServer(t, log, "s1", &engine{tokens: 20, pause: time.Second}, nil)
 		done := make(chan []*wire.RunEvent)
 		go func() { done <- try(t.Context(), s, modelRequest("o/1", "a1", true, 100)) }()
@@ -251,7 +252,7 @@
 
 func TestWholeAnswerWithoutOutputCostsItsPrompt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newServer(t, &fakeLog{}, "s1", &engine{tokens: 0}, nil)
+		s := newServer(t, &logd.Store{}, "s1", &engine{tokens: 0}, nil)
 		if f := last(try(t.Context(), s, modelRequest("o/1", "a1", true, 9))).GetFinish(); f.GetBilled() != 7 {
 			t.Errorf("finish is %v, want 7 billed", f)
 		}
@@ -263,7 +264,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		e := &engine{tokens: 1, fencedOff: true}
 		s := New(Options{
-			Incarnation: "s1", Service: "svc", Target: "http://target", Log: &fakeLog{},
+			Incarnation: "s1", Service: "svc", Target: "http://target", Log: &logd.Store{},
 			Transport: direct{handler: e}, EngineChecksFence: true,
 		})
 		s.Start()
@@ -279,7 +280,7 @@
 func TestEngineIsFencedBeforeWorkStarts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &engine{tokens: 1}
-		s := newServer(t, &fakeLog{}, "s1", e, func(o *Options) { o.EngineChecksFence = true })
+		s := newServer(t, &logd.Store{}, "s1", e, func(o *Options) { o.EngineChecksFence = true })
 		if len(e.fences) != 1 || e.fences[0] != `1 {"action":"fence","fence":1}` {
 			t.Errorf("orders are %q", e.fences)
 		}
@@ -299,7 +300,7 @@
 
 func TestCallerThatDoesNotReadHoldsNothingUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{}
+		log := &logd.Store{}
 		s := newServer(t, log, "s1", &engine{tokens: 20, pause: time.Second}, func(o *Options) { o.MaxRunning = 1 })
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
--- a/internal/side/orders_test.go
+++ b/internal/side/orders_test.go
@@ -1,7 +1,6 @@
 package side
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -10,6 +9,7 @@
 	"time"
 
 	"github.com/beryllanding/beryllanding/internal/stand/engd"
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
 	"github.com/beryllanding/beryllanding/internal/stand/wghtd"
 	"github.com/beryllanding/beryllanding/pkg/catal"
 	"github.com/beryllanding/beryllanding/pkg/fold"
@@ -23,7 +23,7 @@
 // weightsBed is a service of several targets that load from one weight store.
 type weightsBed struct {
 	*testing.T
-	log            fakeLog
+	log            logd.Store
 	engines        []*engd.Engine
 	sides          []*Server
 	asked, changes int
@@ -74,16 +74,6 @@
 	}
 }
 
-// expired is a log whose first records of the loads stream are expired.
-type expired struct{ *fakeLog }
-
-func (l expired) Read(ctx context.Context, stream string, from logsvc.Offset, limit int, wait time.Duration) (logsvc.Page, error) {
-	first := map[string]logsvc.Offset{ledger.LoadsStream: 4}[stream]
-	page, err := l.fakeLog.Read(ctx, stream, max(from, first), limit, wait)
-	page.First = max(page.First, first)
-	return page, err
-}
-
 func TestQueueStartsAnewAfterAllWasForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := &weightsBed{T: t}
@@ -91,9 +81,10 @@
 		for range 5 {
 			_, _ = b.log.Append(t.Context(), ledger.LoadsStream, []byte("{}"))
 		}
+		b.log.Expire(ledger.LoadsStream, 2)
 		for i := range 3 {
 			b.engines = append(b.engines, engd.New(engd.Switches{}))
-			b.sides = append(b.sides, newServer(t, expired{&b.log}, fmt.Sprintf("s%d~1", i), b.engines[i].Handler(), func(o *Options) { o.FollowWeights = true }))
+			b.sides = append(b.sides, newServer(t, &b.log, fmt.Sprintf("s%d~1", i), b.engines[i].Handler(), func(o *Options) { o.FollowWeights = true }))
 			defer stop(t, b.sides[i])
 		}
 		time.Sleep(5 * time.Minute)
--- a/internal/side/util_test.go
+++ b/internal/side/util_test.go
@@ -14,6 +14,7 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/fleet"
 	"github.com/beryllanding/beryllanding/pkg/fold"
@@ -205,7 +206,7 @@
 }
 
 // usages returns the usages on the log.
-func usages(t *testing.T, log *fakeLog) []ledger.Usage {
+func usages(t *testing.T, log *logd.Store) []ledger.Usage {
 	t.Helper()
 	var out []ledger.Usage
 	for _, item := range itemsOf(t, log, ledger.Stream(0)) {
@@ -221,13 +222,11 @@
 }
 
 // itemsOf returns the items of a stream.
-func itemsOf(t *testing.T, log *fakeLog, stream string) []fold.Item {
+func itemsOf(t *testing.T, log *logd.Store, stream string) []fold.Item {
 	t.Helper()
-	log.mu.Lock()
-	defer log.mu.Unlock()
 	var out []fold.Item
 	seen := make(map[string]bool)
-	for _, rec := range log.streams[stream] {
+	for _, rec := range log.Records(stream) {
 		var b fold.Batch
 		if err := json.Unmarshal(rec.Data, &b); err != nil {
 			t.Fatal(err)
--- a/internal/stand/logd/store.go
+++ b/internal/stand/logd/store.go
@@ -133,6 +133,14 @@
 	}
 }
 
+// Expire drops all records of a stream but the last ones, at once.
+func (s *Store) Expire(name string, keep int) { s.stream(name).drop(keep) }
+
+// Records returns the records of a stream that are kept, whatever the failures.
+func (s *Store) Records(name string) []logsvc.Record {
+	return s.stream(name).all(s.Switches.Get())
+}
+
 // stream returns the named stream and makes it where it is new.
 func (s *Store) stream(name string) *stream {
 	s.mu.Lock()
--- a/internal/stand/logd/stream.go
+++ b/internal/stand/logd/stream.go
@@ -72,9 +72,31 @@
 			n++
 		}
 	}
-	if n > 0 {
-		clear(st.records[:n])
-		st.records = st.records[n:]
-		st.first += logsvc.Offset(n)
+	st.dropLocked(n)
+}
+
+// drop drops all records but the last ones.
+func (st *stream) drop(keep int) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.dropLocked(max(0, len(st.records)-keep))
+}
+
+// dropLocked drops the first n records.
+func (st *stream) dropLocked(n int) {
+	clear(st.records[:n])
+	st.records = st.records[n:]
+	st.first += logsvc.Offset(n)
+}
+
+// all returns the records that are kept.
+func (st *stream) all(sw Switches) []logsvc.Record {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.expireLocked(sw)
+	list := make([]logsvc.Record, 0, len(st.records))
+	for i, r := range st.records {
+		list = append(list, logsvc.Record{Offset: st.first + logsvc.Offset(i) + 1, Data: r.data})
 	}
+	return list
 }
