internal/entry, internal/side: outcome in place of fate

The type is AttemptOutcome, as the package deals with a request's outcome too. The golden tables are as before.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -71,7 +71,7 @@
 	stream, err := r.open(ctx, a)
 	if err != nil {
 		if r.client == nil || errors.Is(err, ErrUnsent) {
-			a.Fate = FateNotRun
+			a.Outcome = OutcomeNotRun
 		}
 		return Broken{Cause: causeOf(ctx, err)}, r.gone(parent)
 	}
--- a/internal/entry/bill.go
+++ b/internal/entry/bill.go
@@ -2,11 +2,11 @@
 
 import "github.com/beryllanding/beryllanding/pkg/ledger"
 
-// Open returns the attempts whose fate is not known.
+// Open returns the attempts whose outcome is not known.
 func (f *Flow) Open() []*Attempt {
 	var open []*Attempt
 	for _, a := range f.Attempts {
-		if a.Fate == FateOpen {
+		if a.Outcome == OutcomeOpen {
 			open = append(open, a)
 		}
 	}
@@ -33,7 +33,7 @@
 //
 // The fold bills the first usage on the log under the request's id. Where one
 // attempt at most was billed and all others are known not to be, its charges
-// are that usage. Where two were billed or the fate of one is open, only the
+// are that usage. Where two were billed or the outcome of one is open, only the
 // log tells which usage was first, so that each ticket that may be charged is
 // deferred; putting tokens back on a guess could overspend the budget.
 func (f *Flow) Settlements() []Settlement {
@@ -48,7 +48,7 @@
 func (f *Flow) settlement(hold int, certain bool) Settlement {
 	var result Settlement = Cancel{}
 	for _, a := range f.Attempts {
-		if a.Hold != hold || a.Fate == FateNotRun || a.Fate == FateJoined {
+		if a.Hold != hold || a.Outcome == OutcomeNotRun || a.Outcome == OutcomeJoined {
 			continue
 		}
 		if !certain {
@@ -62,7 +62,7 @@
 func (f *Flow) billed() int {
 	n := 0
 	for _, a := range f.Attempts {
-		if a.Fate == FateBilled {
+		if a.Outcome == OutcomeBilled {
 			n++
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -209,7 +209,7 @@
 }
 
 // rerunnable reports whether the work may run a second time where the first
-// run's fate is unknown.
+// run's outcome is unknown.
 func (r *Request) rerunnable() bool {
 	if r.Once {
 		return false
--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -25,19 +25,19 @@
 	interruptedRetryAfter = time.Second
 )
 
-// Fate is what is known of one attempt.
-type Fate int
+// AttemptOutcome is what is known of one attempt.
+type AttemptOutcome int
 
-// The fates of attempts.
+// The outcomes of attempts.
 const (
-	// FateOpen: the attempt runs, or nothing is known of it.
-	FateOpen Fate = iota
-	// FateNotRun: it did not and will not run.
-	FateNotRun
-	// FateBilled: it ran, and Charges were billed for it.
-	FateBilled
-	// FateJoined: it joined a run that is charged to another attempt.
-	FateJoined
+	// OutcomeOpen: the attempt runs, or nothing is known of it.
+	OutcomeOpen AttemptOutcome = iota
+	// OutcomeNotRun: it did not and will not run.
+	OutcomeNotRun
+	// OutcomeBilled: it ran, and Charges were billed for it.
+	OutcomeBilled
+	// OutcomeJoined: it joined a run that is charged to another attempt.
+	OutcomeJoined
 )
 
 // Attempt is one attempt of a request at one target.
@@ -48,13 +48,13 @@
 	// the attempt was sent; it may be empty.
 	Side string
 	// Hold is the index of the ticket that is charged.
-	Hold int
-	Fate Fate
+	Hold    int
+	Outcome AttemptOutcome
 	// Join is set where the attempt may only join the run of an earlier one.
 	Join bool
 	// Started is set once the side process confirmed the start.
 	Started bool
-	// Charges were billed, for FateBilled.
+	// Charges were billed, for OutcomeBilled.
 	Charges []ledger.Charge
 	// next is the index of the next event.
 	next   uint64
@@ -103,10 +103,10 @@
 func (a *Attempt) finished(e Finished) {
 	a.Started = true
 	if e.Joined {
-		a.Fate = FateJoined
+		a.Outcome = OutcomeJoined
 		return
 	}
-	a.Fate, a.Charges = FateBilled, e.Charges
+	a.Outcome, a.Charges = OutcomeBilled, e.Charges
 }
 
 // broken decides what follows a broken attempt. Where the run itself cannot give
@@ -131,13 +131,13 @@
 func (f *Flow) refused(a *Attempt, e Refused) Step {
 	r := e.Refusal
 	if r.Code == refuse.CodeInProgress && !a.Started {
-		a.Fate = FateJoined // another run of the request bears the charge
+		a.Outcome = OutcomeJoined // another run of the request bears the charge
 		return Refuse{Refusal: f.honest(r)}
 	}
 	if r.Outcome != refuse.NotRun || a.Started {
 		return Refuse{Refusal: f.honest(r)}
 	}
-	a.Fate = FateNotRun
+	a.Outcome = OutcomeNotRun
 	if !f.mayMove() {
 		return Refuse{Refusal: f.honest(r)}
 	}
@@ -153,7 +153,7 @@
 }
 
 // Probed decides what follows the side process's answer to a Probe. Work that
-// may not run twice is never sent to another target while its fate is open, and
+// may not run twice is never sent to another target while its outcome is open, and
 // neither is work whose answer the caller has a part of.
 func (f *Flow) Probed(fact Fact) Step {
 	a := f.last()
@@ -204,9 +204,9 @@
 // "Not run" is believed only of an incarnation that was known before the
 // attempt was sent. Another one may have taken its place after that and cannot
 // know what ran before its time. Neither can an attempt that started have the
-// fate not-run, whatever is said later.
+// outcome not-run, whatever is said later.
 func (f *Flow) Learn(a *Attempt, fact Fact) {
-	if a.Fate != FateOpen {
+	if a.Outcome != OutcomeOpen {
 		return
 	}
 	switch fact.State {
@@ -214,7 +214,7 @@
 		a.finished(Finished{Joined: total(fact.Charges) == 0, Charges: fact.Charges})
 	case StateNotRun:
 		if !a.Started && a.Side != "" && a.Side == fact.Side {
-			a.Fate = FateNotRun
+			a.Outcome = OutcomeNotRun
 		}
 	case StateRunning:
 		a.Started = true
@@ -250,11 +250,11 @@
 
 // mayHaveRun reports whether an attempt of this request may have run.
 func (f *Flow) mayHaveRun() bool {
-	return slices.ContainsFunc(f.Attempts, func(a *Attempt) bool { return a.Fate != FateNotRun })
+	return slices.ContainsFunc(f.Attempts, func(a *Attempt) bool { return a.Outcome != OutcomeNotRun })
 }
 
 // openSides returns the incarnations of the side processes that attempts of
-// unknown fate were sent to.
+// unknown outcome were sent to.
 func (f *Flow) openSides() []string {
 	var sides []string
 	for _, a := range f.Open() {
--- a/internal/entry/settle.go
+++ b/internal/entry/settle.go
@@ -15,7 +15,7 @@
 	lastAskPause  = time.Second
 )
 
-// settle settles the request's tickets: at once where the fate of each attempt
+// settle settles the request's tickets: at once where the outcome of each attempt
 // is known, and otherwise in the background, after asking the side processes.
 func (r *run) settle(ctx context.Context) {
 	if len(r.flow.Holds) == 0 {
@@ -33,7 +33,7 @@
 	}()
 }
 
-// resolve asks about each open attempt until its fate is known or the time for
+// resolve asks about each open attempt until its outcome is known or the time for
 // it is over. An answer that was passed on in part, by a side process that gives
 // no answer any more, is billed for what was passed on.
 func (r *run) resolve(ctx context.Context) {
@@ -60,7 +60,7 @@
 		if ctx.Err() == nil || fact.State != StateUnreachable {
 			state = fact.State
 		}
-		if a.Fate != FateOpen || state == StateUnknown || state == StateNotRun {
+		if a.Outcome != OutcomeOpen || state == StateUnknown || state == StateNotRun {
 			return state
 		}
 		select {
--- a/internal/entry/side_test.go
+++ b/internal/entry/side_test.go
@@ -93,7 +93,7 @@
 	return st, nil
 }
 
-// Outcome tells the fate of an attempt.
+// Outcome tells what became of an attempt.
 func (c *client) Outcome(_ context.Context, in *wire.OutcomeRequest, _ ...grpc.CallOption) (*wire.OutcomeReply, error) {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
--- a/internal/entry/table_test.go
+++ b/internal/entry/table_test.go
@@ -89,10 +89,10 @@
 func TestSettlements(t *testing.T) {
 	billed := []ledger.Charge{{Holder: "h~1", Tokens: 9}}
 	open := &Attempt{}
-	not := &Attempt{Fate: FateNotRun}
-	joined := &Attempt{Fate: FateJoined}
-	bill := &Attempt{Fate: FateBilled, Charges: billed}
-	second := &Attempt{Fate: FateBilled, Charges: billed, Hold: 1}
+	not := &Attempt{Outcome: OutcomeNotRun}
+	joined := &Attempt{Outcome: OutcomeJoined}
+	bill := &Attempt{Outcome: OutcomeBilled, Charges: billed}
+	second := &Attempt{Outcome: OutcomeBilled, Charges: billed, Hold: 1}
 	cases := []struct {
 		name     string
 		attempts []*Attempt
--- a/internal/opsvc/race_test.go
+++ b/internal/opsvc/race_test.go
@@ -92,7 +92,7 @@
 	return a, b
 }
 
-// increment makes one change, and asks for its fate until it is known.
+// increment makes one change, and asks for its outcome until it is known.
 func increment(t *testing.T, s *Service, id string, unknown *int, mu *sync.Mutex) ChangeResult {
 	e, _ := s.CatalogueEntry(t.Context(), "b")
 	next := &catal.Budget{Name: "b", Owner: "o", Class: catal.Batch, Limits: catal.Limits{MaxTokens: 1}}
@@ -119,7 +119,7 @@
 	}
 }
 
-// TestRacingTopUps makes each top-up twice at once, and repeats those whose fate
+// TestRacingTopUps makes each top-up twice at once, and repeats those whose outcome
 // is unknown. Each is paid once.
 func TestRacingTopUps(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -138,7 +138,7 @@
 	})
 }
 
-// topUp makes one top-up, and asks for its fate until it is known.
+// topUp makes one top-up, and asks for its outcome until it is known.
 func topUp(t *testing.T, s *Service, ask TopUp) TopUpResult {
 	for try := time.Duration(1); ; try++ {
 		ctx, cancel := context.WithTimeout(t.Context(), try*patience)
--- a/internal/side/options.go
+++ b/internal/side/options.go
@@ -80,7 +80,7 @@
 	MaxAnswer int
 	// MaxKept bounds the bytes of the finished answers kept for replay.
 	MaxKept int
-	// MaxAttempts bounds the ended attempts whose fate is remembered.
+	// MaxAttempts bounds the ended attempts whose outcome is remembered.
 	MaxAttempts int
 
 	// Grace is how long a keyed run goes on when nobody waits for it.
--- a/internal/side/status.go
+++ b/internal/side/status.go
@@ -120,7 +120,7 @@
 	return l, err == nil && resp.StatusCode == http.StatusOK
 }
 
-// Outcome tells the fate of an attempt, or of a request where no attempt is
+// Outcome tells what became of an attempt, or of a request where no attempt is
 // named.
 func (s *Server) Outcome(ctx context.Context, req *wire.OutcomeRequest) (*wire.OutcomeReply, error) {
 	if req.GetRequestId() == "" {
@@ -133,7 +133,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	here := req.GetSide() == string(s.opts.Incarnation)
-	r := sh.table.fate(req.GetAttemptId(), here)
+	r := sh.table.outcome(req.GetAttemptId(), here)
 	reply := outcomeOf(r, r == nil || r.owner == req.GetAttemptId())
 	reply.Side = string(s.opts.Incarnation)
 	return reply, nil
@@ -165,11 +165,11 @@
 	return reply
 }
 
-// fate returns the run of an attempt, or nil where it is not known. Where the
+// outcome returns the run of an attempt, or nil where it is not known. Where the
 // attempt was meant for this incarnation and certainly never arrived, it is
 // barred from arriving later, so that "not run" stays true. The bar is forgotten
 // only after Options.MaxAttempts more attempts have ended.
-func (t *table) fate(id string, here bool) *run {
+func (t *table) outcome(id string, here bool) *run {
 	r := t.attempts[id]
 	if r != nil || !here || t.forgot {
 		return r
--- a/internal/side/table.go
+++ b/internal/side/table.go
@@ -9,7 +9,7 @@
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 )
 
-// table holds the runs of a share of the requests, and remembers the fates of
+// table holds the runs of a share of the requests, and remembers the outcomes of
 // their attempts. It decides what an attempt does; it has no lock, clock or
 // connection.
 type table struct {
--- a/internal/side/table_test.go
+++ b/internal/side/table_test.go
@@ -114,11 +114,11 @@
 	return m.runs[slices.IndexFunc(m.runs, func(v *modelledRun) bool { return v.run == r })]
 }
 
-// ask asks for the fate of an attempt that has not arrived.
+// ask asks for the outcome of an attempt that has not arrived.
 func (m *tableModel) ask(*rapid.T) {
 	m.n++
 	id := fmt.Sprintf("attempt-%d", m.n)
-	if r := m.table.fate(id, true); r != nil {
+	if r := m.table.outcome(id, true); r != nil {
 		m.barred = append(m.barred, id)
 	}
 }
--- a/pkg/fold/append.go
+++ b/pkg/fold/append.go
@@ -100,7 +100,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", ErrNotAppended, err)
 	}
-	fate := ErrNotAppended
+	result := ErrNotAppended
 	pause, timeout := firstRetryPause, firstTimeout
 	for ctx.Err() == nil {
 		at, err := w.attempt(ctx, timeout, data)
@@ -108,10 +108,10 @@
 			return at, nil
 		}
 		if !withoutEffect(err) {
-			fate = logsvc.ErrOutcomeUnknown
+			result = logsvc.ErrOutcomeUnknown
 		}
 		if errors.Is(err, logsvc.ErrTooLarge) {
-			return 0, fate
+			return 0, result
 		}
 		sleep(ctx, pause)
 		if at, ok := w.readBack(); ok {
@@ -120,7 +120,7 @@
 		pause = min(2*pause, lastRetryPause)
 		timeout = min(2*timeout, lastTimeout)
 	}
-	return 0, fate
+	return 0, result
 }
 
 // attempt sends the batch once.
--- a/pkg/logsvc/client.go
+++ b/pkg/logsvc/client.go
@@ -130,7 +130,7 @@
 	return "http://" + addr
 }
 
-// sendError tells an append that was never sent from one whose fate is unknown.
+// sendError tells an append that was never sent from one whose outcome is unknown.
 func sendError(err error, connected bool) error {
 	if connected {
 		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
