--- a/internal/opsvc/race_test.go
+++ b/internal/opsvc/race_test.go
@@ -99,9 +99,23 @@
 	if e.Budget != nil {
 		next.Limits.MaxTokens = e.Budget.Limits.MaxTokens + 1
 	}
+	return untilKnown(t, func(ctx context.Context) (ChangeResult, Outcome, error) {
+		r, err := s.Change(ctx, Change{ID: id, Base: &e.At, Entry: next})
+		if err == nil && undecided(r.Outcome) {
+			mu.Lock()
+			*unknown++
+			mu.Unlock()
+		}
+		return r, r.Outcome, err
+	})
+}
+
+// untilKnown repeats a command, each time with more patience, until its outcome
+// is known.
+func untilKnown[R any](t *testing.T, command func(context.Context) (R, Outcome, error)) R {
 	for try := time.Duration(1); ; try++ {
 		ctx, cancel := context.WithTimeout(t.Context(), try*patience)
-		r, err := s.Change(ctx, Change{ID: id, Base: &e.At, Entry: next})
+		r, outcome, err := command(ctx)
 		cancel()
 		if errors.Is(err, context.DeadlineExceeded) {
 			continue
@@ -110,15 +124,15 @@
 			t.Error(err)
 			return r
 		}
-		if r.Outcome != Unknown && r.Outcome != NotAppended {
+		if !undecided(outcome) {
 			return r
 		}
-		mu.Lock()
-		*unknown++
-		mu.Unlock()
 	}
 }
 
+// undecided reports whether a command has to be repeated.
+func undecided(o Outcome) bool { return o == Unknown || o == NotAppended }
+
 // TestRacingTopUps makes each top-up twice at once, and repeats those whose outcome
 // is unknown. Each is paid once.
 func TestRacingTopUps(t *testing.T) {
@@ -140,19 +154,8 @@
 
 // topUp makes one top-up, and asks for its outcome until it is known.
 func topUp(t *testing.T, s *Service, ask TopUp) TopUpResult {
-	for try := time.Duration(1); ; try++ {
-		ctx, cancel := context.WithTimeout(t.Context(), try*patience)
+	return untilKnown(t, func(ctx context.Context) (TopUpResult, Outcome, error) {
 		r, err := s.TopUp(ctx, ask)
-		cancel()
-		if errors.Is(err, context.DeadlineExceeded) {
-			continue
-		}
-		if err != nil {
-			t.Error(err)
-			return r
-		}
-		if r.Outcome != Unknown && r.Outcome != NotAppended {
-			return r
-		}
-	}
+		return r, r.Outcome, err
+	})
 }
