internal/wire: charges are converted, summed and taken in one place

internal/entry and internal/side each had four functions for that, which differed in one case: on a charge without tokens the entry instance stopped taking, and the side process went on to the next. The shared TakeCharges goes on; a bill in place of a dead side process would have been too small otherwise. No ticket with such a charge was seen.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -196,7 +196,7 @@
 // caller has is another answer, and one that was cancelled is not whole.
 func (r *run) finish(a *Attempt, f *wire.Finish) End {
 	r.disp.report(a.Target.Name, f.GetStatus())
-	end := Finished{Joined: a.joined, Charges: chargesOf(f.GetCharges())}
+	end := Finished{Joined: a.joined, Charges: wire.ChargesOf(f.GetCharges())}
 	switch {
 	case f.GetFinishReason() == reasonCancelled:
 		a.finished(end)
@@ -227,7 +227,7 @@
 		Service:         r.req.Service.Name,
 		Budget:          r.req.Account.Budget,
 		Priority:        r.req.Account.Class,
-		Charges:         wireCharges(r.flow.Holds[a.Hold].Charges),
+		Charges:         wire.NewCharges(r.flow.Holds[a.Hold].Charges),
 		Keyed:           r.req.Keyed,
 		Once:            r.req.Once,
 		CatalogueOffset: r.e.Catalogue.Offset(),
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/beryllanding/beryllanding/internal/wire"
-	"github.com/beryllanding/beryllanding/pkg/ident"
-	"github.com/beryllanding/beryllanding/pkg/ledger"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 )
 
@@ -106,46 +104,3 @@
 		Message:    r.GetMessage(),
 	}
 }
-
-// chargesOf returns the charges that an event carries.
-func chargesOf(list []*wire.Charge) []ledger.Charge {
-	charges := make([]ledger.Charge, 0, len(list))
-	for _, c := range list {
-		charges = append(charges, ledger.Charge{
-			Holder: ident.Incarnation(c.GetHolder()),
-			Tokens: c.GetTokens(),
-		})
-	}
-	return charges
-}
-
-// wireCharges returns the charges as the protocol carries them.
-func wireCharges(list []ledger.Charge) []*wire.Charge {
-	charges := make([]*wire.Charge, 0, len(list))
-	for _, c := range list {
-		charges = append(charges, &wire.Charge{Holder: string(c.Holder), Tokens: c.Tokens})
-	}
-	return charges
-}
-
-// drain returns the first tokens of the charges, in their order.
-func drain(charges []ledger.Charge, tokens ledger.Tokens) []ledger.Charge {
-	var used []ledger.Charge
-	for _, c := range charges {
-		n := min(c.Tokens, tokens)
-		if n <= 0 {
-			break
-		}
-		used = append(used, ledger.Charge{Holder: c.Holder, Tokens: n})
-		tokens -= n
-	}
-	return used
-}
-
-func total(charges []ledger.Charge) ledger.Tokens {
-	var sum ledger.Tokens
-	for _, c := range charges {
-		sum += c.Tokens
-	}
-	return sum
-}
--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 	"github.com/beryllanding/beryllanding/pkg/route"
@@ -211,7 +212,7 @@
 	}
 	switch fact.State {
 	case StateFinished:
-		a.finished(Finished{Joined: total(fact.Charges) == 0, Charges: fact.Charges})
+		a.finished(Finished{Joined: wire.SumCharges(fact.Charges) == 0, Charges: fact.Charges})
 	case StateNotRun:
 		if !a.Started && a.Side != "" && a.Side == fact.Side {
 			a.Outcome = OutcomeNotRun
--- a/internal/entry/flow_test.go
+++ b/internal/entry/flow_test.go
@@ -252,7 +252,7 @@
 			continue
 		}
 		request, billed := w.billedTo(t.Charges[0].Holder)
-		charged := total(t.used)
+		charged := wire.SumCharges(t.used)
 		switch {
 		case t.ends[0] == "defer":
 		case charged < billed:
@@ -269,7 +269,7 @@
 	for request, charges := range w.usage {
 		for _, c := range charges {
 			if c.Holder == h {
-				return request, total(charges)
+				return request, wire.SumCharges(charges)
 			}
 		}
 	}
--- a/internal/entry/settle.go
+++ b/internal/entry/settle.go
@@ -78,7 +78,7 @@
 	}
 	r.e.Counts.Orphaned.Add(1)
 	ticket := r.flow.Holds[a.Hold]
-	r.e.Orphans.BillOrphan(r.req.ID, ticket, r.req.Service.Name, drain(ticket.Charges, r.tokens))
+	r.e.Orphans.BillOrphan(r.req.ID, ticket, r.req.Service.Name, wire.TakeCharges(ticket.Charges, r.tokens))
 }
 
 // settleNow carries out the flow's settlements, and returns the tokens charged.
@@ -89,7 +89,7 @@
 		switch s := s.(type) {
 		case Settle:
 			r.e.Counts.Settled.Add(1)
-			charged += total(s.Charges)
+			charged += wire.SumCharges(s.Charges)
 			r.e.Budgets.Settle(ticket, r.req.ID, r.req.Service.Name, s.Charges)
 		case Cancel:
 			r.e.Counts.Cancelled.Add(1)
@@ -140,7 +140,7 @@
 func factOf(reply *wire.OutcomeReply) Fact {
 	switch s := State(reply.GetState()); s {
 	case StateRunning, StateFinished, StateNotRun:
-		return Fact{State: s, Side: reply.GetSide(), Charges: chargesOf(reply.GetCharges())}
+		return Fact{State: s, Side: reply.GetSide(), Charges: wire.ChargesOf(reply.GetCharges())}
 	}
 	return Fact{State: StateUnknown}
 }
--- a/internal/entry/side_test.go
+++ b/internal/entry/side_test.go
@@ -139,7 +139,7 @@
 		return
 	}
 	if bill {
-		s.w.bill(run.request.GetRequestId(), chargesOf(run.charges()))
+		s.w.bill(run.request.GetRequestId(), wire.ChargesOf(run.charges()))
 	}
 	s.life++
 	s.runs = make(map[string]*fakeRun)
@@ -264,7 +264,7 @@
 		done := r.finished
 		r.s.mu.Unlock()
 		if done {
-			r.s.w.bill(r.request.GetRequestId(), chargesOf(r.charges()))
+			r.s.w.bill(r.request.GetRequestId(), wire.ChargesOf(r.charges()))
 			return
 		}
 	}
@@ -279,7 +279,7 @@
 func (r *fakeRun) cost() int64 { return 1 + int64(r.produced) }
 
 func (r *fakeRun) charges() []*wire.Charge {
-	return wireCharges(drain(chargesOf(r.request.GetCharges()), r.cost()))
+	return wire.NewCharges(wire.TakeCharges(wire.ChargesOf(r.request.GetCharges()), r.cost()))
 }
 
 // follow sends a run's events as they come.
--- a/internal/side/admit.go
+++ b/internal/side/admit.go
@@ -62,7 +62,7 @@
 			return fmt.Sprintf("charge of %d tokens on holder %q is not valid", c.GetTokens(), c.GetHolder())
 		}
 	}
-	reserved := sum(chargesOf(req))
+	reserved := wire.SumCharges(wire.ChargesOf(req.GetCharges()))
 	switch work := req.GetWork().(type) {
 	case *wire.RunRequest_Model:
 		return modelProblem(work.Model, req.GetOnce(), reserved)
@@ -101,21 +101,13 @@
 		request:     req.GetRequestId(),
 		fingerprint: req.GetFingerprint(),
 		budget:      req.GetBudget(),
-		charges:     chargesOf(req),
+		charges:     wire.ChargesOf(req.GetCharges()),
 		keyed:       req.GetKeyed(),
 		once:        req.GetOnce(),
 		joinOnly:    req.GetJoin(),
 	}
 }
 
-func chargesOf(req *wire.RunRequest) []ledger.Charge {
-	out := make([]ledger.Charge, 0, len(req.GetCharges()))
-	for _, c := range req.GetCharges() {
-		out = append(out, ledger.Charge{Holder: ident.Incarnation(c.GetHolder()), Tokens: c.GetTokens()})
-	}
-	return out
-}
-
 // admission is what the fleet stream says about a run that asks to start.
 type admission struct {
 	// registered: the side has its fencing number.
--- a/internal/side/call.go
+++ b/internal/side/call.go
@@ -147,8 +147,8 @@
 
 // bill returns the price of a call that ran.
 func (c *callRun) bill() end {
-	billed := min(c.work.GetPrice(), sum(c.r.charges))
-	return end{billed: billed, charges: drain(c.r.charges, billed), reason: reasonStop}
+	billed := min(c.work.GetPrice(), wire.SumCharges(c.r.charges))
+	return end{billed: billed, charges: wire.TakeCharges(c.r.charges, billed), reason: reasonStop}
 }
 
 // deliver puts an answer into the run's output, and ends the run.
--- a/internal/side/call_test.go
+++ b/internal/side/call_test.go
@@ -112,7 +112,7 @@
 		wantRefusal(t, try(t.Context(), s2, reused), refuse.CodeKeyReused, refuse.NotRun)
 		stop(t, s1)
 		stop(t, s2)
-		if u := usages(t, log); len(u) != 1 || sum(u[0].Charges) != 3 {
+		if u := usages(t, log); len(u) != 1 || wire.SumCharges(u[0].Charges) != 3 {
 			t.Errorf("usages are %v", u)
 		}
 	})
--- a/internal/side/cursor.go
+++ b/internal/side/cursor.go
@@ -5,7 +5,6 @@
 
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/claim"
-	"github.com/beryllanding/beryllanding/pkg/ledger"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 )
 
@@ -78,7 +77,7 @@
 	f := &wire.Finish{FinishReason: r.end.reason}
 	if !c.joined {
 		f.Billed = r.end.billed
-		f.Charges = wireCharges(r.end.charges)
+		f.Charges = wire.NewCharges(r.end.charges)
 	}
 	return f
 }
@@ -107,14 +106,6 @@
 	return out
 }
 
-func wireCharges(charges []ledger.Charge) []*wire.Charge {
-	out := make([]*wire.Charge, 0, len(charges))
-	for _, c := range charges {
-		out = append(out, &wire.Charge{Holder: string(c.Holder), Tokens: c.Tokens})
-	}
-	return out
-}
-
 // finishedHead returns the head of an answer kept on the log.
 func finishedHead(f claim.Finished) *head {
 	return &head{status: f.Status, headers: f.Headers}
--- a/internal/side/engine.go
+++ b/internal/side/engine.go
@@ -67,7 +67,7 @@
 func (s *Server) runModel(ctx context.Context, sh *shard, r *run, priority uint32, work *wire.ModelWork) {
 	m := &modelRun{
 		s: s, sh: sh, r: r, work: work, name: s.attemptName(r), reason: reasonStop,
-		meter: newMeter(work.GetPromptBound(), work.GetOutputBound(), sum(r.charges)),
+		meter: newMeter(work.GetPromptBound(), work.GetOutputBound(), wire.SumCharges(r.charges)),
 	}
 	model, release, refusal := s.beginModel()
 	if refusal != nil {
@@ -235,8 +235,8 @@
 
 // end returns the end of a run that costs the given tokens.
 func (m *modelRun) end(tokens ledger.Tokens, reason string) end {
-	billed := min(tokens, sum(m.r.charges))
-	return end{billed: billed, charges: drain(m.r.charges, billed), reason: reason}
+	billed := min(tokens, wire.SumCharges(m.r.charges))
+	return end{billed: billed, charges: wire.TakeCharges(m.r.charges, billed), reason: reason}
 }
 
 // interrupt ends the run without an answer. What was produced is billed. That
--- a/internal/side/history_test.go
+++ b/internal/side/history_test.go
@@ -207,7 +207,7 @@
 	bills := make(map[string]int)
 	for _, u := range usages(h.t, h.log) {
 		bills[u.Request]++
-		if bills[u.Request] > 1 || h.judge.runs[u.Request] != 1 || sum(u.Charges) != 3 {
+		if bills[u.Request] > 1 || h.judge.runs[u.Request] != 1 || wire.SumCharges(u.Charges) != 3 {
 			return fmt.Sprintf("%d runs of %s were billed %v", h.judge.runs[u.Request], u.Request, u)
 		}
 	}
--- a/internal/side/meter.go
+++ b/internal/side/meter.go
@@ -52,26 +52,3 @@
 	}
 	return m.bill()
 }
-
-// sum returns the tokens of all charges.
-func sum(charges []ledger.Charge) ledger.Tokens {
-	var n ledger.Tokens
-	for _, c := range charges {
-		n += c.Tokens
-	}
-	return n
-}
-
-// drain takes tokens from the charges in order, at most as many as they hold.
-func drain(charges []ledger.Charge, tokens ledger.Tokens) []ledger.Charge {
-	var out []ledger.Charge
-	for _, c := range charges {
-		n := min(c.Tokens, tokens)
-		if n <= 0 {
-			continue
-		}
-		out = append(out, ledger.Charge{Holder: c.Holder, Tokens: n})
-		tokens -= n
-	}
-	return out
-}
--- a/internal/side/model_test.go
+++ b/internal/side/model_test.go
@@ -28,7 +28,7 @@
 			t.Errorf("finish is %v, want 12 billed as 6 and 6", f)
 		}
 		stop(t, s)
-		if u := usages(t, log); len(u) != 1 || u[0].Request != "o/1" || sum(u[0].Charges) != 12 {
+		if u := usages(t, log); len(u) != 1 || u[0].Request != "o/1" || wire.SumCharges(u[0].Charges) != 12 {
 			t.Errorf("usages on the log are %v", u)
 		}
 	})
@@ -85,7 +85,7 @@
 			t.Errorf("engine was told to cancel %d runs, want 1", e.cancels())
 		}
 		stop(t, s)
-		if u := usages(t, log); len(u) != 1 || sum(u[0].Charges) != 14 {
+		if u := usages(t, log); len(u) != 1 || wire.SumCharges(u[0].Charges) != 14 {
 			t.Errorf("usages are %v, want one of 14: the prompt's bound and 4 tokens", u)
 		}
 	})
@@ -121,7 +121,7 @@
 			t.Errorf("reused key got %v", r)
 		}
 		stop(t, s)
-		if u := usages(t, log); len(u) != 1 || sum(u[0].Charges) != 27 {
+		if u := usages(t, log); len(u) != 1 || wire.SumCharges(u[0].Charges) != 27 {
 			t.Errorf("usages are %v, want one of 27", u)
 		}
 	})
@@ -306,7 +306,7 @@
 		defer cancel()
 		go func() { _ = s.Run(modelRequest("o/1", "a1", true, 100), &stuck{caller{ctx: ctx}}) }()
 		time.Sleep(time.Minute)
-		if u := usages(t, log); len(u) != 1 || sum(u[0].Charges) != 27 {
+		if u := usages(t, log); len(u) != 1 || wire.SumCharges(u[0].Charges) != 27 {
 			t.Errorf("usages are %v, want one of 27", u)
 		}
 		if f := last(try(t.Context(), s, modelRequest("o/2", "b1", true, 100))).GetFinish(); f.GetBilled() != 27 {
--- a/internal/side/status.go
+++ b/internal/side/status.go
@@ -187,7 +187,7 @@
 	reply := &wire.OutcomeReply{State: stateOf(r)}
 	if owner {
 		reply.Billed = r.end.billed
-		reply.Charges = wireCharges(r.end.charges)
+		reply.Charges = wire.NewCharges(r.end.charges)
 	}
 	return reply
 }
--- a/internal/side/table_test.go
+++ b/internal/side/table_test.go
@@ -143,7 +143,7 @@
 	case 4:
 		n := ledger.Tokens(len(r.output))
 		if !r.over {
-			m.table.finish(r.run, end{billed: n, charges: drain(r.run.charges, n)}, m.now)
+			m.table.finish(r.run, end{billed: n, charges: wire.TakeCharges(r.run.charges, n)}, m.now)
 		}
 		r.over = true
 	case 5:
--- /dev/null
+++ b/internal/wire/charge.go
@@ -0,0 +1,48 @@
+package wire
+
+import (
+	"github.com/beryllanding/beryllanding/pkg/ident"
+	"github.com/beryllanding/beryllanding/pkg/ledger"
+)
+
+// ChargesOf returns the charges that a message carries.
+func ChargesOf(list []*Charge) []ledger.Charge {
+	charges := make([]ledger.Charge, 0, len(list))
+	for _, c := range list {
+		charges = append(charges, ledger.Charge{Holder: ident.Incarnation(c.GetHolder()), Tokens: c.GetTokens()})
+	}
+	return charges
+}
+
+// NewCharges returns the charges as messages carry them.
+func NewCharges(list []ledger.Charge) []*Charge {
+	charges := make([]*Charge, 0, len(list))
+	for _, c := range list {
+		charges = append(charges, &Charge{Holder: string(c.Holder), Tokens: c.Tokens})
+	}
+	return charges
+}
+
+// SumCharges returns the tokens of all charges.
+func SumCharges(charges []ledger.Charge) ledger.Tokens {
+	var sum ledger.Tokens
+	for _, c := range charges {
+		sum += c.Tokens
+	}
+	return sum
+}
+
+// TakeCharges returns the first tokens of the charges, in their order, and at
+// most as many as they hold. Charges without tokens are left out.
+func TakeCharges(charges []ledger.Charge, tokens ledger.Tokens) []ledger.Charge {
+	var taken []ledger.Charge
+	for _, c := range charges {
+		n := min(c.Tokens, tokens)
+		if n <= 0 {
+			continue
+		}
+		taken = append(taken, ledger.Charge{Holder: c.Holder, Tokens: n})
+		tokens -= n
+	}
+	return taken
+}
