--- a/internal/cmds/catal.go
+++ b/internal/cmds/catal.go
@@ -27,70 +27,95 @@
 conflict that names the winner. An accepted change stays in force until another
 one is accepted.`,
 		Children: []Command{
-			{
-				Name:    "list",
-				Aliases: []string{"ls"},
-				Short:   "List the entries in force",
-				Examples: []Example{
-					{"beryl catalogue list", "one line for each entry"},
-					{"beryl catalogue list -o json", "the same, whole, for scripts"},
-				},
-				New: func() Runner { return new(catalogueList) },
-			},
-			{
-				Name:  "show",
-				Short: "Show one entry",
-				Long: `Prints the entry in the form that "beryl catalogue put" reads, in JSON whatever
+			catalogueListCommand(),
+			catalogueShowCommand(),
+			cataloguePutCommand(),
+			catalogueDeleteCommand(),
+			catalogueInForceCommand(),
+		},
+	}
+}
+
+// catalogueListCommand is "beryl catalogue list".
+func catalogueListCommand() Command {
+	return Command{
+		Name:    "list",
+		Aliases: []string{"ls"},
+		Short:   "List the entries in force",
+		Examples: []Example{
+			{"beryl catalogue list", "one line for each entry"},
+			{"beryl catalogue list -o json", "the same, whole, for scripts"},
+		},
+		New: func() Runner { return new(catalogueList) },
+	}
+}
+
+// catalogueShowCommand is "beryl catalogue show".
+func catalogueShowCommand() Command {
+	return Command{
+		Name:  "show",
+		Short: "Show one entry",
+		Long: `Prints the entry in the form that "beryl catalogue put" reads, in JSON whatever
 --output says. It holds the offset of the latest change as "at", and put takes
 that as the base: what was changed in between is not overwritten.`,
-				Examples: []Example{
-					{"beryl catalogue show kowhai > kowhai.json", "fetch an entry to edit it"},
-				},
-				New: func() Runner { return new(catalogueShow) },
-			},
-			{
-				Name:  "put",
-				Short: "Create or replace an entry",
-				Long: `Reads a JSON object with either "service" or "budget", checks it, publishes it
+		Examples: []Example{
+			{"beryl catalogue show kowhai > kowhai.json", "fetch an entry to edit it"},
+		},
+		New: func() Runner { return new(catalogueShow) },
+	}
+}
+
+// cataloguePutCommand is "beryl catalogue put".
+func cataloguePutCommand() Command {
+	return Command{
+		Name:  "put",
+		Short: "Create or replace an entry",
+		Long: `Reads a JSON object with either "service" or "budget", checks it, publishes it
 and waits until it is decided.
 
 The change is based on --base, or on the "at" of the file, or else on the
 entry's latest change as it was just read. In a conflict, read the entry again,
 decide whether the change is still wanted, and put it again.`,
-				Examples: []Example{
-					{"beryl catalogue put kowhai.json", "publish the entry in the file"},
-					{"beryl catalogue put --id 5f1c kowhai.json", "ask what became of change 5f1c, or publish it"},
-				},
-				New: func() Runner { return new(cataloguePut) },
-			},
-			{
-				Name:    "delete",
-				Aliases: []string{"rm"},
-				Short:   "Remove an entry",
-				Long: `Removes a service or a budget from the catalogue. The keys of a removed budget
+		Examples: []Example{
+			{"beryl catalogue put kowhai.json", "publish the entry in the file"},
+			{"beryl catalogue put --id 5f1c kowhai.json", "ask what became of change 5f1c, or publish it"},
+		},
+		New: func() Runner { return new(cataloguePut) },
+	}
+}
+
+// catalogueDeleteCommand is "beryl catalogue delete".
+func catalogueDeleteCommand() Command {
+	return Command{
+		Name:    "delete",
+		Aliases: []string{"rm"},
+		Short:   "Remove an entry",
+		Long: `Removes a service or a budget from the catalogue. The keys of a removed budget
 are refused; its tokens stay paid for, and are there again when an entry with
 the same name is put.`,
-				Examples: []Example{
-					{"beryl catalogue delete kowhai/trial", "remove the entry kowhai/trial"},
-				},
-				New: func() Runner { return new(catalogueDelete) },
-			},
-			{
-				Name:  "in-force",
-				Short: "Show whether a change is in force at every entry instance",
-				Long: `Asks every listed entry instance up to which offset it has the catalogue. A
+		Examples: []Example{
+			{"beryl catalogue delete kowhai/trial", "remove the entry kowhai/trial"},
+		},
+		New: func() Runner { return new(catalogueDelete) },
+	}
+}
+
+// catalogueInForceCommand is "beryl catalogue in-force".
+func catalogueInForceCommand() Command {
+	return Command{
+		Name:  "in-force",
+		Short: "Show whether a change is in force at every entry instance",
+		Long: `Asks every listed entry instance up to which offset it has the catalogue. A
 change is in force where that is its offset or a later one. Without OFFSET the
 latest accepted change is meant.
 
 The exit code is 0 where all have it, 5 where one is behind, and 3 where one did
 not answer and none is known to be behind.`,
-				Examples: []Example{
-					{"beryl catalogue in-force", "is the latest change in force everywhere"},
-					{"beryl catalogue in-force 1042", "is the change accepted at offset 1042"},
-				},
-				New: func() Runner { return new(catalogueInForce) },
-			},
+		Examples: []Example{
+			{"beryl catalogue in-force", "is the latest change in force everywhere"},
+			{"beryl catalogue in-force 1042", "is the change accepted at offset 1042"},
 		},
+		New: func() Runner { return new(catalogueInForce) },
 	}
 }
 
