internal/stand/memnet: a transport to a handler, for two tests

internal/side and internal/stand/engd each had a transport without sockets; the one that streams serves both. The tests of silent connections in internal/entry share the setting up of the listener. No check changed.

--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -68,15 +68,8 @@
 	for writes := range int64(14) {
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(nil)
-			listener := bufconn.Listen(1 << 16)
-			grpcServer := grpc.NewServer(grpc.KeepaliveEnforcementPolicy(wire.KeepalivePolicy))
-			wire.RegisterSideServer(grpcServer, &server{client: client{s: w.sides["t1"]}})
-			serving := &mutingListener{Listener: listener, writes: writes}
-			go func() { _ = grpcServer.Serve(serving) }()
-			conns := &Conns{Options: []grpc.DialOption{
-				grpc.WithTransportCredentials(insecure.NewCredentials()),
-				grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return listener.DialContext(ctx) }),
-			}}
+			serving := &mutingListener{writes: writes}
+			conns, stop := serving.serve(w.sides["t1"])
 			e := newEngine(w, route.Policy{}, Timeouts{})
 			e.Targets, e.Dialer = oneTarget{}, conns
 			e.dispatcher("s").seen("t1", w.sides["t1"].incarnation()) // as Watch would
@@ -91,8 +84,7 @@
 				t.Errorf("after %d writes: answered after %v", writes, took)
 			}
 			_ = e.Drain(t.Context())
-			conns.Close()
-			grpcServer.Stop()
+			stop()
 			time.Sleep(time.Hour)
 		})
 	}
@@ -103,15 +95,8 @@
 func TestIdleConnectionStays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(nil)
-		listener := bufconn.Listen(1 << 16)
-		grpcServer := grpc.NewServer(grpc.KeepaliveEnforcementPolicy(wire.KeepalivePolicy))
-		wire.RegisterSideServer(grpcServer, &server{client: client{s: w.sides["t1"]}})
-		serving := &mutingListener{Listener: listener, later: true}
-		go func() { _ = grpcServer.Serve(serving) }()
-		conns := &Conns{Options: []grpc.DialOption{
-			grpc.WithTransportCredentials(insecure.NewCredentials()),
-			grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return listener.DialContext(ctx) }),
-		}}
+		serving := &mutingListener{later: true}
+		conns, stop := serving.serve(w.sides["t1"])
 		for range 2 {
 			side, _ := conns.Side(route.Target{Name: "t1", Address: "t1"})
 			if _, err := side.Status(t.Context(), &wire.StatusRequest{}); err != nil {
@@ -122,8 +107,7 @@
 		if n := serving.accepted.Load(); n != 1 {
 			t.Errorf("%d connections were opened", n)
 		}
-		conns.Close()
-		grpcServer.Stop()
+		stop()
 		time.Sleep(time.Hour)
 	})
 }
@@ -137,6 +121,24 @@
 	accepted atomic.Int64
 }
 
+// serve serves the side process through the listener. It returns connections to
+// it, and a function that ends both.
+func (l *mutingListener) serve(s *fakeSide) (*Conns, func()) {
+	listener := bufconn.Listen(1 << 16)
+	l.Listener = listener
+	grpcServer := grpc.NewServer(grpc.KeepaliveEnforcementPolicy(wire.KeepalivePolicy))
+	wire.RegisterSideServer(grpcServer, &server{client: client{s: s}})
+	go func() { _ = grpcServer.Serve(l) }()
+	conns := &Conns{Options: []grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return listener.DialContext(ctx) }),
+	}}
+	return conns, func() {
+		conns.Close()
+		grpcServer.Stop()
+	}
+}
+
 func (l *mutingListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	l.accepted.Add(1)
--- a/internal/side/call_test.go
+++ b/internal/side/call_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/beryllanding/beryllanding/internal/stand/logd"
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 )
@@ -57,7 +58,7 @@
 
 // transport reaches the app, unless it is down.
 func (a *app) transport(o *Options) {
-	o.Transport = direct{handler: a, refused: func() bool {
+	o.Transport = memnet.Transport{Handler: a, Refused: func() bool {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		return a.down
--- a/internal/side/conn_test.go
+++ b/internal/side/conn_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/beryllanding/beryllanding/internal/stand/logd"
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/fleet"
 	"github.com/beryllanding/beryllanding/pkg/fold"
@@ -87,7 +88,7 @@
 // that it needs.
 func TestRunIsInTheTableBeforeItsHolderIsChecked(t *testing.T) {
 	log := &logd.Store{}
-	s := New(Options{Incarnation: "s1", Service: "svc", Target: "http://target", Log: log, Transport: direct{handler: &engine{tokens: 1}}})
+	s := New(Options{Incarnation: "s1", Service: "svc", Target: "http://target", Log: log, Transport: memnet.Transport{Handler: &engine{tokens: 1}}})
 	s.Start()
 	defer s.shutDown()
 	for !s.Registered() {
--- a/internal/side/grpc_test.go
+++ b/internal/side/grpc_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/test/bufconn"
 
 	"github.com/beryllanding/beryllanding/internal/stand/logd"
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
 	"github.com/beryllanding/beryllanding/internal/wire"
 )
 
@@ -39,7 +40,7 @@
 // neighbour on the same connection has its whole answer.
 func TestRunOverGRPC(t *testing.T) {
 	e := &engine{tokens: 90_000, pause: time.Millisecond}
-	s := New(Options{Incarnation: "s1", Service: "svc", Target: "http://target", Log: &logd.Store{}, Transport: direct{handler: e}})
+	s := New(Options{Incarnation: "s1", Service: "svc", Target: "http://target", Log: &logd.Store{}, Transport: memnet.Transport{Handler: e}})
 	s.Start()
 	defer s.shutDown()
 	client := dial(t, s)
--- a/internal/side/history_test.go
+++ b/internal/side/history_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/beryllanding/beryllanding/internal/stand/logd"
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 )
@@ -117,7 +118,7 @@
 	h.n++
 	opts := Options{
 		Incarnation: incarnationOf(i, h.n), Slot: fmt.Sprint("slot-", i), Service: "svc", Target: "http://target",
-		Log: h.log, Transport: direct{handler: h.judge, refused: h.judge.isDown},
+		Log: h.log, Transport: memnet.Transport{Handler: h.judge, Refused: h.judge.isDown},
 		CallWait: 2 * time.Second, LateAnswer: 3 * time.Second,
 	}
 	h.sides[i] = New(opts)
--- a/internal/side/model_test.go
+++ b/internal/side/model_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/beryllanding/beryllanding/internal/stand/logd"
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/fleet"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
@@ -265,7 +266,7 @@
 		e := &engine{tokens: 1, fencedOff: true}
 		s := New(Options{
 			Incarnation: "s1", Service: "svc", Target: "http://target", Log: &logd.Store{},
-			Transport: direct{handler: e}, EngineChecksFence: true,
+			Transport: memnet.Transport{Handler: e}, EngineChecksFence: true,
 		})
 		s.Start()
 		time.Sleep(time.Minute)
--- a/internal/side/orders_test.go
+++ b/internal/side/orders_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/beryllanding/beryllanding/internal/stand/engd"
 	"github.com/beryllanding/beryllanding/internal/stand/logd"
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
 	"github.com/beryllanding/beryllanding/internal/stand/wghtd"
 	"github.com/beryllanding/beryllanding/pkg/catal"
 	"github.com/beryllanding/beryllanding/pkg/fold"
@@ -99,7 +100,7 @@
 		b.put("m@v6")
 		for i := range 5 {
 			e := engd.New(engd.Switches{CheckFence: true})
-			e.Weights, e.HTTP = "http://store", &http.Client{Transport: direct{handler: store.Handler()}}
+			e.Weights, e.HTTP = "http://store", &http.Client{Transport: memnet.Transport{Handler: store.Handler()}}
 			b.engines = append(b.engines, e)
 			s := newServer(t, &b.log, fmt.Sprintf("s%d~1", i), e.Handler(), func(o *Options) { o.FollowWeights, o.EngineChecksFence = true, true })
 			b.sides = append(b.sides, s)
--- a/internal/side/util_test.go
+++ b/internal/side/util_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +14,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/beryllanding/beryllanding/internal/stand/logd"
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/fleet"
 	"github.com/beryllanding/beryllanding/pkg/fold"
@@ -23,62 +23,6 @@
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
 )
 
-// direct is a transport that calls a handler without a socket, so that a test
-// can run under a fake clock.
-type direct struct {
-	handler http.Handler
-	// refused, where set, makes connections fail.
-	refused func() bool
-}
-
-func (d direct) RoundTrip(req *http.Request) (*http.Response, error) {
-	trace := httptrace.ContextClientTrace(req.Context())
-	if trace != nil && trace.GetConn != nil {
-		trace.GetConn(req.URL.Host)
-	}
-	if d.refused != nil && d.refused() {
-		return nil, fmt.Errorf("connection refused")
-	}
-	if trace != nil && trace.GotConn != nil {
-		trace.GotConn(httptrace.GotConnInfo{})
-	}
-	if req.Body == nil {
-		req.Body = http.NoBody
-	}
-	r, w := io.Pipe()
-	rw := &pipeWriter{header: make(http.Header), body: w, ready: make(chan int, 1)}
-	go func() {
-		d.handler.ServeHTTP(rw, req)
-		rw.WriteHeader(http.StatusOK)
-		_ = w.Close()
-	}()
-	stop := context.AfterFunc(req.Context(), func() { _ = w.CloseWithError(context.Cause(req.Context())) })
-	select {
-	case status := <-rw.ready:
-		return &http.Response{StatusCode: status, Header: rw.header, Body: r, Request: req}, nil
-	case <-req.Context().Done():
-		stop()
-		return nil, req.Context().Err()
-	}
-}
-
-// pipeWriter is the response writer of direct.
-type pipeWriter struct {
-	header http.Header
-	body   *io.PipeWriter
-	once   sync.Once
-	ready  chan int
-}
-
-func (w *pipeWriter) Header() http.Header { return w.header }
-
-func (w *pipeWriter) WriteHeader(status int) { w.once.Do(func() { w.ready <- status }) }
-
-func (w *pipeWriter) Write(p []byte) (int, error) {
-	w.WriteHeader(http.StatusOK)
-	return w.body.Write(p)
-}
-
 // engine is a model engine that puts out numbered tokens.
 type engine struct {
 	mu sync.Mutex
@@ -247,7 +191,7 @@
 	t.Helper()
 	opts := Options{
 		Incarnation: ident.Incarnation(n), Slot: "slot-" + n, Service: "svc",
-		Target: "http://target", Log: log, Transport: direct{handler: handler},
+		Target: "http://target", Log: log, Transport: memnet.Transport{Handler: handler},
 	}
 	if change != nil {
 		change(&opts)
--- a/internal/stand/engd/engd_test.go
+++ b/internal/stand/engd/engd_test.go
@@ -17,6 +17,7 @@
 	"github.com/beryllanding/beryllanding/internal/stand/wghtd"
 
 	"github.com/beryllanding/beryllanding/internal/stand/check"
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
 )
 
 // reply is an answer of the engine.
@@ -281,7 +282,7 @@
 func TestLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := wghtd.New(wghtd.Switches{SizeBytes: 1 << 20, BytesPerSecond: 128 << 10})
-		e := &Engine{Weights: "http://weights", HTTP: &http.Client{Transport: handlerTransport{store.Handler()}}}
+		e := &Engine{Weights: "http://weights", HTTP: &http.Client{Transport: memnet.Transport{Handler: store.Handler()}}}
 		h := e.Handler()
 		var got []string
 		note := func() {
--- /dev/null
+++ b/internal/stand/memnet/transport.go
@@ -0,0 +1,83 @@
+package memnet
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+)
+
+// errRefused is the error of a connection that Refused makes fail.
+var errRefused = errors.New("connection refused")
+
+// Transport is an http.RoundTripper that calls a handler without a connection.
+// Answers are passed on while the handler writes them.
+type Transport struct {
+	Handler http.Handler
+	// Refused reports whether a connection fails. It is optional.
+	Refused func() bool
+}
+
+// RoundTrip implements http.RoundTripper. It ends with the request's context,
+// also where the handler goes on.
+func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	if err := t.connect(req); err != nil {
+		return nil, err
+	}
+	if req.Body == nil {
+		req.Body = http.NoBody
+	}
+	r, w := io.Pipe()
+	rw := &pipeWriter{header: make(http.Header), body: w, ready: make(chan int, 1)}
+	go func() {
+		t.Handler.ServeHTTP(rw, req)
+		rw.WriteHeader(http.StatusOK)
+		_ = w.Close()
+	}()
+	stop := context.AfterFunc(req.Context(), func() { _ = w.CloseWithError(context.Cause(req.Context())) })
+	select {
+	case status := <-rw.ready:
+		return &http.Response{StatusCode: status, Header: rw.header, Body: r, Request: req}, nil
+	case <-req.Context().Done():
+		stop()
+		return nil, req.Context().Err()
+	}
+}
+
+// connect tells the request's trace of the connection, as http.Transport does.
+func (t Transport) connect(req *http.Request) error {
+	trace := httptrace.ContextClientTrace(req.Context())
+	if trace != nil && trace.GetConn != nil {
+		trace.GetConn(req.URL.Host)
+	}
+	if t.Refused != nil && t.Refused() {
+		return errRefused
+	}
+	if trace != nil && trace.GotConn != nil {
+		trace.GotConn(httptrace.GotConnInfo{})
+	}
+	return nil
+}
+
+// pipeWriter is the response writer of Transport.
+type pipeWriter struct {
+	header http.Header
+	body   *io.PipeWriter
+	once   sync.Once
+	// ready receives the status.
+	ready chan int
+}
+
+// Header implements http.ResponseWriter.
+func (w *pipeWriter) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *pipeWriter) WriteHeader(status int) { w.once.Do(func() { w.ready <- status }) }
+
+// Write implements http.ResponseWriter.
+func (w *pipeWriter) Write(p []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	return w.body.Write(p)
+}
