internal/entry, internal/front: names for what honest did; units of defaults

forRequest makes a refusal hold for the request as a whole; orUnknown takes back a not-run that an earlier request with the same key may make untrue.

--- a/internal/entry/do.go
+++ b/internal/entry/do.go
@@ -48,7 +48,7 @@
 	r.flow.Rerunnable = req.rerunnable()
 	if err := e.enter(req.Account); err != nil {
 		e.Counts.Refused.Add(1)
-		return Result{}, r.honest(err)
+		return Result{}, r.forRequest(err)
 	}
 	defer e.exit(req.Account)
 	r.disp.arrived()
@@ -93,7 +93,7 @@
 		return err
 	}
 	if err := r.choose(ctx); err != nil {
-		return r.honest(err)
+		return r.forRequest(err)
 	}
 	for {
 		end, err := r.attempt(ctx)
@@ -135,7 +135,7 @@
 	r.result.Reserved += time.Since(start)
 	if err != nil {
 		span.RecordError(err)
-		return r.honest(r.orGone(ctx, err))
+		return r.forRequest(r.orGone(ctx, err))
 	}
 	r.flow.Holds = append(r.flow.Holds, t)
 	return nil
@@ -171,11 +171,11 @@
 		return false, nil
 	}
 	if !s.Free && !r.disp.mayRetry() {
-		return true, r.honest(&s.Refusal)
+		return true, r.forRequest(&s.Refusal)
 	}
 	r.e.Counts.Retries.Add(1)
 	if err := r.choose(ctx); err != nil {
-		return true, r.honest(err)
+		return true, r.forRequest(err)
 	}
 	return false, nil
 }
@@ -251,13 +251,13 @@
 	return err
 }
 
-// honest makes a refusal say what holds for the request as a whole.
-func (r *run) honest(err error) error {
+// forRequest makes a refusal say what holds for the request as a whole.
+func (r *run) forRequest(err error) error {
 	refusal, ok := refuse.As(err)
 	if !ok {
 		return err
 	}
 	r.lookBack()
-	copied := r.flow.honest(*refusal)
+	copied := r.flow.forRequest(*refusal)
 	return &copied
 }
--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -133,14 +133,14 @@
 	r := e.Refusal
 	if r.Code == refuse.CodeInProgress && !a.Started {
 		a.Outcome = OutcomeJoined // another run of the request bears the charge
-		return Refuse{Refusal: f.honest(r)}
+		return Refuse{Refusal: f.forRequest(r)}
 	}
 	if r.Outcome != refuse.NotRun || a.Started {
-		return Refuse{Refusal: f.honest(r)}
+		return Refuse{Refusal: f.forRequest(r)}
 	}
 	a.Outcome = OutcomeNotRun
 	if !f.mayMove() {
-		return Refuse{Refusal: f.honest(r)}
+		return Refuse{Refusal: f.forRequest(r)}
 	}
 	switch r.Code {
 	case refuse.CodeHolderClosed:
@@ -150,7 +150,7 @@
 	case refuse.CodeBusy, refuse.CodeNoTarget, refuse.CodeInterrupted:
 		return Retry{Refusal: r}
 	}
-	return Refuse{Refusal: f.honest(r)}
+	return Refuse{Refusal: f.forRequest(r)}
 }
 
 // Probed decides what follows the side process's answer to a Probe. Work that
@@ -225,16 +225,16 @@
 // mayContinue reports whether another attempt is allowed.
 func (f *Flow) mayContinue() bool { return len(f.Attempts) < maxAttempts }
 
-// honest returns the refusal with the outcome that holds for the request as a
+// forRequest returns the refusal with the outcome that holds for the request as a
 // whole: not run only where no attempt of it may have run.
-func (f *Flow) honest(r refuse.Refusal) refuse.Refusal {
+func (f *Flow) forRequest(r refuse.Refusal) refuse.Refusal {
 	r.Outcome = f.Outcome()
 	return r
 }
 
 // Interrupted returns the refusal of a request that ended without an answer.
 func (f *Flow) Interrupted(message string) refuse.Refusal {
-	return f.honest(refuse.Refusal{
+	return f.forRequest(refuse.Refusal{
 		Code:       refuse.CodeInterrupted,
 		RetryAfter: interruptedRetryAfter,
 		Message:    message,
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -43,7 +43,7 @@
 	Streams int
 }
 
-// Defaults of Limits.
+// Defaults of Limits; Body and HeaderBytes are in bytes.
 const (
 	defaultBody        = 4 << 20
 	defaultHeaderBytes = 32 << 10
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -96,12 +96,12 @@
 func (x *exchange) run(ctx context.Context, p prepare) (*entry.Request, entry.Result, error) {
 	for _, check := range []func() error{x.checkHeaders, x.authenticate, x.identify, x.admit, x.readBody} {
 		if err := check(); err != nil {
-			return nil, entry.Result{}, x.honest(err)
+			return nil, entry.Result{}, x.orUnknown(err)
 		}
 	}
 	req, err := p(x)
 	if err != nil {
-		return nil, entry.Result{}, x.honest(err)
+		return nil, entry.Result{}, x.orUnknown(err)
 	}
 	x.complete(req)
 	result, err := x.s.Engine.Do(ctx, req, x.sink)
@@ -111,9 +111,9 @@
 	return req, result, err
 }
 
-// honest takes the promise out of a refusal that the work did not happen, where
-// an earlier request with the same key may have done it.
-func (x *exchange) honest(err error) error {
+// orUnknown makes the outcome of a refusal unknown where an earlier request with
+// the same key may have done the work.
+func (x *exchange) orUnknown(err error) error {
 	var f *fault
 	if x.keyed && errors.As(err, &f) && x.s.Engine.MayHaveRun(x.id, isCall(x.r)) {
 		f.Outcome = refuse.Unknown
--- a/internal/side/options.go
+++ b/internal/side/options.go
@@ -17,7 +17,7 @@
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
 )
 
-// Defaults of Options.
+// Defaults of Options; MaxBody, MaxAnswer and MaxKept are in bytes.
 const (
 	defaultMaxRunning    = 64
 	defaultMaxQueue      = 256
