--- a/internal/side/model_test.go
+++ b/internal/side/model_test.go
@@ -234,6 +234,9 @@
 		done := make(chan []*wire.RunEvent)
 		go func() { done <- try(t.Context(), s, modelRequest("o/1", "a1", true, 100)) }()
 		time.Sleep(5 * time.Second)
+		if n := s.Vars().Get("runs-outstanding").String(); n != "1" {
+			t.Errorf("%s runs are outstanding, want 1", n)
+		}
 		go stop(t, s)
 		synctest.Wait()
 		r := last(try(t.Context(), s, modelRequest("o/2", "b1", true, 100))).GetRefused()
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -22,7 +22,7 @@
 
 	opts   Options
 	client *http.Client
-	// onceClient never repeats a request by itself; see newTransports.
+	// onceClient never repeats a request by itself; see newClients.
 	onceClient *http.Client
 
 	fleet        fold.Follower
--- a/internal/side/status.go
+++ b/internal/side/status.go
@@ -47,6 +47,7 @@
 	m.Set("runs-refused", &s.stats.refused)
 	m.Set("runs-cancelled", &s.stats.cancelled)
 	m.Set("runs-cut", &s.stats.cut)
+	m.Set("runs-outstanding", expvar.Func(func() any { return s.outstanding() }))
 	m.Set("tokens-billed", &s.stats.billed)
 	m.Set("claims-proposed", &s.stats.claims)
 	m.Set("claims-released", &s.stats.released)
