--- a/internal/stand/engd/engd_test.go
+++ b/internal/stand/engd/engd_test.go
@@ -169,8 +169,8 @@
 // TestFence gives orders and requests with old numbers, to an engine that checks
 // them and to one that doesn't.
 func TestFence(t *testing.T) {
-	for _, check := range []bool{false, true} {
-		h := New(Switches{CheckFence: check}).Handler()
+	for _, checks := range []bool{false, true} {
+		h := New(Switches{CheckFence: checks}).Handler()
 		var codes []int
 		order := func(fence int) {
 			body := fmt.Sprintf(`{"action":"role","role":"r%d","fence":%d}`, fence, fence)
@@ -188,11 +188,11 @@
 		order(5)
 		order(6)
 		want := []int{200, 200, 200, 200, 200, 200, 200}
-		if check {
+		if checks {
 			want = []int{200, 409, 409, 200, 200, 409, 200}
 		}
 		if diff := cmp.Diff(want, codes); diff != "" {
-			t.Errorf("check-fence %v: %s", check, diff)
+			t.Errorf("check-fence %v: %s", checks, diff)
 		}
 	}
 }
