internal, pkg/route: cmp.Or for defaults; one builder of completions

The two answers that internal/side assembles share the struct around their choice; the encoding is as before.

--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -102,22 +103,14 @@
 	})
 }
 
+// withDefaults returns the timeouts with zero ones replaced.
 func (t Timeouts) withDefaults() Timeouts {
-	for _, f := range []struct {
-		field *time.Duration
-		def   time.Duration
-	}{
-		{&t.FirstEvent, defaultFirstEvent},
-		{&t.Claim, defaultClaim},
-		{&t.Progress, defaultProgress},
-		{&t.Probe, defaultProbe},
-		{&t.Queue, defaultQueue},
-		{&t.Resolve, defaultResolve},
-	} {
-		if *f.field == 0 {
-			*f.field = f.def
-		}
-	}
+	t.FirstEvent = cmp.Or(t.FirstEvent, defaultFirstEvent)
+	t.Claim = cmp.Or(t.Claim, defaultClaim)
+	t.Progress = cmp.Or(t.Progress, defaultProgress)
+	t.Probe = cmp.Or(t.Probe, defaultProbe)
+	t.Queue = cmp.Or(t.Queue, defaultQueue)
+	t.Resolve = cmp.Or(t.Resolve, defaultResolve)
 	return t
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -4,6 +4,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -150,20 +151,13 @@
 }
 
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.Body, defaultBody)
-	setDefault(&l.HeaderBytes, defaultHeaderBytes)
-	setDefault(&l.HeaderCount, defaultHeaderCount)
-	setDefault(&l.HeaderRead, defaultHeaderRead)
-	setDefault(&l.BodyRead, defaultBodyRead)
-	setDefault(&l.Write, defaultWrite)
-	setDefault(&l.Idle, defaultIdle)
-	setDefault(&l.Streams, defaultStreams)
+	l.Body = cmp.Or(l.Body, defaultBody)
+	l.HeaderBytes = cmp.Or(l.HeaderBytes, defaultHeaderBytes)
+	l.HeaderCount = cmp.Or(l.HeaderCount, defaultHeaderCount)
+	l.HeaderRead = cmp.Or(l.HeaderRead, defaultHeaderRead)
+	l.BodyRead = cmp.Or(l.BodyRead, defaultBodyRead)
+	l.Write = cmp.Or(l.Write, defaultWrite)
+	l.Idle = cmp.Or(l.Idle, defaultIdle)
+	l.Streams = cmp.Or(l.Streams, defaultStreams)
 	return l
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/reaper/plan.go
+++ b/internal/reaper/plan.go
@@ -117,7 +117,7 @@
 			rank++
 		}
 	}
-	return orDefault(p.Absence, DefaultAbsence) + time.Duration(rank)*orDefault(p.Stagger, DefaultStagger)
+	return cmp.Or(p.Absence, DefaultAbsence) + time.Duration(rank)*cmp.Or(p.Stagger, DefaultStagger)
 }
 
 // noteAbsence updates since when each holder is missing from the list.
@@ -166,7 +166,3 @@
 	_, _ = h.Write([]byte(candidate))
 	return h.Sum64()
 }
-
-func orDefault(d, fallback time.Duration) time.Duration {
-	return cmp.Or(d, fallback)
-}
--- a/internal/side/body.go
+++ b/internal/side/body.go
@@ -68,44 +68,34 @@
 		Role    string `json:"role"`
 		Content string `json:"content"`
 	}
-	type choice struct {
+	return completion(first, "chat.completion", m, struct {
 		Index        int     `json:"index"`
 		Message      message `json:"message"`
 		FinishReason string  `json:"finish_reason"`
-	}
-	data, _ := json.Marshal(struct { // plain strings and integers always encode
-		ID      string   `json:"id"`
-		Object  string   `json:"object"`
-		Created int64    `json:"created"`
-		Model   string   `json:"model"`
-		Choices []choice `json:"choices"`
-		Usage   usage    `json:"usage"`
-	}{
-		ID: first.ID, Object: "chat.completion", Created: first.Created, Model: first.Model,
-		Choices: []choice{{Message: message{Role: "assistant", Content: content}, FinishReason: reason}},
-		Usage:   usageOf(m),
-	})
-	return data
+	}{Message: message{Role: "assistant", Content: content}, FinishReason: reason})
 }
 
 // cutEvent is the last event of a stream that was cut at its reservation.
 func cutEvent(first delta, m *meter) []byte {
-	type choice struct {
+	return completion(first, "chat.completion.chunk", m, struct {
 		Index        int      `json:"index"`
 		Delta        struct{} `json:"delta"`
 		FinishReason string   `json:"finish_reason"`
-	}
+	}{FinishReason: reasonLength})
+}
+
+// completion returns a chat completion, or a chunk of one, with one choice.
+func completion(first delta, object string, m *meter, choice any) []byte {
 	data, _ := json.Marshal(struct { // plain strings and integers always encode
-		ID      string   `json:"id"`
-		Object  string   `json:"object"`
-		Created int64    `json:"created"`
-		Model   string   `json:"model"`
-		Choices []choice `json:"choices"`
-		Usage   usage    `json:"usage"`
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		Model   string `json:"model"`
+		Choices []any  `json:"choices"`
+		Usage   usage  `json:"usage"`
 	}{
-		ID: first.ID, Object: "chat.completion.chunk", Created: first.Created, Model: first.Model,
-		Choices: []choice{{FinishReason: reasonLength}},
-		Usage:   usageOf(m),
+		ID: first.ID, Object: object, Created: first.Created, Model: first.Model,
+		Choices: []any{choice}, Usage: usageOf(m),
 	})
 	return data
 }
--- a/internal/side/options.go
+++ b/internal/side/options.go
@@ -6,6 +6,7 @@
 package side
 
 import (
+	"cmp"
 	"hash/fnv"
 	"io"
 	"net/http"
@@ -106,21 +107,21 @@
 
 // withDefaults returns the options with zero limits and durations replaced.
 func (o Options) withDefaults() Options {
-	setDefault(&o.MaxRunning, defaultMaxRunning)
-	setDefault(&o.MaxQueue, defaultMaxQueue)
-	setDefault(&o.MaxBody, defaultMaxBody)
-	setDefault(&o.MaxAnswer, defaultMaxAnswer)
-	setDefault(&o.MaxKept, defaultMaxKept)
-	setDefault(&o.MaxAttempts, defaultMaxAttempts)
-	setDefault(&o.Grace, defaultGrace)
-	setDefault(&o.Keep, defaultKeep)
-	setDefault(&o.FirstByte, defaultFirstByte)
-	setDefault(&o.BetweenTokens, defaultBetweenTokens)
-	setDefault(&o.CallWait, defaultCallWait)
-	setDefault(&o.LateAnswer, defaultLateAnswer)
-	setDefault(&o.ClaimWait, defaultClaimWait)
-	setDefault(&o.QueueWait, defaultQueueWait)
-	setDefault(&o.StatusEvery, defaultStatusEvery)
+	o.MaxRunning = cmp.Or(o.MaxRunning, defaultMaxRunning)
+	o.MaxQueue = cmp.Or(o.MaxQueue, defaultMaxQueue)
+	o.MaxBody = cmp.Or(o.MaxBody, defaultMaxBody)
+	o.MaxAnswer = cmp.Or(o.MaxAnswer, defaultMaxAnswer)
+	o.MaxKept = cmp.Or(o.MaxKept, defaultMaxKept)
+	o.MaxAttempts = cmp.Or(o.MaxAttempts, defaultMaxAttempts)
+	o.Grace = cmp.Or(o.Grace, defaultGrace)
+	o.Keep = cmp.Or(o.Keep, defaultKeep)
+	o.FirstByte = cmp.Or(o.FirstByte, defaultFirstByte)
+	o.BetweenTokens = cmp.Or(o.BetweenTokens, defaultBetweenTokens)
+	o.CallWait = cmp.Or(o.CallWait, defaultCallWait)
+	o.LateAnswer = cmp.Or(o.LateAnswer, defaultLateAnswer)
+	o.ClaimWait = cmp.Or(o.ClaimWait, defaultClaimWait)
+	o.QueueWait = cmp.Or(o.QueueWait, defaultQueueWait)
+	o.StatusEvery = cmp.Or(o.StatusEvery, defaultStatusEvery)
 	if o.Logger == nil {
 		o.Logger = log.New(io.Discard)
 	}
@@ -130,13 +131,6 @@
 	return o
 }
 
-// setDefault replaces a zero value.
-func setDefault[T int | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
 // tableShards is the number of run tables, each under its own lock.
 const tableShards = 16
 
--- a/pkg/route/retry.go
+++ b/pkg/route/retry.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of RetryBudget.
 const (
@@ -26,7 +29,7 @@
 
 // Request records a request, which earns a share of a retry.
 func (b *RetryBudget) Request() {
-	b.earn(orDefault(b.Share, defaultRetryShare))
+	b.earn(cmp.Or(b.Share, defaultRetryShare))
 }
 
 // Take takes one retry out of the budget, or reports that there is none.
@@ -35,7 +38,7 @@
 		b.earn(retryFloor * max(0, now.Sub(b.last).Seconds()))
 	}
 	b.last = now
-	if b.spent+1 > orDefault(b.Burst, defaultRetryBurst) {
+	if b.spent+1 > cmp.Or(b.Burst, defaultRetryBurst) {
 		return false
 	}
 	b.spent++
@@ -43,10 +46,3 @@
 }
 
 func (b *RetryBudget) earn(n float64) { b.spent = max(0, b.spent-n) }
-
-func orDefault(v, def float64) float64 {
-	if v == 0 {
-		return def
-	}
-	return v
-}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -4,6 +4,7 @@
 package route
 
 import (
+	"cmp"
 	"errors"
 	"time"
 )
@@ -103,20 +104,13 @@
 
 // withDefaults returns the policy with its zero fields filled in.
 func (p Policy) withDefaults() Policy {
-	setDefault(&p.RemotePenalty, defaultRemotePenalty)
-	setDefault(&p.AffinityFactor, defaultAffinityFactor)
-	setDefault(&p.AffinitySlack, defaultAffinitySlack)
-	setDefault(&p.KeyFactor, defaultKeyFactor)
-	setDefault(&p.MaxInFlight, defaultMaxInFlight)
-	setDefault(&p.EjectAfter, defaultEjectAfter)
-	setDefault(&p.EjectBase, defaultEjectBase)
-	setDefault(&p.EjectMax, defaultEjectMax)
+	p.RemotePenalty = cmp.Or(p.RemotePenalty, defaultRemotePenalty)
+	p.AffinityFactor = cmp.Or(p.AffinityFactor, defaultAffinityFactor)
+	p.AffinitySlack = cmp.Or(p.AffinitySlack, defaultAffinitySlack)
+	p.KeyFactor = cmp.Or(p.KeyFactor, defaultKeyFactor)
+	p.MaxInFlight = cmp.Or(p.MaxInFlight, defaultMaxInFlight)
+	p.EjectAfter = cmp.Or(p.EjectAfter, defaultEjectAfter)
+	p.EjectBase = cmp.Or(p.EjectBase, defaultEjectBase)
+	p.EjectMax = cmp.Or(p.EjectMax, defaultEjectMax)
 	return p
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
