--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -141,15 +141,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		engine := &doer{}
 		s := &front.Server{Engine: engine, Catalogue: catalogue{}}
-		listener := bufconn.Listen(1 << 16)
-		web := s.HTTP("")
-		go func() { _ = web.Serve(listener) }()
-		defer func() { _ = web.Close() }()
-		conn, err := listener.Dial()
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = conn.Close() }()
+		conn := connect(t, s)
 		start := time.Now()
 		send(t, conn, "POST "+chatPath+" HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer good\r\nContent-Length: 100\r\n\r\n{")
 		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -169,14 +161,7 @@
 func TestSlowHeaders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &front.Server{Engine: &doer{}, Catalogue: catalogue{}}
-		listener := bufconn.Listen(1 << 16)
-		web := s.HTTP("")
-		go func() { _ = web.Serve(listener) }()
-		defer func() { _ = web.Close() }()
-		conn, err := listener.Dial()
-		if err != nil {
-			t.Fatal(err)
-		}
+		conn := connect(t, s)
 		start := time.Now()
 		send(t, conn, "POST "+chatPath+" HTTP/1.1\r\nHost: x\r\nX-A")
 		_, _ = io.ReadAll(conn)
@@ -186,6 +171,24 @@
 	})
 }
 
+// connect serves callers and returns a connection to the server; both end with
+// the test.
+func connect(t *testing.T, s *front.Server) net.Conn {
+	t.Helper()
+	listener := bufconn.Listen(1 << 16)
+	web := s.HTTP("")
+	go func() { _ = web.Serve(listener) }()
+	conn, err := listener.Dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = conn.Close()
+		_ = web.Close()
+	})
+	return conn
+}
+
 func send(t *testing.T, conn net.Conn, text string) {
 	t.Helper()
 	if _, err := io.WriteString(conn, text); err != nil {
