--- a/pkg/claim/state_test.go
+++ b/pkg/claim/state_test.go
@@ -160,7 +160,9 @@
 			s.Apply(fold.Position{}, Encode(it))
 			h.add(it)
 			if rapid.IntRange(0, 5).Draw(t, "restore") == 0 {
-				s = restored(t, &s)
+				again := State{Window: s.Window, Expired: s.Expired, AnswerBytes: s.AnswerBytes}
+				check.Restore(t, &s, &again)
+				s = again
 			}
 			for _, request := range testRequests {
 				for _, fp := range testPrints {
@@ -173,24 +175,6 @@
 	})
 }
 
-// restored returns a state made from a snapshot, and checks that it encodes to
-// the same bytes.
-func restored(t *rapid.T, s *State) State {
-	first, err := s.Snapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
-	out := State{Window: s.Window, Expired: s.Expired, AnswerBytes: s.AnswerBytes}
-	if err := out.Restore(first); err != nil {
-		t.Fatal(err)
-	}
-	second, err := out.Snapshot()
-	if err != nil || !bytes.Equal(first, second) {
-		t.Fatalf("snapshot is %s, after restoring %s, error %v", first, second, err)
-	}
-	return out
-}
-
 func TestHeldRequestNeverExpires(t *testing.T) {
 	s := State{Window: testWindow}
 	apply := func(it Item) { s.Apply(fold.Position{}, Encode(it)) }
--- a/pkg/fleet/state_test.go
+++ b/pkg/fleet/state_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"bytes"
 	"fmt"
 	"slices"
 	"testing"
@@ -187,7 +186,9 @@
 			s.Apply(fold.Position{Offset: logsvc.Offset(i + 1)}, Encode(it))
 			n.history = append(n.history, it)
 			if rapid.IntRange(0, 9).Draw(t, "restore") == 0 {
-				s = restored(t, &s)
+				again := State{}
+				check.Restore(t, &s, &again)
+				s = again
 			}
 			if diff := cmp.Diff(naiveFacts(n), factsOf(&s)); diff != "" {
 				t.Fatalf("after %#v (-naive +state):\n%s", n.history, diff)
@@ -196,24 +197,6 @@
 	})
 }
 
-// restored returns a state made from a snapshot, and checks that it encodes to
-// the same bytes.
-func restored(t *rapid.T, s *State) State {
-	first, err := s.Snapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
-	var out State
-	if err := out.Restore(first); err != nil {
-		t.Fatal(err)
-	}
-	second, err := out.Snapshot()
-	if err != nil || !bytes.Equal(first, second) {
-		t.Fatalf("snapshot is %s, after restoring %s, error %v", first, second, err)
-	}
-	return out
-}
-
 func TestNewSideOfSlotIsNoProofWithoutFence(t *testing.T) {
 	var s State
 	at := logsvc.Offset(0)
--- a/pkg/loads/state_test.go
+++ b/pkg/loads/state_test.go
@@ -75,11 +75,8 @@
 			}[rapid.SampledFrom([]int{0, 0, 0, 1, 2, 2}).Draw(t, "kind")]
 			s.Apply(fold.Position{Offset: at}, Encode(item))
 			n.apply(at, item)
-			snap, err := s.Snapshot()
 			var again State
-			if err != nil || again.Restore(snap) != nil {
-				t.Fatalf("snapshot %s: %v", snap, err)
-			}
+			check.Restore(t, &s, &again)
 			s = again
 			for _, side := range lives {
 				for limit := 1; limit <= 3; limit++ {
