internal/stand/memnet: gRPC in memory, for four tests

The tests of internal/side, internal/front, internal/entry and internal/trace each set up the same listener, server and client options. No check changed.

--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -10,9 +10,8 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/test/bufconn"
 
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/route"
 )
@@ -124,15 +123,12 @@
 // serve serves the side process through the listener. It returns connections to
 // it, and a function that ends both.
 func (l *mutingListener) serve(s *fakeSide) (*Conns, func()) {
-	listener := bufconn.Listen(1 << 16)
-	l.Listener = listener
 	grpcServer := grpc.NewServer(grpc.KeepaliveEnforcementPolicy(wire.KeepalivePolicy))
 	wire.RegisterSideServer(grpcServer, &server{client: client{s: s}})
-	go func() { _ = grpcServer.Serve(l) }()
-	conns := &Conns{Options: []grpc.DialOption{
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return listener.DialContext(ctx) }),
-	}}
+	conns := &Conns{Options: memnet.ServeGRPC(grpcServer, func(inner net.Listener) net.Listener {
+		l.Listener = inner
+		return l
+	})}
 	return conns, func() {
 		conns.Close()
 		grpcServer.Stop()
--- a/internal/front/fake_test.go
+++ b/internal/front/fake_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,11 +11,10 @@
 	"testing"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/test/bufconn"
 
 	"github.com/beryllanding/beryllanding/internal/entry"
 	"github.com/beryllanding/beryllanding/internal/front"
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/catal"
 	"github.com/beryllanding/beryllanding/pkg/ident"
@@ -190,15 +188,10 @@
 
 func newFleet(t testing.TB, s *side, limits ...front.Limits) *fleet {
 	t.Helper()
-	listener := bufconn.Listen(1 << 20)
 	server := grpc.NewServer()
 	wire.RegisterSideServer(server, s)
-	go func() { _ = server.Serve(listener) }()
+	conns := &entry.Conns{Options: memnet.ServeGRPC(server, nil)}
 	t.Cleanup(server.Stop)
-	conns := &entry.Conns{Options: []grpc.DialOption{
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return listener.DialContext(ctx) }),
-	}}
 	t.Cleanup(conns.Close)
 	f := &fleet{budgets: &budgets{free: 100000}}
 	f.engine = &entry.Engine{DataCentre: "dc", Catalogue: catalogue{}, Budgets: f.budgets, Targets: targets{}, Dialer: conns}
--- a/internal/side/grpc_test.go
+++ b/internal/side/grpc_test.go
@@ -4,13 +4,10 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"testing"
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/test/bufconn"
 
 	"github.com/beryllanding/beryllanding/internal/stand/logd"
 	"github.com/beryllanding/beryllanding/internal/stand/memnet"
@@ -20,12 +17,9 @@
 // dial serves the server over gRPC in memory and returns a client.
 func dial(t *testing.T, s *Server) wire.SideClient {
 	t.Helper()
-	listener := bufconn.Listen(1 << 16)
 	server := grpc.NewServer()
 	wire.RegisterSideServer(server, s)
-	go func() { _ = server.Serve(listener) }()
-	conn, err := grpc.NewClient("passthrough:///side", grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return listener.DialContext(ctx) }))
+	conn, err := grpc.NewClient("passthrough:///side", memnet.ServeGRPC(server, nil)...)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/stand/memnet/grpc.go
@@ -0,0 +1,29 @@
+package memnet
+
+import (
+	"context"
+	"net"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/test/bufconn"
+)
+
+// grpcBuffer is the size of a connection's buffer, in bytes.
+const grpcBuffer = 1 << 16
+
+// ServeGRPC serves in memory until the server is stopped. It returns the options
+// with which clients connect, whatever address they name. wrap, where it is not
+// nil, changes the listener that is served.
+func ServeGRPC(server *grpc.Server, wrap func(net.Listener) net.Listener) []grpc.DialOption {
+	listener := bufconn.Listen(grpcBuffer)
+	served := net.Listener(listener)
+	if wrap != nil {
+		served = wrap(listener)
+	}
+	go func() { _ = server.Serve(served) }()
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return listener.DialContext(ctx) }),
+	}
+}
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -3,17 +3,15 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"strings"
 	"testing"
 
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/test/bufconn"
 
 	"github.com/beryllanding/beryllanding/internal/config"
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
 	"github.com/beryllanding/beryllanding/internal/wire"
 )
 
@@ -40,14 +38,10 @@
 
 // call makes a call within a span and returns the span's context.
 func call(t *testing.T, p *peer, client, server *Tracing) trace.SpanContext {
-	l := bufconn.Listen(1 << 16)
 	s := grpc.NewServer(server.ServerOptions()...)
 	wire.RegisterPeerServer(s, p)
-	go func() { _ = s.Serve(l) }()
 	defer s.Stop()
-	options := append(client.DialOptions(),
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return l.DialContext(ctx) }))
+	options := append(client.DialOptions(), memnet.ServeGRPC(s, nil)...)
 	conn, err := grpc.NewClient("passthrough:///buf", options...)
 	if err != nil {
 		t.Fatal(err)
