--- a/internal/opsvc/fleet.go
+++ b/internal/opsvc/fleet.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"strings"
 
 	"github.com/beryllanding/beryllanding/pkg/fleet"
 	"github.com/beryllanding/beryllanding/pkg/ident"
@@ -71,85 +68,3 @@
 	}
 	return out, nil
 }
-
-// ErrStillListed reports that a side process which was to be declared gone may
-// be alive.
-var ErrStillListed = errors.New("side process may be alive")
-
-// SideGone asks for a side process to be declared gone.
-type SideGone struct {
-	// Side is an incarnation, or an instance's name that has one open side.
-	Side   string
-	Reason string
-	// Force skips the look at the instance list.
-	Force bool
-}
-
-// SideGoneResult says what became of the declaration.
-type SideGoneResult struct {
-	Side    ident.Incarnation `json:"side"`
-	Outcome Outcome           `json:"outcome"`
-}
-
-// SideGone declares that a side process can start no more work, and waits until
-// it is decided or the context ends. It refuses with ErrStillListed while the
-// instance list shows the process, or cannot be read.
-func (s *Service) SideGone(ctx context.Context, ask SideGone) (SideGoneResult, error) {
-	var state fleet.State
-	f, err := s.catchUp(ctx, ledger.FleetStream, &state)
-	if err != nil {
-		return SideGoneResult{}, err
-	}
-	side, err := findSide(&state, ask.Side)
-	if err != nil {
-		return SideGoneResult{}, err
-	}
-	if err := s.checkUnlisted(ctx, ask, side); err != nil {
-		return SideGoneResult{}, err
-	}
-	item := fleet.Encode(fleet.SideGone{Side: side, By: s.Operator, Reason: ask.Reason})
-	result := SideGoneResult{Side: side}
-	result.Outcome = s.decide(ctx, f, item, func() bool { return !state.Open(side) })
-	if result.Outcome == "" {
-		result.Outcome = Accepted
-	}
-	return result, nil
-}
-
-// findSide returns the open side that the name means.
-func findSide(state *fleet.State, name string) (ident.Incarnation, error) {
-	if state.Open(ident.Incarnation(name)) {
-		return ident.Incarnation(name), nil
-	}
-	var found []string
-	for _, v := range state.Sides() {
-		if v.Side.Instance() == name {
-			found = append(found, string(v.Side))
-		}
-	}
-	switch len(found) {
-	case 0:
-		return "", fmt.Errorf("open side process %q: %w", name, ErrNotFound)
-	case 1:
-		return ident.Incarnation(found[0]), nil
-	}
-	return "", fmt.Errorf("side process %q has several open incarnations: %s", name, strings.Join(found, ", "))
-}
-
-// checkUnlisted returns an error where the instance list shows the side, or does
-// not answer.
-func (s *Service) checkUnlisted(ctx context.Context, ask SideGone, side ident.Incarnation) error {
-	if ask.Force {
-		return nil
-	}
-	list, err := s.Instances(ctx)
-	if err != nil {
-		return fmt.Errorf("%w: %w", ErrStillListed, err)
-	}
-	for _, inst := range list {
-		if inst.Incarnation == side {
-			return fmt.Errorf("%w: the instance list shows %q as %s", ErrStillListed, side, inst.State)
-		}
-	}
-	return nil
-}
