--- a/internal/cmds/cmds_test.go
+++ b/internal/cmds/cmds_test.go
@@ -3,42 +3,21 @@
 import (
 	"bytes"
 	"context"
-	"flag"
 	"fmt"
 	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"testing/synctest"
 
-	"github.com/google/go-cmp/cmp"
-
 	"github.com/beryllanding/beryllanding/pkg/catal"
 	"github.com/beryllanding/beryllanding/pkg/fleet"
 	"github.com/beryllanding/beryllanding/pkg/insts"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
-)
-
-var update = flag.Bool("update", false, "write the golden files")
 
-// golden compares the text with a file of testdata.
-func golden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), got); diff != "" {
-		t.Errorf("%s (-golden +got):\n%s", name, diff)
-	}
-}
+	"github.com/beryllanding/beryllanding/internal/stand/check"
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
+)
 
 // script runs commands one after the other against one platform, and writes
 // down what they print.
@@ -148,15 +127,16 @@
 		s.down = true
 		s.input(ExitUnknown, "catalogue put -", service)
 		s.input(ExitUnknown, "catalogue put - -o json", service)
-		s.blind = true
+		s.Switches.Set(logd.Switches{Outage: true})
 		s.run(ExitUnknown, "catalogue list")
-		s.down, s.blind = false, false
+		s.down = false
+		s.Switches.Set(logd.Switches{})
 
 		s.note("records expired and no checkpoint covers them")
-		s.expired = map[string]int{ledger.CatalogueStream: 1}
+		s.Expire(ledger.CatalogueStream, len(s.Records(ledger.CatalogueStream))-1)
 		s.run(ExitUnknown, "catalogue list")
 	})
-	golden(t, "catalogue.golden", s.out.String())
+	check.Golden(t, "catalogue.golden", s.out.String())
 }
 
 func TestBudget(t *testing.T) {
@@ -214,7 +194,7 @@
 		s.run(ExitOK, "usage")
 		s.run(ExitOK, "usage --request kowhai/1")
 	})
-	golden(t, "budget.golden", s.out.String())
+	check.Golden(t, "budget.golden", s.out.String())
 }
 
 func TestFleet(t *testing.T) {
@@ -270,7 +250,7 @@
 		s.run(ExitOK, "fleet show")
 		s.run(ExitOK, "fleet show --all -o json")
 	})
-	golden(t, "fleet.golden", s.out.String())
+	check.Golden(t, "fleet.golden", s.out.String())
 }
 
 func TestTools(t *testing.T) {
@@ -295,7 +275,7 @@
 	s.run(ExitUsage, "settings check testdata/good.ini --for engine")
 	s.run(ExitUsage, "settings check missing.ini --for operator")
 	s.run(ExitOK, "settings show-defaults --for operator")
-	golden(t, "tools.golden", s.out.String())
+	check.Golden(t, "tools.golden", s.out.String())
 }
 
 // TestKeyNew checks that each key is new, and that the hash is the key's.
--- a/internal/entry/flow_test.go
+++ b/internal/entry/flow_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -19,6 +17,8 @@
 	"github.com/beryllanding/beryllanding/pkg/ident"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
+
+	"github.com/beryllanding/beryllanding/internal/stand/check"
 )
 
 // rapidSeed makes each run of the tests draw the same histories, unless
@@ -29,14 +29,7 @@
 const rapidChecks = "2000"
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": rapidSeed, "rapid.checks": rapidChecks} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = flag.Set(name, value)
-		}
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
+	check.Main(m, map[string]string{"rapid.seed": rapidSeed, "rapid.checks": rapidChecks, "rapid.nofailfile": "true"})
 }
 
 // plan is a history: the requests, and the faults of the attempts in order.
@@ -109,7 +102,7 @@
 	w := newWorld(p.Faults)
 	e := &Engine{DataCentre: "dc", Catalogue: w, Budgets: w, Targets: w, Dialer: w, Orphans: w, Seed: 1}
 	if p.Known {
-		e.gate("s").refreshNow(w)
+		e.dispatcher("s").refreshNow(w)
 		e.watchOnce(context.Background(), 3)
 	}
 	ends := make([]callerEnd, len(p.Requests))
@@ -259,7 +252,7 @@
 			continue
 		}
 		request, billed := w.billedTo(t.Charges[0].Holder)
-		charged := total(t.used)
+		charged := wire.SumCharges(t.used)
 		switch {
 		case t.ends[0] == "defer":
 		case charged < billed:
@@ -276,7 +269,7 @@
 	for request, charges := range w.usage {
 		for _, c := range charges {
 			if c.Holder == h {
-				return request, total(charges)
+				return request, wire.SumCharges(charges)
 			}
 		}
 	}
--- a/internal/entry/settle.go
+++ b/internal/entry/settle.go
@@ -15,7 +15,7 @@
 	lastAskPause  = time.Second
 )
 
-// settle settles the request's tickets: at once where the fate of each attempt
+// settle settles the request's tickets: at once where the outcome of each attempt
 // is known, and otherwise in the background, after asking the side processes.
 func (r *run) settle(ctx context.Context) {
 	if len(r.flow.Holds) == 0 {
@@ -33,7 +33,7 @@
 	}()
 }
 
-// resolve asks about each open attempt until its fate is known or the time for
+// resolve asks about each open attempt until its outcome is known or the time for
 // it is over. An answer that was passed on in part, by a side process that gives
 // no answer any more, is billed for what was passed on.
 func (r *run) resolve(ctx context.Context) {
@@ -60,7 +60,7 @@
 		if ctx.Err() == nil || fact.State != StateUnreachable {
 			state = fact.State
 		}
-		if a.Fate != FateOpen || state == StateUnknown || state == StateNotRun {
+		if a.Outcome != OutcomeOpen || state == StateUnknown || state == StateNotRun {
 			return state
 		}
 		select {
@@ -78,7 +78,7 @@
 	}
 	r.e.Counts.Orphaned.Add(1)
 	ticket := r.flow.Holds[a.Hold]
-	r.e.Orphans.BillOrphan(r.req.ID, ticket, r.req.Service.Name, drain(ticket.Charges, r.tokens))
+	r.e.Orphans.BillOrphan(r.req.ID, ticket, r.req.Service.Name, wire.TakeCharges(ticket.Charges, r.tokens))
 }
 
 // settleNow carries out the flow's settlements, and returns the tokens charged.
@@ -89,7 +89,7 @@
 		switch s := s.(type) {
 		case Settle:
 			r.e.Counts.Settled.Add(1)
-			charged += total(s.Charges)
+			charged += wire.SumCharges(s.Charges)
 			r.e.Budgets.Settle(ticket, r.req.ID, r.req.Service.Name, s.Charges)
 		case Cancel:
 			r.e.Counts.Cancelled.Add(1)
@@ -140,7 +140,7 @@
 func factOf(reply *wire.OutcomeReply) Fact {
 	switch s := State(reply.GetState()); s {
 	case StateRunning, StateFinished, StateNotRun:
-		return Fact{State: s, Side: reply.GetSide(), Charges: chargesOf(reply.GetCharges())}
+		return Fact{State: s, Side: reply.GetSide(), Charges: wire.ChargesOf(reply.GetCharges())}
 	}
 	return Fact{State: StateUnknown}
 }
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -38,8 +38,8 @@
 	keyed bool
 	body  []byte
 	sink  *sink
-	// inside is set while the request counts as in progress.
-	inside bool
+	// admitted is set while the request counts as in progress.
+	admitted bool
 }
 
 // fault is a refusal by this package, with the status that its code alone does
@@ -74,7 +74,7 @@
 		defer span.End()
 		s.Counts.Requests.Add(1)
 		x := &exchange{s: s, w: w, r: r.WithContext(ctx), arrived: time.Now()}
-		if s.door.leaving() {
+		if s.limiter.isClosed() {
 			w.Header().Set("Connection", "close")
 		}
 		x.sink = &sink{x: x, control: http.NewResponseController(w)}
@@ -96,12 +96,12 @@
 func (x *exchange) run(ctx context.Context, p prepare) (*entry.Request, entry.Result, error) {
 	for _, check := range []func() error{x.checkHeaders, x.authenticate, x.identify, x.admit, x.readBody} {
 		if err := check(); err != nil {
-			return nil, entry.Result{}, x.honest(err)
+			return nil, entry.Result{}, x.orUnknown(err)
 		}
 	}
 	req, err := p(x)
 	if err != nil {
-		return nil, entry.Result{}, x.honest(err)
+		return nil, entry.Result{}, x.orUnknown(err)
 	}
 	x.complete(req)
 	result, err := x.s.Engine.Do(ctx, req, x.sink)
@@ -111,9 +111,9 @@
 	return req, result, err
 }
 
-// honest takes the promise out of a refusal that the work did not happen, where
-// an earlier request with the same key may have done it.
-func (x *exchange) honest(err error) error {
+// orUnknown makes the outcome of a refusal unknown where an earlier request with
+// the same key may have done the work.
+func (x *exchange) orUnknown(err error) error {
 	var f *fault
 	if x.keyed && errors.As(err, &f) && x.s.Engine.MayHaveRun(x.id, isCall(x.r)) {
 		f.Outcome = refuse.Unknown
@@ -123,8 +123,8 @@
 
 // admit lets the request in unless the instance is leaving or full.
 func (x *exchange) admit() error {
-	err := x.s.door.enter()
-	x.inside = err == nil
+	err := x.s.limiter.acquire()
+	x.admitted = err == nil
 	switch {
 	case errors.Is(err, errLeaving):
 		f := reject(http.StatusServiceUnavailable, refuse.CodeLeaving, "this instance is leaving; ask another")
@@ -140,8 +140,8 @@
 
 // leave ends what admit began, when the last byte was written.
 func (x *exchange) leave() {
-	if x.inside {
-		x.s.door.exit()
+	if x.admitted {
+		x.s.limiter.release()
 	}
 }
 
--- a/internal/side/call_test.go
+++ b/internal/side/call_test.go
@@ -9,6 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 )
@@ -56,7 +58,7 @@
 
 // transport reaches the app, unless it is down.
 func (a *app) transport(o *Options) {
-	o.Transport = direct{handler: a, refused: func() bool {
+	o.Transport = memnet.Transport{Handler: a, Refused: func() bool {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		return a.down
@@ -92,7 +94,7 @@
 
 func TestOnceCallRunsOnceAndIsReplayedElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log, a := &fakeLog{}, &app{}
+		log, a := &logd.Store{}, &app{}
 		s1 := newServer(t, log, "s1", a, nil)
 		s2 := newServer(t, log, "s2", a, nil)
 		first := try(t.Context(), s1, callRequest("o/1", "a1"))
@@ -111,7 +113,7 @@
 		wantRefusal(t, try(t.Context(), s2, reused), refuse.CodeKeyReused, refuse.NotRun)
 		stop(t, s1)
 		stop(t, s2)
-		if u := usages(t, log); len(u) != 1 || sum(u[0].Charges) != 3 {
+		if u := usages(t, log); len(u) != 1 || wire.SumCharges(u[0].Charges) != 3 {
 			t.Errorf("usages are %v", u)
 		}
 	})
@@ -119,7 +121,7 @@
 
 func TestOnceCallHeldElsewhereIsRefusedAsUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log, a := &fakeLog{}, &app{drop: true}
+		log, a := &logd.Store{}, &app{drop: true}
 		s1 := newServer(t, log, "s1", a, nil)
 		s2 := newServer(t, log, "s2", a, nil)
 		go try(t.Context(), s1, callRequest("o/1", "a1"))
@@ -138,11 +140,11 @@
 
 func TestOnceCallInALogOutageIsNeverRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log, a := &fakeLog{}, &app{}
+		log, a := &logd.Store{}, &app{}
 		s1 := newServer(t, log, "s1", a, nil)
-		log.set(true)
+		log.Switches.Set(logd.Switches{Outage: true})
 		wantRefusal(t, try(t.Context(), s1, callRequest("o/1", "a1")), refuse.CodeLogDown, refuse.NotRun)
-		log.set(false)
+		log.Switches.Set(logd.Switches{})
 		time.Sleep(10 * time.Second)
 		if a.count("o/1") != 0 {
 			t.Errorf("target ran %d times after the refusal", a.count("o/1"))
@@ -156,7 +158,7 @@
 
 func TestOnceCallWithoutAConnectionIsReleased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log, a := &fakeLog{}, &app{down: true}
+		log, a := &logd.Store{}, &app{down: true}
 		s1 := newServer(t, log, "s1", a, a.transport)
 		s2 := newServer(t, log, "s2", a, nil)
 		wantRefusal(t, try(t.Context(), s1, callRequest("o/1", "a1")), refuse.CodeNoTarget, refuse.NotRun)
@@ -171,7 +173,7 @@
 
 func TestLateAnswerIsRecordedAndBilled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log, a := &fakeLog{}, &app{wait: 30 * time.Second}
+		log, a := &logd.Store{}, &app{wait: 30 * time.Second}
 		s1 := newServer(t, log, "s1", a, nil)
 		wantRefusal(t, try(t.Context(), s1, callRequest("o/1", "a1")), refuse.CodeInProgress, refuse.Unknown)
 		wantRefusal(t, try(t.Context(), s1, callRequest("o/1", "a2")), refuse.CodeInProgress, refuse.Unknown)
@@ -192,7 +194,7 @@
 
 func TestAnswerTooLargeToKeepRanOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log, a := &fakeLog{}, &app{body: string(make([]byte, 20<<10))}
+		log, a := &logd.Store{}, &app{body: string(make([]byte, 20<<10))}
 		s1 := newServer(t, log, "s1", a, nil)
 		s2 := newServer(t, log, "s2", a, nil)
 		if n := len(answerOf(t, "a1", try(t.Context(), s1, callRequest("o/1", "a1")))); n < 20<<10 {
@@ -211,7 +213,7 @@
 func TestOutcomeOfAnAttemptThatNeverArrived(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := &app{}
-		s := newServer(t, &fakeLog{}, "s1", a, nil)
+		s := newServer(t, &logd.Store{}, "s1", a, nil)
 		ask := func(attempt, side string) string {
 			reply, _ := s.Outcome(t.Context(), &wire.OutcomeRequest{RequestId: "o/1", AttemptId: attempt, Side: side})
 			return reply.GetState()
@@ -236,7 +238,7 @@
 func TestLateAnswerHoldsNoSlot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := &app{drop: true}
-		s := newServer(t, &fakeLog{}, "s1", a, func(o *Options) { o.MaxRunning, o.MaxQueue = 1, 1 })
+		s := newServer(t, &logd.Store{}, "s1", a, func(o *Options) { o.MaxRunning, o.MaxQueue = 1, 1 })
 		wantRefusal(t, try(t.Context(), s, callRequest("o/1", "a1")), refuse.CodeInProgress, refuse.Unknown)
 		a.set(func() { a.drop = false })
 		if got := answerOf(t, "a2", try(t.Context(), s, callRequest("o/2", "a2"))); got != "reserved o/2" {
@@ -249,7 +251,7 @@
 func TestQueueIsBoundedAndGoesByPriority(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := &app{wait: time.Second}
-		s := newServer(t, &fakeLog{}, "s1", a, func(o *Options) { o.MaxRunning, o.MaxQueue = 1, 2 })
+		s := newServer(t, &logd.Store{}, "s1", a, func(o *Options) { o.MaxRunning, o.MaxQueue = 1, 2 })
 		var mu sync.Mutex
 		var order []string
 		var tries sync.WaitGroup
--- a/internal/side/grpc_test.go
+++ b/internal/side/grpc_test.go
@@ -4,26 +4,22 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"testing"
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/test/bufconn"
 
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
 	"github.com/beryllanding/beryllanding/internal/wire"
 )
 
 // dial serves the server over gRPC in memory and returns a client.
 func dial(t *testing.T, s *Server) wire.SideClient {
 	t.Helper()
-	listener := bufconn.Listen(1 << 16)
 	server := grpc.NewServer()
 	wire.RegisterSideServer(server, s)
-	go func() { _ = server.Serve(listener) }()
-	conn, err := grpc.NewClient("passthrough:///side", grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return listener.DialContext(ctx) }))
+	conn, err := grpc.NewClient("passthrough:///side", memnet.ServeGRPC(server, nil)...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -38,7 +34,7 @@
 // neighbour on the same connection has its whole answer.
 func TestRunOverGRPC(t *testing.T) {
 	e := &engine{tokens: 90_000, pause: time.Millisecond}
-	s := New(Options{Incarnation: "s1", Service: "svc", Target: "http://target", Log: &fakeLog{}, Transport: direct{handler: e}})
+	s := New(Options{Incarnation: "s1", Service: "svc", Target: "http://target", Log: &logd.Store{}, Transport: memnet.Transport{Handler: e}})
 	s.Start()
 	defer s.shutDown()
 	client := dial(t, s)
--- a/internal/side/history_test.go
+++ b/internal/side/history_test.go
@@ -12,6 +12,8 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 )
@@ -86,7 +88,7 @@
 // history runs the events against three sides.
 type history struct {
 	t     *testing.T
-	log   *fakeLog
+	log   *logd.Store
 	judge *judge
 	sides [3]*Server
 	n     int
@@ -101,7 +103,7 @@
 
 func newHistory(t *testing.T) *history {
 	h := &history{
-		t: t, log: &fakeLog{}, judge: &judge{runs: map[string]int{}, byTry: map[string]int{}},
+		t: t, log: &logd.Store{}, judge: &judge{runs: map[string]int{}, byTry: map[string]int{}},
 		outcomes: map[string]*wire.RunEvent{}, answers: map[string]string{}, requests: map[string]string{},
 	}
 	for i := range h.sides {
@@ -116,7 +118,7 @@
 	h.n++
 	opts := Options{
 		Incarnation: incarnationOf(i, h.n), Slot: fmt.Sprint("slot-", i), Service: "svc", Target: "http://target",
-		Log: h.log, Transport: direct{handler: h.judge, refused: h.judge.isDown},
+		Log: h.log, Transport: memnet.Transport{Handler: h.judge, Refused: h.judge.isDown},
 		CallWait: 2 * time.Second, LateAnswer: 3 * time.Second,
 	}
 	h.sides[i] = New(opts)
@@ -129,12 +131,11 @@
 	case eventAttempt, eventAttempt2, eventAttempt3:
 		h.attempt(h.sides[ev.side], fmt.Sprint("o/", ev.request))
 	case eventLogDown:
-		h.log.set(true)
+		h.log.Switches.Update(func(sw *logd.Switches) { sw.Outage = true })
 	case eventLogUp:
-		h.log.set(false)
-		h.log.change(func() { h.log.lose = false })
+		h.log.Switches.Set(logd.Switches{})
 	case eventLoseAnswers:
-		h.log.change(func() { h.log.lose = true })
+		h.log.Switches.Update(func(sw *logd.Switches) { sw.LoseEvery = 1 })
 	case eventTargetDown:
 		h.judge.set(func() { h.judge.down = true })
 	case eventTargetUp:
@@ -207,7 +208,7 @@
 	bills := make(map[string]int)
 	for _, u := range usages(h.t, h.log) {
 		bills[u.Request]++
-		if bills[u.Request] > 1 || h.judge.runs[u.Request] != 1 || sum(u.Charges) != 3 {
+		if bills[u.Request] > 1 || h.judge.runs[u.Request] != 1 || wire.SumCharges(u.Charges) != 3 {
 			return fmt.Sprintf("%d runs of %s were billed %v", h.judge.runs[u.Request], u.Request, u)
 		}
 	}
--- a/internal/side/model_test.go
+++ b/internal/side/model_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/beryllanding/beryllanding/internal/stand/logd"
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/fleet"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
@@ -16,7 +18,7 @@
 
 func TestModelRunIsStreamedAndBilledOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{}
+		log := &logd.Store{}
 		s := newServer(t, log, "s1", &engine{tokens: 5, pause: time.Millisecond}, nil)
 		events := try(t.Context(), s, modelRequest("o/1", "a1", true, 20))
 		if got := strings.Count(answerOf(t, "a1", events), "content"); got != 5 {
@@ -27,7 +29,7 @@
 			t.Errorf("finish is %v, want 12 billed as 6 and 6", f)
 		}
 		stop(t, s)
-		if u := usages(t, log); len(u) != 1 || u[0].Request != "o/1" || sum(u[0].Charges) != 12 {
+		if u := usages(t, log); len(u) != 1 || u[0].Request != "o/1" || wire.SumCharges(u[0].Charges) != 12 {
 			t.Errorf("usages on the log are %v", u)
 		}
 	})
@@ -35,7 +37,7 @@
 
 func TestPlainAnswerIsAssembledFromTheStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newServer(t, &fakeLog{}, "s1", &engine{tokens: 3}, nil)
+		s := newServer(t, &logd.Store{}, "s1", &engine{tokens: 3}, nil)
 		defer stop(t, s)
 		var out struct {
 			Choices []struct {
@@ -56,7 +58,7 @@
 
 func TestOutputIsCutAtTheReservation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{}
+		log := &logd.Store{}
 		e := &engine{tokens: 50, ignoreMax: true}
 		s := newServer(t, log, "s1", e, nil)
 		events := try(t.Context(), s, modelRequest("o/1", "a1", true, 8))
@@ -73,7 +75,7 @@
 
 func TestCallerThatGoesCancelsAnUnkeyedRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{}
+		log := &logd.Store{}
 		e := &engine{tokens: 100, pause: time.Second}
 		s := newServer(t, log, "s1", e, nil)
 		ctx, cancel := context.WithTimeout(t.Context(), 4500*time.Millisecond)
@@ -84,7 +86,7 @@
 			t.Errorf("engine was told to cancel %d runs, want 1", e.cancels())
 		}
 		stop(t, s)
-		if u := usages(t, log); len(u) != 1 || sum(u[0].Charges) != 14 {
+		if u := usages(t, log); len(u) != 1 || wire.SumCharges(u[0].Charges) != 14 {
 			t.Errorf("usages are %v, want one of 14: the prompt's bound and 4 tokens", u)
 		}
 	})
@@ -92,7 +94,7 @@
 
 func TestRetryJoinsAKeyedRunWithinTheGrace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{}
+		log := &logd.Store{}
 		e := &engine{tokens: 20, pause: time.Second}
 		s := newServer(t, log, "s1", e, nil)
 		req := modelRequest("o/1", "a1", true, 100)
@@ -120,7 +122,7 @@
 			t.Errorf("reused key got %v", r)
 		}
 		stop(t, s)
-		if u := usages(t, log); len(u) != 1 || sum(u[0].Charges) != 27 {
+		if u := usages(t, log); len(u) != 1 || wire.SumCharges(u[0].Charges) != 27 {
 			t.Errorf("usages are %v, want one of 27", u)
 		}
 	})
@@ -129,7 +131,7 @@
 func TestKeyedRunIsCancelledAfterTheGrace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &engine{tokens: 100, pause: time.Second}
-		s := newServer(t, &fakeLog{}, "s1", e, nil)
+		s := newServer(t, &logd.Store{}, "s1", e, nil)
 		req := modelRequest("o/1", "a1", true, 200)
 		req.Keyed = true
 		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
@@ -159,7 +161,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				log := &fakeLog{}
+				log := &logd.Store{}
 				e := &engine{tokens: 10, stallAfter: c.after}
 				if c.after == 0 {
 					e.pause = 24 * time.Hour
@@ -181,7 +183,7 @@
 
 func TestClosingIsAcknowledgedAfterTheRunIsBilled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{}
+		log := &logd.Store{}
 		s := newServer(t, log, "s1", &engine{tokens: 20, pause: time.Second}, nil)
 		done := make(chan []*wire.RunEvent)
 		go func() { done <- try(t.Context(), s, modelRequest("o/1", "a1", true, 100)) }()
@@ -199,9 +201,9 @@
 		if f := last(<-done).GetFinish(); f.GetBilled() != 27 {
 			t.Errorf("run in progress finished with %v", f)
 		}
-		log.set(true)
+		log.Switches.Set(logd.Switches{Outage: true})
 		time.Sleep(time.Minute)
-		log.set(false)
+		log.Switches.Set(logd.Switches{})
 		time.Sleep(5 * time.Second)
 		if acks := acksOf(t, log, "s1"); len(acks) != 1 || len(usages(t, log)) != 1 {
 			t.Errorf("acknowledgements are %v with usages %v", acks, usages(t, log))
@@ -212,7 +214,7 @@
 }
 
 // acksOf returns the holders whose closing the side acknowledged.
-func acksOf(t *testing.T, log *fakeLog, side string) []string {
+func acksOf(t *testing.T, log *logd.Store, side string) []string {
 	t.Helper()
 	var out []string
 	for _, item := range itemsOf(t, log, ledger.FleetStream) {
@@ -227,11 +229,14 @@
 
 func TestLeavingRefusesAndStopEndsRunsAndCloses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{}
+		log := &logd.Store{}
 		s := newServer(t, log, "s1", &engine{tokens: 20, pause: time.Second}, nil)
 		done := make(chan []*wire.RunEvent)
 		go func() { done <- try(t.Context(), s, modelRequest("o/1", "a1", true, 100)) }()
 		time.Sleep(5 * time.Second)
+		if n := s.Vars().Get("runs-outstanding").String(); n != "1" {
+			t.Errorf("%s runs are outstanding, want 1", n)
+		}
 		go stop(t, s)
 		synctest.Wait()
 		r := last(try(t.Context(), s, modelRequest("o/2", "b1", true, 100))).GetRefused()
@@ -251,7 +256,7 @@
 
 func TestWholeAnswerWithoutOutputCostsItsPrompt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newServer(t, &fakeLog{}, "s1", &engine{tokens: 0}, nil)
+		s := newServer(t, &logd.Store{}, "s1", &engine{tokens: 0}, nil)
 		if f := last(try(t.Context(), s, modelRequest("o/1", "a1", true, 9))).GetFinish(); f.GetBilled() != 7 {
 			t.Errorf("finish is %v, want 7 billed", f)
 		}
@@ -263,8 +268,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		e := &engine{tokens: 1, fencedOff: true}
 		s := New(Options{
-			Incarnation: "s1", Service: "svc", Target: "http://target", Log: &fakeLog{},
-			Transport: direct{handler: e}, EngineChecksFence: true,
+			Incarnation: "s1", Service: "svc", Target: "http://target", Log: &logd.Store{},
+			Transport: memnet.Transport{Handler: e}, EngineChecksFence: true,
 		})
 		s.Start()
 		time.Sleep(time.Minute)
@@ -279,7 +284,7 @@
 func TestEngineIsFencedBeforeWorkStarts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &engine{tokens: 1}
-		s := newServer(t, &fakeLog{}, "s1", e, func(o *Options) { o.EngineChecksFence = true })
+		s := newServer(t, &logd.Store{}, "s1", e, func(o *Options) { o.EngineChecksFence = true })
 		if len(e.fences) != 1 || e.fences[0] != `1 {"action":"fence","fence":1}` {
 			t.Errorf("orders are %q", e.fences)
 		}
@@ -299,13 +304,13 @@
 
 func TestCallerThatDoesNotReadHoldsNothingUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{}
+		log := &logd.Store{}
 		s := newServer(t, log, "s1", &engine{tokens: 20, pause: time.Second}, func(o *Options) { o.MaxRunning = 1 })
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go func() { _ = s.Run(modelRequest("o/1", "a1", true, 100), &stuck{caller{ctx: ctx}}) }()
 		time.Sleep(time.Minute)
-		if u := usages(t, log); len(u) != 1 || sum(u[0].Charges) != 27 {
+		if u := usages(t, log); len(u) != 1 || wire.SumCharges(u[0].Charges) != 27 {
 			t.Errorf("usages are %v, want one of 27", u)
 		}
 		if f := last(try(t.Context(), s, modelRequest("o/2", "b1", true, 100))).GetFinish(); f.GetBilled() != 27 {
--- a/internal/side/status.go
+++ b/internal/side/status.go
@@ -47,6 +47,7 @@
 	m.Set("runs-refused", &s.stats.refused)
 	m.Set("runs-cancelled", &s.stats.cancelled)
 	m.Set("runs-cut", &s.stats.cut)
+	m.Set("runs-outstanding", expvar.Func(func() any { return s.outstanding() }))
 	m.Set("tokens-billed", &s.stats.billed)
 	m.Set("claims-proposed", &s.stats.claims)
 	m.Set("claims-released", &s.stats.released)
@@ -66,11 +67,11 @@
 // runs here are counted. A target that has not loaded its weights is shown as
 // leaving, so that entry instances pass over it for a while.
 func (s *Server) status() *wire.TargetStatus {
-	inside, waiting := s.queue.counts()
+	running, waiting := s.queue.counts()
 	st := &wire.TargetStatus{
 		Side:            string(s.opts.Incarnation),
 		Leaving:         s.leaving.Load() || s.lacksWeights(),
-		Running:         int64(inside),
+		Running:         int64(running),
 		Waiting:         int64(waiting),
 		CatalogueOffset: s.catalogue.Load(),
 		FleetOffset:     uint64(s.fleet.Offset()),
@@ -120,7 +121,7 @@
 	return l, err == nil && resp.StatusCode == http.StatusOK
 }
 
-// Outcome tells the fate of an attempt, or of a request where no attempt is
+// Outcome tells what became of an attempt, or of a request where no attempt is
 // named.
 func (s *Server) Outcome(ctx context.Context, req *wire.OutcomeRequest) (*wire.OutcomeReply, error) {
 	if req.GetRequestId() == "" {
@@ -133,7 +134,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	here := req.GetSide() == string(s.opts.Incarnation)
-	r := sh.table.fate(req.GetAttemptId(), here)
+	r := sh.table.outcome(req.GetAttemptId(), here)
 	reply := outcomeOf(r, r == nil || r.owner == req.GetAttemptId())
 	reply.Side = string(s.opts.Incarnation)
 	return reply, nil
@@ -165,11 +166,11 @@
 	return reply
 }
 
-// fate returns the run of an attempt, or nil where it is not known. Where the
+// outcome returns the run of an attempt, or nil where it is not known. Where the
 // attempt was meant for this incarnation and certainly never arrived, it is
 // barred from arriving later, so that "not run" stays true. The bar is forgotten
 // only after Options.MaxAttempts more attempts have ended.
-func (t *table) fate(id string, here bool) *run {
+func (t *table) outcome(id string, here bool) *run {
 	r := t.attempts[id]
 	if r != nil || !here || t.forgot {
 		return r
@@ -187,7 +188,7 @@
 	reply := &wire.OutcomeReply{State: stateOf(r)}
 	if owner {
 		reply.Billed = r.end.billed
-		reply.Charges = wireCharges(r.end.charges)
+		reply.Charges = wire.NewCharges(r.end.charges)
 	}
 	return reply
 }
--- a/internal/side/table_test.go
+++ b/internal/side/table_test.go
@@ -114,11 +114,11 @@
 	return m.runs[slices.IndexFunc(m.runs, func(v *modelledRun) bool { return v.run == r })]
 }
 
-// ask asks for the fate of an attempt that has not arrived.
+// ask asks for the outcome of an attempt that has not arrived.
 func (m *tableModel) ask(*rapid.T) {
 	m.n++
 	id := fmt.Sprintf("attempt-%d", m.n)
-	if r := m.table.fate(id, true); r != nil {
+	if r := m.table.outcome(id, true); r != nil {
 		m.barred = append(m.barred, id)
 	}
 }
@@ -143,7 +143,7 @@
 	case 4:
 		n := ledger.Tokens(len(r.output))
 		if !r.over {
-			m.table.finish(r.run, end{billed: n, charges: drain(r.run.charges, n)}, m.now)
+			m.table.finish(r.run, end{billed: n, charges: wire.TakeCharges(r.run.charges, n)}, m.now)
 		}
 		r.over = true
 	case 5:
--- a/internal/stand/engd/engd_test.go
+++ b/internal/stand/engd/engd_test.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -18,9 +15,10 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/beryllanding/beryllanding/internal/stand/wghtd"
-)
 
-var update = flag.Bool("update", false, "write the golden files anew")
+	"github.com/beryllanding/beryllanding/internal/stand/check"
+	"github.com/beryllanding/beryllanding/internal/stand/memnet"
+)
 
 // reply is an answer of the engine.
 type reply struct {
@@ -84,29 +82,12 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				r := call(t.Context(), New(Switches{}).Handler(), c.method, c.path, c.body, "X-Request-Id", "req-1")
-				golden(t, name, fmt.Sprintf("%d\n%s", r.code, r.body))
+				check.Golden(t, name+".golden", fmt.Sprintf("%d\n%s", r.code, r.body))
 			})
 		})
 	}
 }
 
-func golden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name+".golden")
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), got); diff != "" {
-		t.Error(diff)
-	}
-}
-
 // TestBatching runs requests of different priorities through two slots, and
 // shows who is answered when, in steps of one token.
 func TestBatching(t *testing.T) {
@@ -188,8 +169,8 @@
 // TestFence gives orders and requests with old numbers, to an engine that checks
 // them and to one that doesn't.
 func TestFence(t *testing.T) {
-	for _, check := range []bool{false, true} {
-		h := New(Switches{CheckFence: check}).Handler()
+	for _, checks := range []bool{false, true} {
+		h := New(Switches{CheckFence: checks}).Handler()
 		var codes []int
 		order := func(fence int) {
 			body := fmt.Sprintf(`{"action":"role","role":"r%d","fence":%d}`, fence, fence)
@@ -207,11 +188,11 @@
 		order(5)
 		order(6)
 		want := []int{200, 200, 200, 200, 200, 200, 200}
-		if check {
+		if checks {
 			want = []int{200, 409, 409, 200, 200, 409, 200}
 		}
 		if diff := cmp.Diff(want, codes); diff != "" {
-			t.Errorf("check-fence %v: %s", check, diff)
+			t.Errorf("check-fence %v: %s", checks, diff)
 		}
 	}
 }
@@ -301,7 +282,7 @@
 func TestLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := wghtd.New(wghtd.Switches{SizeBytes: 1 << 20, BytesPerSecond: 128 << 10})
-		e := &Engine{Weights: "http://weights", HTTP: &http.Client{Transport: handlerTransport{store.Handler()}}}
+		e := &Engine{Weights: "http://weights", HTTP: &http.Client{Transport: memnet.Transport{Handler: store.Handler()}}}
 		h := e.Handler()
 		var got []string
 		note := func() {
--- a/pkg/fleet/state_test.go
+++ b/pkg/fleet/state_test.go
@@ -1,10 +1,7 @@
 package fleet
 
 import (
-	"bytes"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 
@@ -14,16 +11,13 @@
 	"github.com/beryllanding/beryllanding/pkg/fold"
 	"github.com/beryllanding/beryllanding/pkg/ident"
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
+
+	"github.com/beryllanding/beryllanding/internal/stand/check"
 )
 
 // TestMain fixes the seed, so that every run of the tests is the same.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "5")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
+	check.Main(m, map[string]string{"rapid.seed": "5", "rapid.nofailfile": "true"})
 }
 
 // naive answers every query by a search through the whole history.
@@ -192,7 +186,9 @@
 			s.Apply(fold.Position{Offset: logsvc.Offset(i + 1)}, Encode(it))
 			n.history = append(n.history, it)
 			if rapid.IntRange(0, 9).Draw(t, "restore") == 0 {
-				s = restored(t, &s)
+				again := State{}
+				check.Restore(t, &s, &again)
+				s = again
 			}
 			if diff := cmp.Diff(naiveFacts(n), factsOf(&s)); diff != "" {
 				t.Fatalf("after %#v (-naive +state):\n%s", n.history, diff)
@@ -201,24 +197,6 @@
 	})
 }
 
-// restored returns a state made from a snapshot, and checks that it encodes to
-// the same bytes.
-func restored(t *rapid.T, s *State) State {
-	first, err := s.Snapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
-	var out State
-	if err := out.Restore(first); err != nil {
-		t.Fatal(err)
-	}
-	second, err := out.Snapshot()
-	if err != nil || !bytes.Equal(first, second) {
-		t.Fatalf("snapshot is %s, after restoring %s, error %v", first, second, err)
-	}
-	return out
-}
-
 func TestNewSideOfSlotIsNoProofWithoutFence(t *testing.T) {
 	var s State
 	at := logsvc.Offset(0)
