--- a/internal/procs/fleet_test.go
+++ b/internal/procs/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -46,6 +47,8 @@
 	apiKey  = "test-key"
 	// callPrice is the tokens of a call.
 	callPrice = 10
+	// testPauses are shorter than the defaults, so that the tests wait less.
+	testPauses = "announce-every = 300ms\nlist-every = 200ms\n"
 )
 
 // binaries is where TestMain builds the programs.
@@ -81,6 +84,9 @@
 	// advertise is the address that the next side processes announce; empty is
 	// their own.
 	advertise string
+	// pauses are the platform's pauses in the settings of the next processes;
+	// empty is testPauses.
+	pauses string
 }
 
 // newWorld starts the platform and publishes the sample entries and a top-up.
@@ -188,8 +194,8 @@
 func (w *world) start(program, name, settings string) *proc {
 	w.t.Helper()
 	platform := fmt.Sprintf("[instance]\nname = %s\ndata-centre = dc\n"+
-		"[platform]\nlog-service = %s\ninstance-list = %s\nannounce-every = 300ms\nlist-every = 200ms\n"+
-		"[log]\nformat = json\n", name, w.logURL, w.listURL)
+		"[platform]\nlog-service = %s\ninstance-list = %s\n%s"+
+		"[log]\nformat = json\n", name, w.logURL, w.listURL, cmp.Or(w.pauses, testPauses))
 	file := filepath.Join(w.dir, name+".ini")
 	if err := os.WriteFile(file, []byte(platform+settings), 0o600); err != nil {
 		w.t.Fatal(err)
