--- a/internal/procs/idle_bench_test.go
+++ b/internal/procs/idle_bench_test.go
@@ -12,7 +12,9 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/beryllanding/beryllanding/internal/stand/engd"
 	"github.com/beryllanding/beryllanding/internal/stand/instd"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/catal"
@@ -68,6 +70,44 @@
 	}
 }
 
+// BenchmarkIdleSide reports what a side process without requests takes, by the
+// number of entry instances that hold a connection to it and of instances on the
+// list. Nobody asks it for its status while it is watched.
+func BenchmarkIdleSide(b *testing.B) {
+	for _, n := range []struct{ routers, sides int }{{4, 6}, {40, 60}, {390, 600}} {
+		b.Run(fmt.Sprintf("routers=%d/sides=%d", n.routers, n.sides), func(b *testing.B) {
+			w := newBenchWorld(b)
+			w.pauses = platformPauses
+			w.list.Switches.Set(instd.Switches{TTLMS: int(time.Hour.Milliseconds())})
+			w.listIdle(n.routers, n.sides)
+			_, side := w.engine("engine-0", engd.Switches{})
+			for range n.routers {
+				w.connectIdle(side.grpc)
+			}
+			b.ResetTimer()
+			for range b.N {
+				before := side.cpu()
+				time.Sleep(idleTime)
+				b.ReportMetric(100*(side.cpu()-before).Seconds()/idleTime.Seconds(), "%core")
+				b.ReportMetric(side.resident()/1e6, "resident-MB")
+			}
+		})
+	}
+}
+
+// connectIdle opens a connection to a side process, and asks for its status once.
+func (w *world) connectIdle(addr string) {
+	cc, err := grpc.NewClient("passthrough:///"+addr, grpc.WithKeepaliveParams(wire.Keepalive),
+		grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { _ = cc.Close() })
+	if _, err := wire.NewSideClient(cc).Status(w.t.Context(), &wire.StatusRequest{}); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
 // listIdle announces entry instances that nobody calls, and targets that one
 // server answers for.
 func (w *world) listIdle(routers, sides int) *idleSide {
