pkg/fold, internal/boot: a checkpoint that cannot be made is logged

Cause: a state over the limit of a checkpoint was dropped without a word, and new readers were lost with the records (found by reading, docs/CAPACITY.md); and the connections to entry instances that are gone were kept for good. After: go test ./pkg/fold ./internal/side ./internal/budget ./internal/devel

--- a/internal/boot/fleet.go
+++ b/internal/boot/fleet.go
@@ -152,13 +152,13 @@
 	return m.view.Routers(), m.view.At
 }
 
-// addresses returns the addresses of all listed side processes.
-func (m *members) addresses() map[string]bool {
+// addresses returns the addresses of all listed instances of a role.
+func (m *members) addresses(role insts.Role) map[string]bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	addrs := make(map[string]bool)
 	for _, inst := range m.view.All() {
-		if inst.Role == insts.Side {
+		if inst.Role == role {
 			addrs[inst.Addr] = true
 		}
 	}
--- a/internal/boot/peers.go
+++ b/internal/boot/peers.go
@@ -39,6 +39,18 @@
 	return wire.NewPeerClient(conn)
 }
 
+// keep closes the connections to addresses that are not listed any more.
+func (p *peerConns) keep(listed map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, conn := range p.conns {
+		if !listed[addr] {
+			_ = conn.Close()
+			delete(p.conns, addr)
+		}
+	}
+}
+
 // close closes all connections.
 func (p *peerConns) close() {
 	p.mu.Lock()
--- a/internal/boot/router.go
+++ b/internal/boot/router.go
@@ -144,11 +144,14 @@
 	r.budget = budget.New(budget.Options{
 		Log: log, Instance: settings.Instance.Name, Holder: holder, Shards: settings.Budget.Shards,
 		Policy: policy(settings.Budget), Wait: settings.Budget.Wait, Peers: r.otherRouters,
-		CheckpointInterval: settings.Platform.CheckpointEvery,
+		CheckpointInterval: settings.Platform.CheckpointEvery, CheckpointFailed: r.checkpointFailed,
 	})
 	r.planner = reaper.Planner{Self: holder, Absence: settings.Fleet.CloseAfter, Stagger: settings.Fleet.Stagger}
 	r.conns = &entry.Conns{Options: dial}
-	r.members.onChange = func() { r.conns.Keep(r.members.addresses()) }
+	r.members.onChange = func() {
+		r.conns.Keep(r.members.addresses(insts.Side))
+		r.peers.keep(r.members.addresses(insts.Router))
+	}
 	r.engine = r.newEngine()
 	r.front = &front.Server{
 		Engine: r.engine, Catalogue: r.catalogue, Limits: frontLimits(settings.Limits),
@@ -275,7 +278,12 @@
 
 // keeper returns the keeper of a stream's checkpoints.
 func (r *Router) keeper(f *fold.Follower, w *fold.Writer) *fold.Keeper {
-	return &fold.Keeper{Follower: f, Writer: w, Renewal: fold.Renewal{Interval: r.Settings.Platform.CheckpointEvery}}
+	return &fold.Keeper{Follower: f, Writer: w, Renewal: fold.Renewal{Interval: r.Settings.Platform.CheckpointEvery}, OnError: r.checkpointFailed}
+}
+
+// checkpointFailed logs that a stream's state cannot be kept.
+func (r *Router) checkpointFailed(err error) {
+	r.logger.Error("no checkpoint is made, and the stream's state will expire", "err", err)
 }
 
 // Stop is the planned stop: no request in progress is cut off, and the slices
@@ -329,7 +337,7 @@
 	section("entry", r.engine.Counts.Publish)
 	m.Set("catalogue-offset", expvar.Func(func() any { return r.catalogue.Offset() }))
 	m.Set("fleet-offset", expvar.Func(func() any { return r.fleet.Offset() }))
-	m.Set("targets", expvar.Func(func() any { return len(r.members.addresses()) }))
+	m.Set("targets", expvar.Func(func() any { return len(r.members.addresses(insts.Side)) }))
 	m.Set("holder", expvar.Func(func() any { return r.budget.Holder() }))
 	m.Set("reserved", expvar.Func(func() any { return r.reserved() }))
 	return m
--- a/internal/budget/service.go
+++ b/internal/budget/service.go
@@ -65,6 +65,9 @@
 	// the defaults of fold.Renewal.
 	CheckpointEvery    uint64
 	CheckpointInterval time.Duration
+	// CheckpointFailed is told that a stream's state could not be made a
+	// checkpoint. It is optional.
+	CheckpointFailed func(err error)
 	// BillPatience is how long a bill may be missing before it is appended in a
 	// side process's place; 0 is DefaultBillPatience.
 	BillPatience time.Duration
@@ -156,7 +159,7 @@
 	sh.writer = &fold.Writer{Log: s.opts.Log, Stream: stream, Name: name, Group: s.opts.Group, Folded: sh.follower.Folded}
 	sh.keeper = &fold.Keeper{Follower: sh.follower, Writer: sh.writer, Renewal: fold.Renewal{
 		Records: s.opts.CheckpointEvery, Interval: s.opts.CheckpointInterval,
-	}}
+	}, OnError: s.opts.CheckpointFailed}
 	return sh
 }
 
--- a/internal/procs/fleet_test.go
+++ b/internal/procs/fleet_test.go
@@ -202,6 +202,9 @@
 	}
 	p := &proc{t: w.t, name: name, exited: make(chan struct{})}
 	p.cmd = exec.Command(filepath.Join(binaries, program), "--settings", file)
+	// A process group of its own keeps the kernel from ending stopped processes
+	// when the shell that started the tests ends.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	stderr, err := p.cmd.StderrPipe()
 	if err != nil {
 		w.t.Fatal(err)
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -116,7 +116,12 @@
 
 // keeper returns the keeper of a stream's checkpoints.
 func (s *Server) keeper(f *fold.Follower, w *fold.Writer) *fold.Keeper {
-	return &fold.Keeper{Follower: f, Writer: w, Renewal: fold.Renewal{Interval: s.opts.CheckpointEvery}}
+	return &fold.Keeper{Follower: f, Writer: w, Renewal: fold.Renewal{Interval: s.opts.CheckpointEvery}, OnError: s.checkpointFailed}
+}
+
+// checkpointFailed logs that a stream's state cannot be kept.
+func (s *Server) checkpointFailed(err error) {
+	s.opts.Logger.Error("no checkpoint is made, and the stream's state will expire", "err", err)
 }
 
 // writerName is unique to this incarnation.
--- a/pkg/fold/keep.go
+++ b/pkg/fold/keep.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"hash/fnv"
 	"math"
 	"sync/atomic"
@@ -73,6 +74,10 @@
 	// Writer is of the same stream.
 	Writer  *Writer
 	Renewal Renewal
+	// OnError is told that the state could not be made a checkpoint, such as one
+	// that is too large. The stream is then lost to new readers when its records
+	// expire. It is optional.
+	OnError func(err error)
 
 	// flying counts the chunks that are not yet known to be on the log.
 	flying atomic.Int64
@@ -95,27 +100,31 @@
 	if k.flying.Load() > 0 {
 		return
 	}
+	chunks, err := k.chunks(now)
+	if err != nil && k.OnError != nil {
+		k.OnError(fmt.Errorf("checkpoint of stream %q: %w", k.Follower.Stream, err))
+	}
+	k.flying.Store(int64(len(chunks)))
+	for _, c := range chunks {
+		k.Writer.Propose(c, func(Position, bool) { k.flying.Add(-1) })
+	}
+}
+
+// chunks returns the items of a checkpoint, or none where no checkpoint is due.
+func (k *Keeper) chunks(now time.Time) ([]Item, error) {
 	var cp Checkpoint
+	var err error
 	due := false
 	k.Follower.View(func(r *Reader) {
-		if r.Stale() || !k.Renewal.Due(now, r.Offset(), r.LastCheckpoint()) {
-			return
+		due = !r.Stale() && k.Renewal.Due(now, r.Offset(), r.LastCheckpoint())
+		if due {
+			cp, err = r.Checkpoint()
 		}
-		var err error
-		cp, err = r.Checkpoint()
-		due = err == nil
 	})
-	if !due {
-		return
-	}
-	chunks, err := cp.Chunks()
-	if err != nil {
-		return
-	}
-	k.flying.Store(int64(len(chunks)))
-	for _, c := range chunks {
-		k.Writer.Propose(c, func(Position, bool) { k.flying.Add(-1) })
+	if !due || err != nil {
+		return nil, err
 	}
+	return cp.Chunks()
 }
 
 // lateness returns the share of lateness of a writer: spread evenly over the
