--- a/internal/reaper/plan.go
+++ b/internal/reaper/plan.go
@@ -40,7 +40,7 @@
 	// Listed are the incarnations of entry instances in the list, leaving ones
 	// included.
 	Listed []ident.Incarnation
-	// Holders are the incarnations whose slices are not reclaimed and not empty.
+	// Holders are the incarnations whose slices are not reclaimed.
 	Holders []ident.Incarnation
 	// Closed and Final are queries of the fleet fold.
 	Closed func(ident.Incarnation) bool
--- a/pkg/ledger/holders.go
+++ b/pkg/ledger/holders.go
@@ -7,15 +7,14 @@
 	"github.com/beryllanding/beryllanding/pkg/ident"
 )
 
-// OpenHolders returns the holders that have tokens left in some slice, sorted.
-func (s *State) OpenHolders() []ident.Incarnation {
-	open := make(map[ident.Incarnation]bool)
+// SliceHolders returns the holders that have a slice, sorted. A slice without
+// tokens counts too: it takes room until its holder is reclaimed.
+func (s *State) SliceHolders() []ident.Incarnation {
+	seen := make(map[ident.Incarnation]bool)
 	for _, b := range s.budgets {
-		for holder, slice := range b.slices {
-			if slice.Left() > 0 {
-				open[holder] = true
-			}
+		for holder := range b.slices {
+			seen[holder] = true
 		}
 	}
-	return slices.Sorted(maps.Keys(open))
+	return slices.Sorted(maps.Keys(seen))
 }
--- a/pkg/ledger/state_test.go
+++ b/pkg/ledger/state_test.go
@@ -198,3 +198,23 @@
 		}
 	}
 }
+
+// TestSliceHolders lists a holder with an empty slice until it is reclaimed.
+func TestSliceHolders(t *testing.T) {
+	s := new(State)
+	for _, item := range []Item{
+		TopUp{ID: "1", Budget: "b", Tokens: 100},
+		Grant{Budget: "b", Holder: "h1", Tokens: 30},
+		Grant{Budget: "b", Holder: "h2", Tokens: 30},
+		Return{Budget: "b", Holder: "h1", Tokens: 30},
+	} {
+		s.Apply(fold.Position{}, Encode(item))
+	}
+	if got := fmt.Sprint(s.SliceHolders()); got != "[h1 h2]" {
+		t.Errorf("holders are %s, want both", got)
+	}
+	s.Apply(fold.Position{}, Encode(Reclaim{Holder: "h1"}))
+	if got := fmt.Sprint(s.SliceHolders()); got != "[h2]" {
+		t.Errorf("holders after the reclaim are %s, want h2 alone", got)
+	}
+}
