internal/side: an engine's side process reads no claims

Cause: every side process followed the claims stream, 17 MB of state when full and 725 bytes for each call of any application (docs/CAPACITY.md), and only those of applications have claims. Change: a side process of a model refuses calls and does not follow the stream. After: go test ./internal/side -run EngineSide; with the stream followed it fails.

--- a/internal/boot/side.go
+++ b/internal/boot/side.go
@@ -76,6 +76,7 @@
 		FirstByte:         settings.Limits.FirstEventTimeout,
 		BetweenTokens:     settings.Limits.EventTimeout,
 		FollowWeights:     settings.Target.Kind == string(catal.Model),
+		ModelsOnly:        settings.Target.Kind == string(catal.Model),
 		LoadTimeout:       settings.Target.LoadTimeout,
 		CheckpointEvery:   settings.Platform.CheckpointEvery,
 		Logger:            s.logger,
--- a/internal/side/admit.go
+++ b/internal/side/admit.go
@@ -36,6 +36,9 @@
 	if req.GetService() != s.opts.Service {
 		return notRun(refuse.CodeUnknownService, 0, fmt.Sprintf("service %q is not served here, but %q", req.GetService(), s.opts.Service))
 	}
+	if s.opts.ModelsOnly && req.GetCall() != nil {
+		return notRun(refuse.CodeBadRequest, 0, fmt.Sprintf("service %q is a model and takes no calls", s.opts.Service))
+	}
 	size := len(req.GetModel().GetBody()) + len(req.GetCall().GetBody())
 	if size > s.opts.MaxBody {
 		return notRun(refuse.CodeTooLarge, 0, fmt.Sprintf("body of %d bytes exceeds the limit of %d", size, s.opts.MaxBody))
--- a/internal/side/call_test.go
+++ b/internal/side/call_test.go
@@ -277,3 +277,17 @@
 		stop(t, s)
 	})
 }
+
+// TestEngineSideReadsNoClaims refuses a call at an engine's side process, which
+// does not read the claims stream.
+func TestEngineSideReadsNoClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, a := &logd.Store{}, &app{}
+		s := newServer(t, log, "s1", a, func(o *Options) { o.ModelsOnly = true })
+		wantRefusal(t, try(t.Context(), s, callRequest("o/1", "a1")), refuse.CodeBadRequest, refuse.NotRun)
+		if !s.claims.FreshAt().IsZero() {
+			t.Error("the claims stream was read")
+		}
+		stop(t, s)
+	})
+}
--- a/internal/side/options.go
+++ b/internal/side/options.go
@@ -56,6 +56,9 @@
 	Log logsvc.Service
 	// Shard returns the shard of a budget; nil stands for one shard.
 	Shard func(budget string) int
+	// ModelsOnly says that the target is an engine. Calls are refused, and the
+	// claims stream is not followed.
+	ModelsOnly bool
 	// FollowWeights says that the target's weights and role follow the catalogue
 	// where its entry names weights.
 	FollowWeights bool
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -114,6 +114,15 @@
 	s.claimsWriter.Name, s.claimsWriter.Folded = s.writerName(), s.claims.Folded
 }
 
+// startClaims starts what non-idempotent calls need. A side process of an engine
+// has none, and reads no claims.
+func (s *Server) startClaims() {
+	s.loop(s.claims.Run)
+	s.loop(s.claimsWriter.Run)
+	s.loop(s.sweepClaims)
+	s.loop(s.keeper(&s.claims, &s.claimsWriter).Run)
+}
+
 // keeper returns the keeper of a stream's checkpoints.
 func (s *Server) keeper(f *fold.Follower, w *fold.Writer) *fold.Keeper {
 	return &fold.Keeper{Follower: f, Writer: w, Renewal: fold.Renewal{Interval: s.opts.CheckpointEvery}, OnError: s.checkpointFailed}
@@ -132,14 +141,13 @@
 func (s *Server) Start() {
 	s.loop(s.fleet.Run)
 	s.loop(s.fleetWriter.Run)
-	s.loop(s.claims.Run)
-	s.loop(s.claimsWriter.Run)
+	if !s.opts.ModelsOnly {
+		s.startClaims()
+	}
 	s.loop(s.register)
 	s.loop(s.acknowledge)
-	s.loop(s.sweepClaims)
 	s.loop(s.pollLoad)
 	s.loop(s.keeper(&s.fleet, &s.fleetWriter).Run)
-	s.loop(s.keeper(&s.claims, &s.claimsWriter).Run)
 	if s.orders != nil {
 		s.startOrders()
 	}
