internal/boot: the entry instance is built in steps; a refusal waits 0.3 s at most

Cause: NewRouter was one long function with every part in it, and a refusal of a keyed call could wait a second for the side processes' word on earlier attempts. Change: a function for each group of parts, the settings of the request path in a file of their own; shorter bounds on the question, which only make more refusals unknown. After: go test ./internal/procs ./internal/devel

--- a/internal/boot/prior.go
+++ b/internal/boot/prior.go
@@ -13,10 +13,10 @@
 	"github.com/beryllanding/beryllanding/pkg/route"
 )
 
-// priorTimeout bounds the question whether a request ran before. It is shorter
-// than the time for which the instance list shows a side process that stopped
-// answering.
-const priorTimeout = time.Second
+// priorTimeout bounds the question whether a request ran before, since a refusal
+// waits for it. It is shorter than the time for which the instance list shows a
+// side process that stopped answering.
+const priorTimeout = 300 * time.Millisecond
 
 // ran reports whether a request with the id ran before or may have: it was
 // billed, or, for a call, some side process cannot exclude it.
--- a/internal/boot/router.go
+++ b/internal/boot/router.go
@@ -34,8 +34,6 @@
 	"github.com/beryllanding/beryllanding/pkg/insts"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
-	"github.com/beryllanding/beryllanding/pkg/route"
-	"github.com/beryllanding/beryllanding/pkg/slice"
 )
 
 const (
@@ -64,7 +62,6 @@
 	conns     *entry.Conns
 	engine    *entry.Engine
 	front     *front.Server
-	dial      []grpc.DialOption
 	peers     peerConns
 	planner   reaper.Planner
 	deferred  deferrals
@@ -129,29 +126,11 @@
 	}
 	log := &logsvc.Client{Addr: settings.Platform.LogService}
 	holder := ident.NewIncarnation(settings.Instance.Name)
-	r := &Router{Settings: settings, logger: set.Layer("entry"), tracing: tracing, dial: dial}
+	r := &Router{Settings: settings, logger: set.Layer("entry"), tracing: tracing}
 	r.base, r.end = context.WithCancel(context.Background())
-	r.members = newMembers(settings.Platform, insts.Instance{
-		Name: settings.Instance.Name, Role: insts.Router, DataCentre: settings.Instance.DataCentre,
-		Region: settings.Instance.Region, Incarnation: holder, State: insts.Live,
-	})
-	r.peers = peerConns{options: dial}
-	r.catalogue = newCatalogue(log)
-	r.fleetFold = new(fleet.State)
-	r.fleet = &fold.Follower{Log: log, Stream: ledger.FleetStream, Reader: fold.Reader{Machine: r.fleetFold}}
-	r.fleetLog = &fold.Writer{Log: log, Stream: ledger.FleetStream, Name: string(holder) + "/fleet", Folded: r.fleet.Folded}
-	r.catalogueLog = &fold.Writer{Log: log, Stream: ledger.CatalogueStream, Name: string(holder) + "/catalogue", Folded: r.catalogue.follower.Folded}
-	r.budget = budget.New(budget.Options{
-		Log: log, Instance: settings.Instance.Name, Holder: holder, Shards: settings.Budget.Shards,
-		Policy: policy(settings.Budget), Wait: settings.Budget.Wait, Peers: r.otherRouters,
-		CheckpointInterval: settings.Platform.CheckpointEvery, CheckpointFailed: r.checkpointFailed,
-	})
-	r.planner = reaper.Planner{Self: holder, Absence: settings.Fleet.CloseAfter, Stagger: settings.Fleet.Stagger}
-	r.conns = &entry.Conns{Options: dial}
-	r.members.onChange = func() {
-		r.conns.Keep(r.members.addresses(insts.Side))
-		r.peers.keep(r.members.addresses(insts.Router))
-	}
+	r.joinFleet(holder, dial)
+	r.followStreams(log, holder)
+	r.budget = budget.New(r.budgetOptions(log, holder))
 	r.engine = r.newEngine()
 	r.front = &front.Server{
 		Engine: r.engine, Catalogue: r.catalogue, Limits: frontLimits(settings.Limits),
@@ -160,52 +139,53 @@
 	return r, nil
 }
 
-// newCatalogue returns a catalogue that follows its stream.
-func newCatalogue(log logsvc.Service) *catalogue {
-	state := new(catal.State)
-	f := &fold.Follower{Log: log, Stream: ledger.CatalogueStream, Reader: fold.Reader{Machine: state}}
-	return &catalogue{state: state, follower: f}
-}
-
-// policy maps the settings to the policy of the slices.
-func policy(b config.Budget) slice.Policy {
-	weights := map[string]float64{"refusals": 0, "balanced": 0.5, "overspend": 1}
-	return slice.Policy{Horizon: b.Horizon, LowWater: float64(b.LowWater), Weight: weights[b.Weight]}
+// joinFleet sets up what is known of the other instances, and the connections to
+// them.
+func (r *Router) joinFleet(holder ident.Incarnation, dial []grpc.DialOption) {
+	self := r.Settings.Instance
+	r.members = newMembers(r.Settings.Platform, insts.Instance{
+		Name: self.Name, Role: insts.Router, DataCentre: self.DataCentre,
+		Region: self.Region, Incarnation: holder, State: insts.Live,
+	})
+	r.peers = peerConns{options: dial}
+	r.conns = &entry.Conns{Options: dial}
+	r.members.onChange = func() {
+		r.conns.Keep(r.members.addresses(insts.Side))
+		r.peers.keep(r.members.addresses(insts.Router))
+	}
+	fleetSettings := r.Settings.Fleet
+	r.planner = reaper.Planner{Self: holder, Absence: fleetSettings.CloseAfter, Stagger: fleetSettings.Stagger}
 }
 
-func frontLimits(l config.Limits) front.Limits {
-	return front.Limits{
-		Body: int64(l.BodyBytes), HeaderBytes: int(l.HeaderBytes), HeaderRead: l.ReadTimeout,
-		BodyRead: l.ReadTimeout, Streams: l.Streams,
+// followStreams sets up the catalogue and the fleet stream.
+func (r *Router) followStreams(log logsvc.Service, holder ident.Incarnation) {
+	r.catalogue = newCatalogue(log)
+	r.catalogueLog = &fold.Writer{
+		Log: log, Stream: ledger.CatalogueStream, Name: string(holder) + "/catalogue",
+		Folded: r.catalogue.follower.Folded,
+	}
+	r.fleetFold = new(fleet.State)
+	r.fleet = &fold.Follower{Log: log, Stream: ledger.FleetStream, Reader: fold.Reader{Machine: r.fleetFold}}
+	r.fleetLog = &fold.Writer{
+		Log: log, Stream: ledger.FleetStream, Name: string(holder) + "/fleet", Folded: r.fleet.Folded,
 	}
 }
 
-func (r *Router) newEngine() *entry.Engine {
-	limits := r.Settings.Limits
-	b := budgets{service: r.budget, deferred: &r.deferred}
-	return &entry.Engine{
-		DataCentre:  r.Settings.Instance.DataCentre,
-		Catalogue:   r.catalogue,
-		Budgets:     b,
-		Targets:     r.members,
-		Dialer:      r.conns,
-		Orphans:     b,
-		FleetOffset: func() uint64 { return uint64(r.fleet.Offset()) },
-		Timeouts:    entry.Timeouts{FirstEvent: limits.FirstEventTimeout, Progress: limits.EventTimeout},
-		Tracer:      r.tracing.Tracer("entry"),
-		Services:    r.members.services,
-		Ran:         r.ran,
-		Retry:       route.RetryBudget{Share: float64(limits.RetryShare)},
-		QueueLen:    queueLen(limits.Queue),
+// budgetOptions returns the options of the budget service.
+func (r *Router) budgetOptions(log logsvc.Service, holder ident.Incarnation) budget.Options {
+	b := r.Settings.Budget
+	return budget.Options{
+		Log: log, Instance: r.Settings.Instance.Name, Holder: holder, Shards: b.Shards,
+		Policy: policy(b), Wait: b.Wait, Peers: r.otherRouters,
+		CheckpointInterval: r.Settings.Platform.CheckpointEvery, CheckpointFailed: r.checkpointFailed,
 	}
 }
 
-// queueLen maps the setting, where 0 lets nobody wait, to the queue's bound.
-func queueLen(setting int) int {
-	if setting == 0 {
-		return -1
-	}
-	return setting
+// newCatalogue returns a catalogue that follows its stream.
+func newCatalogue(log logsvc.Service) *catalogue {
+	state := new(catal.State)
+	f := &fold.Follower{Log: log, Stream: ledger.CatalogueStream, Reader: fold.Reader{Machine: state}}
+	return &catalogue{state: state, follower: f}
 }
 
 // ready reports whether the catalogue has been read, from the log or a peer.
--- a/internal/side/status.go
+++ b/internal/side/status.go
@@ -19,7 +19,7 @@
 const maxStatus = 64 << 10
 
 // claimsReadTimeout bounds the reading of the claims stream to its end.
-const claimsReadTimeout = 500 * time.Millisecond
+const claimsReadTimeout = 250 * time.Millisecond
 
 // load is the target's own report of its load.
 type load struct {
