internal/config, internal/boot: bound the threads of each process

Cause: with ten processors a process woke threads for work of a few microseconds. Ruled out: flow-control probes (tried before, no gain). Change: [limits] threads, 4 at an entry instance and 2 at a side process.

--- a/internal/boot/router.go
+++ b/internal/boot/router.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"sync"
 	"time"
 
@@ -83,6 +84,7 @@
 // RouterModule is the fx module of an entry instance, with its logs and traces.
 func RouterModule(settings config.Router) fx.Option {
 	return fx.Options(
+		fx.Invoke(func() { runtime.GOMAXPROCS(settings.Limits.Threads) }),
 		RouterParts(settings),
 		fx.Provide(newLogs(settings.Log), newTracing("beryl-router", settings.Instance, settings.Trace)),
 	)
--- a/internal/boot/side.go
+++ b/internal/boot/side.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"net"
+	"runtime"
 	"sync"
 
 	"github.com/charmbracelet/log"
@@ -41,6 +42,7 @@
 // SideModule is the fx module of a side process, with its logs and traces.
 func SideModule(settings config.Side) fx.Option {
 	return fx.Options(
+		fx.Invoke(func() { runtime.GOMAXPROCS(settings.Limits.Threads) }),
 		SideParts(settings),
 		fx.Provide(newLogs(settings.Log), newTracing("beryl-side", settings.Instance, settings.Trace)),
 	)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -116,6 +116,7 @@
 
 // Limits bounds what callers may ask of an entry instance.
 type Limits struct {
+	Threads           int           `key:"threads" min:"1" max:"1024" default:"4" doc:"Processors that the process may use at one time. More of them cost more for each token, since they are woken for little work."`
 	HeaderBytes       Bytes         `key:"header-bytes" min:"1KiB" max:"1MiB" default:"32KiB" doc:"Largest request header."`
 	BodyBytes         Bytes         `key:"body-bytes" min:"1KiB" max:"256MiB" default:"8MiB" doc:"Largest request body."`
 	Streams           int           `key:"streams" min:"1" max:"1000000" default:"4096" doc:"Requests that may be open at one time."`
@@ -128,6 +129,7 @@
 
 // SideLimits bounds what a target may take.
 type SideLimits struct {
+	Threads           int           `key:"threads" min:"1" max:"1024" default:"2" doc:"Processors that the process may use at one time. The target needs the others."`
 	FirstEventTimeout time.Duration `key:"first-event-timeout" min:"100ms" max:"1h" default:"1m" doc:"How long to wait for the first byte of the target's answer."`
 	EventTimeout      time.Duration `key:"event-timeout" min:"100ms" max:"1h" default:"30s" doc:"How long to wait for each further byte before the connection is taken for silent."`
 }
