--- a/internal/trial/request.go
+++ b/internal/trial/request.go
@@ -104,6 +104,7 @@
 // refuse judges a refusal by the naive ledger.
 func (s *sim) refuse(w *work) {
 	w.done = true
+	w.node.Holder.Withdraw(w.id, w.budget)
 	s.Refused++
 	if s.balance(w.budget) < w.bound {
 		return
