internal/budget: Reclaim proposes the release of a closed holder

The caller has the proof of the fleet stream. Two instances may propose it; the fold releases once. Seen failing: TestReclaimTwice with nothing proposed.

--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -8,6 +8,7 @@
 
 	"github.com/beryllanding/beryllanding/pkg/ident"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
+	"github.com/beryllanding/beryllanding/pkg/logsvc"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 	"github.com/beryllanding/beryllanding/pkg/slice"
 )
@@ -133,3 +134,12 @@
 	}
 	s.holder.CloseHolder(h, ident.NewIncarnation(s.opts.Instance))
 }
+
+// Reclaim proposes, on every budget stream, to release what is left of a closed
+// holder's slices. The caller has the proof of the fleet stream: the closing was
+// final at the given offset there. Several instances may propose the same.
+func (s *Service) Reclaim(h ident.Incarnation, fleet logsvc.Offset) {
+	for _, sh := range s.shards {
+		sh.writer.Propose(ledger.Encode(ledger.Reclaim{Holder: h, Fleet: fleet}), nil)
+	}
+}
--- a/internal/budget/service_test.go
+++ b/internal/budget/service_test.go
@@ -236,3 +236,25 @@
 		b.refusal(1001, refuse.CodeBudgetAway, time.Second)
 	})
 }
+
+// TestReclaimTwice gives a dead holder's slice free once, though two instances
+// propose it.
+func TestReclaimTwice(t *testing.T) {
+	within(t, func(t *testing.T) {
+		log := &memLog{}
+		dead := run(t, log, Options{})
+		dead.pay("one", 1000)
+		dead.reserve(1000)
+		holder := dead.Holder()
+		dead.end()
+		b, c := run(t, log, Options{}), run(t, log, Options{})
+		defer b.end()
+		defer c.end()
+		b.refusal(1, refuse.CodeBudgetAway, time.Second)
+		b.Reclaim(holder, 7)
+		c.Reclaim(holder, 7)
+		b.settle()
+		b.reserve(1000)
+		c.refusal(1, refuse.CodeBudgetAway, time.Second)
+	})
+}
