--- a/internal/boot/reap.go
+++ b/internal/boot/reap.go
@@ -45,7 +45,7 @@
 		}), nil)
 	case reaper.Reclaim:
 		r.logger.Info("reclaiming the slices of a closed holder", "holder", e.Holder)
-		r.budget.Reclaim(ledger.Reclaim{Holder: e.Holder, Fleet: e.Fleet})
+		r.budget.Reclaim(e.Holder, e.Fleet)
 	}
 }
 
--- a/internal/budget/bill.go
+++ b/internal/budget/bill.go
@@ -8,11 +8,3 @@
 	u.At = s.now().Unix()
 	s.propose(u.Budget, u)
 }
-
-// Reclaim proposes, on every budget stream, to release the slices of a holder
-// whose closing is final.
-func (s *Service) Reclaim(r ledger.Reclaim) {
-	for _, sh := range s.shards {
-		sh.writer.Propose(ledger.Encode(r), nil)
-	}
-}
