--- a/internal/procs/fleet_test.go
+++ b/internal/procs/fleet_test.go
@@ -63,7 +63,9 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	build := exec.Command("go", "build", "-o", dir+"/", "../../cmd/beryl", "../../cmd/beryl-router", "../../cmd/beryl-side")
+	args := append([]string{"build", "-o", dir + "/"}, buildFlags...)
+	args = append(args, "../../cmd/beryl", "../../cmd/beryl-router", "../../cmd/beryl-side")
+	build := exec.Command("go", args...)
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s\n%v\n", out, err)
 		return 1
@@ -254,6 +256,9 @@
 	_ = p.cmd.Process.Signal(syscall.SIGCONT)
 	_ = p.cmd.Process.Kill()
 	<-p.exited
+	if strings.Contains(p.output(), "WARNING: DATA RACE") {
+		p.t.Errorf("%s has a data race", p.name)
+	}
 	if p.t.Failed() {
 		p.t.Logf("log of %s:\n%s", p.name, p.output())
 	}
