--- a/internal/boot/router.go
+++ b/internal/boot/router.go
@@ -299,14 +299,6 @@
 // CallersAddr returns the address that callers are served at, after Start.
 func (r *Router) CallersAddr() string { return r.callersAddr.String() }
 
-// reserved returns the tokens of all budgets that are reserved here.
-func (r *Router) reserved() (sum ledger.Tokens) {
-	for _, h := range r.budget.Holdings("") {
-		sum += h.Reserved
-	}
-	return sum
-}
-
 // vars returns the instance's metrics.
 func (r *Router) vars() *expvar.Map {
 	m := new(expvar.Map)
@@ -321,6 +313,6 @@
 	m.Set("fleet-offset", expvar.Func(func() any { return r.fleet.Offset() }))
 	m.Set("targets", expvar.Func(func() any { return len(r.members.addresses(insts.Side)) }))
 	m.Set("holder", expvar.Func(func() any { return r.budget.Holder() }))
-	m.Set("reserved", expvar.Func(func() any { return r.reserved() }))
+	m.Set("reserved", expvar.Func(func() any { return r.budget.Reserved() }))
 	return m
 }
--- a/internal/boot/run.go
+++ b/internal/boot/run.go
@@ -1,6 +1,7 @@
 package boot
 
 import (
+	"context"
 	"fmt"
 	"os"
 
@@ -45,14 +46,14 @@
 
 // runApp starts the program, waits for a signal and stops it.
 func runApp(app *fx.App) int {
-	starting, cancel := timeoutContext(fx.DefaultTimeout)
+	starting, cancel := context.WithTimeout(context.Background(), fx.DefaultTimeout)
 	defer cancel()
 	if err := app.Start(starting); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
 	<-app.Wait()
-	stopping, cancelStop := timeoutContext(StopTimeout)
+	stopping, cancelStop := context.WithTimeout(context.Background(), StopTimeout)
 	defer cancelStop()
 	if err := app.Stop(stopping); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/budget/service.go
+++ b/internal/budget/service.go
@@ -4,6 +4,7 @@
 package budget
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"hash/fnv"
@@ -129,18 +130,10 @@
 		o.Holder = ident.NewIncarnation(o.Instance)
 	}
 	o.Shards = max(1, o.Shards)
-	orDefault(&o.Wait, DefaultWait)
-	orDefault(&o.PlanEvery, DefaultPlanEvery)
-	orDefault(&o.Fresh, DefaultFresh)
-	orDefault(&o.BillPatience, DefaultBillPatience)
-}
-
-// orDefault sets a zero value to its default.
-func orDefault[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
+	o.Wait = cmp.Or(o.Wait, DefaultWait)
+	o.PlanEvery = cmp.Or(o.PlanEvery, DefaultPlanEvery)
+	o.Fresh = cmp.Or(o.Fresh, DefaultFresh)
+	o.BillPatience = cmp.Or(o.BillPatience, DefaultBillPatience)
 }
 
 func (s *Service) newShard(i int) *shard {
@@ -244,7 +237,7 @@
 	s.mu.Unlock()
 	s.billAll()
 	for {
-		open := s.reserved()
+		open := s.Reserved()
 		s.returnAll()
 		if err := s.flush(ctx); err != nil || open == 0 {
 			return err
@@ -276,18 +269,18 @@
 func (s *Service) awaitOutcome(ctx context.Context, before ledger.Tokens) error {
 	look := time.NewTicker(outcomePause)
 	defer look.Stop()
-	for s.reserved() >= before {
+	for s.Reserved() >= before {
 		select {
 		case <-look.C:
 		case <-ctx.Done():
-			return fmt.Errorf("%d tokens of %q are reserved for requests of unknown outcome: %w", s.reserved(), s.Holder(), ctx.Err())
+			return fmt.Errorf("%d tokens of %q are reserved for requests of unknown outcome: %w", s.Reserved(), s.Holder(), ctx.Err())
 		}
 	}
 	return nil
 }
 
-// reserved returns the tokens of all budgets that are reserved here.
-func (s *Service) reserved() (sum ledger.Tokens) {
+// Reserved returns the tokens of all budgets that are reserved here.
+func (s *Service) Reserved() (sum ledger.Tokens) {
 	for _, h := range s.holder.Holdings() {
 		sum += h.Reserved
 	}
