internal/budget: a request waits for the first reading of its budget

Cause: a service that has not read a budget's stream plans nothing.

Change: if the refill brings nothing and the stream had not been read to its end when it began, the request waits for that reading, up to MaxWait, and tries again. Peers are still asked first, since at a start during an outage they are the only source. pkg/fold sets FreshAt before it wakes the callers of Wait, who else would miss the change.

Ruled out: asking no peers before the first reading (TestStartFromPeerInOutage needs them).

Shown: TestReserveBeforeFirstRead failed before the change (budget-out-of-reach) and passes after it.

--- a/internal/budget/fixture_test.go
+++ b/internal/budget/fixture_test.go
@@ -27,6 +27,8 @@
 	first logsvc.Offset
 	// lose is the number of further appends that take effect but return an error.
 	lose int
+	// readDelay is the time that a read takes before it looks at the records.
+	readDelay time.Duration
 }
 
 func (l *memLog) Append(_ context.Context, _ string, data []byte) (logsvc.Offset, error) {
@@ -46,6 +48,10 @@
 }
 
 func (l *memLog) Read(ctx context.Context, _ string, from logsvc.Offset, limit int, wait time.Duration) (logsvc.Page, error) {
+	l.mu.Lock()
+	delay := l.readDelay
+	l.mu.Unlock()
+	time.Sleep(delay)
 	for end := time.Now().Add(wait); ; time.Sleep(time.Millisecond) {
 		page, err := l.page(from, limit)
 		if err != nil || len(page.Records) > 0 || time.Now().After(end) || ctx.Err() != nil {
@@ -104,6 +110,13 @@
 // run starts a service on the log. The service ends when the test's context ends or end
 // is called.
 func run(t *testing.T, log *memLog, opts Options) *fixture {
+	f := start(t, log, opts)
+	f.waitIdle()
+	return f
+}
+
+// start is run without the wait until the service has read the log.
+func start(t *testing.T, log *memLog, opts Options) *fixture {
 	opts.Log = log
 	opts.Instance = "r"
 	ctx, cancel := context.WithCancel(t.Context())
@@ -111,7 +124,6 @@
 	done := make(chan struct{})
 	go func() { defer close(done); f.Run(ctx) }()
 	f.end = func() { cancel(); <-done }
-	f.waitIdle()
 	return f
 }
 
--- a/internal/budget/reserve.go
+++ b/internal/budget/reserve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/beryllanding/beryllanding/pkg/fold"
 	"github.com/beryllanding/beryllanding/pkg/ident"
 	"github.com/beryllanding/beryllanding/pkg/lease"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
@@ -57,12 +58,24 @@
 		if s.isStopping() {
 			return Reservation{}, newRefusal(refuse.CodeDraining, defaultRetryAfter, "the entry instance is draining")
 		}
-		if !s.awaitTokens(deadline, t.Budget, w) {
+		// A service that has not read the stream yet plans nothing, and its refill ends
+		// at once.
+		wasRead := s.hasRead(t.Budget)
+		if !s.awaitTokens(deadline, t.Budget, w) && (wasRead || !s.awaitFirstRead(deadline, t.Budget)) {
 			return Reservation{}, s.budgetUnreachable(ctx, t.Budget, tokens)
 		}
 	}
 }
 
+// hasRead reports whether the budget's stream has been read to its end.
+func (s *Service) hasRead(budget string) bool { return !s.shardOf(budget).follower.FreshAt().IsZero() }
+
+// awaitFirstRead waits until the budget's stream has been read to its end. It returns
+// false if the context ends before.
+func (s *Service) awaitFirstRead(ctx context.Context, budget string) bool {
+	return s.shardOf(budget).follower.Wait(ctx, func(*fold.Reader) bool { return s.hasRead(budget) }) == nil
+}
+
 // balanceRefusal returns a refusal if the folded state is current and the budget's
 // balance does not cover the request. Else it returns nil.
 func (s *Service) balanceRefusal(budget string, tokens ledger.Tokens) error {
--- a/internal/budget/service_test.go
+++ b/internal/budget/service_test.go
@@ -265,3 +265,34 @@
 		c.expectRefusal(1, refuse.CodeBudgetUnreachable, time.Second)
 	})
 }
+
+// TestReserveBeforeFirstRead reserves tokens before the service has read the budget's
+// stream for the first time. The request must wait for that read, up to MaxWait, instead
+// of being refused because the service knows of no tokens.
+func TestReserveBeforeFirstRead(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		readDelay time.Duration
+		served    bool
+	}{
+		{"reads that take a quarter of MaxWait", DefaultMaxWait / 4, true},
+		{"reads that take twice MaxWait", 2 * DefaultMaxWait, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				log := &memLog{}
+				first := run(t, log, Options{})
+				first.topUp("t", 100000)
+				first.end()
+				log.edit(func() { log.readDelay = c.readDelay })
+				f := start(t, log, Options{})
+				defer f.end()
+				if c.served {
+					f.reserve(1000)
+					return
+				}
+				f.expectRefusal(1000, refuse.CodeBudgetUnreachable, DefaultMaxWait)
+			})
+		})
+	}
+}
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -45,14 +45,15 @@
 		return
 	}
 	t.Index()
-	n.engine.view.Store(t)
 	var totals []alloc.Total
 	for _, o := range t.Organisations {
 		if o.Limited {
 			totals = append(totals, alloc.Total{Budget: o.Name, Tokens: o.Prepaid})
 		}
 	}
+	// Requests under the new configuration find its totals.
 	n.engine.Budgets.SetTotals(t.Version, totals)
+	n.engine.view.Store(t)
 	var from int64
 	if old != nil {
 		from = old.Version
--- a/pkg/fold/follow.go
+++ b/pkg/fold/follow.go
@@ -78,13 +78,7 @@
 	if err != nil {
 		return err
 	}
-	if err := f.apply(page); err != nil {
-		return err
-	}
-	if f.atEnd() {
-		f.freshAt.Store(time.Now().UnixNano())
-	}
-	return nil
+	return f.apply(page)
 }
 
 // CatchUp reads up to the end of the stream that the service reports. It returns
@@ -174,6 +168,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	err := f.Reader.Feed(page)
+	if err == nil && f.Reader.atEnd() {
+		f.freshAt.Store(time.Now().UnixNano())
+	}
 	f.notify()
 	return err
 }
