pkg/route: targets that announce that they leave or rest

A target may say in its responses that it leaves, or ask for a rest. The picker keeps both by the target's run and address, also while the entry is gone: an entry may expire in an outage and come back. ErrResting and RestEnd tell when the first of the resting targets returns.

Ruled out: Status.Draining, which expires after 30 s and is dropped with the entry.

Nothing calls it yet.

--- a/pkg/route/cost.go
+++ b/pkg/route/cost.go
@@ -244,6 +244,9 @@
 	if ok {
 		took := float64(now.Sub(a.startedAt).Microseconds()) / 1000
 		t.excessLatency.add(now, excessDecay, max(0, took-a.expectedMs))
+		if t.notice != nil {
+			t.notice.rest.responded(now)
+		}
 	}
 	a.startedAt = time.Time{}
 }
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Pick returns the target for the request. The errors are ErrNoTarget and
-// ErrSaturated. The caller records the attempt with AttemptStarted or Begin.
+// Pick returns the target for the request. The errors are ErrNoTarget, ErrSaturated and
+// ErrResting. The caller records the attempt with AttemptStarted or Begin.
 func (p *Picker) Pick(now time.Time, rnd *rand.Rand, req Request) (Target, error) {
 	p.init()
 	if t := p.probe(now, req); t != nil {
@@ -17,6 +17,9 @@
 		if available > 0 {
 			return Target{}, ErrSaturated
 		}
+		if _, resting := p.RestEnd(now); resting {
+			return Target{}, ErrResting
+		}
 		return Target{}, ErrNoTarget
 	}
 	if p.policy.Cost {
@@ -38,7 +41,7 @@
 		return nil
 	}
 	for _, t := range p.targets {
-		if t.ejected && !t.probing && !t.draining(now) && !now.Before(t.ejectedUntil) && t.reportedAt.After(t.ejectedAt) {
+		if t.ejected && !t.probing && t.takesWork(now) && !now.Before(t.ejectedUntil) && t.reportedAt.After(t.ejectedAt) {
 			return t
 		}
 	}
@@ -67,11 +70,11 @@
 	p.local, p.remote = p.local[:0], p.remote[:0]
 	available := 0
 	for _, t := range p.targets {
-		if t.draining(now) || !ok(t) {
+		if !t.takesWork(now) || !ok(t) {
 			continue
 		}
 		available++
-		if t.inFlight >= int64(p.policy.MaxInFlight) {
+		if t.inFlight >= t.limit(p.policy.MaxInFlight) {
 			continue
 		}
 		if t.DataCentre == p.DataCentre {
--- a/pkg/route/picker.go
+++ b/pkg/route/picker.go
@@ -19,6 +19,9 @@
 	byName  map[string]*target
 	// recent holds the targets that read each prefix recently.
 	recent prefixIndex
+	// notices holds what targets announced about themselves, including targets that
+	// are not listed now.
+	notices map[noticeKey]*notice
 	// local and remote are scratch space for the candidates during a Pick.
 	local, remote []*target
 }
@@ -58,6 +61,8 @@
 	// for none to 1 for all; see RecordResult. Both decay over time.
 	excessLatency decayingMean
 	faultRate     decayingMean
+	// notice is what the target announced about itself; nil if it announced nothing.
+	notice *notice
 }
 
 // load estimates the number of requests at the target. This instance's own requests are
@@ -65,6 +70,18 @@
 // out-of-date report may count the own requests twice or not at all.
 func (t *target) load() float64 { return float64(t.inFlight) + t.otherLoad }
 
+// takesWork reports whether the target may get a new attempt.
+func (t *target) takesWork(now time.Time) bool { return !t.draining(now) && !t.withdrawn(now) }
+
+// limit returns the number of this instance's attempts that may be open at the target at
+// the same time.
+func (t *target) limit(policy int) int64 {
+	if t.notice == nil {
+		return int64(policy)
+	}
+	return t.notice.rest.limit(int64(policy))
+}
+
 // draining reports whether the target takes no new work. A side process's report that
 // its target is draining expires after drainingTTL. If it did not expire, a new target
 // under the same name and address would never be used. A target that is still draining
@@ -82,7 +99,7 @@
 	for _, t := range list {
 		known := p.byName[t.Name]
 		if known == nil || known.Address != t.Address {
-			known = &target{hash: hashString(t.Name)}
+			known = &target{hash: hashString(t.Name), notice: p.notices[noticeKey{t.Name, t.Address}]}
 		}
 		known.Target = t
 		next[t.Name] = known
@@ -165,7 +182,7 @@
 func (p *Picker) countOthers(now time.Time, t *target) int {
 	n := 0
 	for _, other := range p.targets {
-		if other != t && !other.ejected && !other.draining(now) {
+		if other != t && !other.ejected && other.takesWork(now) {
 			n++
 		}
 	}
