internal/edge: follow what targets announce about themselves

A leaving run gets nothing new at once, in touch with the store or not; its open streams end whole. A resting target gets no attempt, neither first nor repeated. While all targets of a service rest, callers are refused before tokens are reserved, with the time of the first return plus a spread, cut to a third of what they have left. If all of them have said that they leave, callers get 503 until the list has another one: a target's word counts for itself only, so one wrong header withdraws one target.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -282,6 +282,7 @@
 			return nil, err
 		}
 		x.e.fleet.markHeard(a.target)
+		x.recordNotices(a, head)
 		id := head.Get(x.e.Dialect.RequestID)
 		if bytes.Equal(id, x.id) {
 			return head, nil
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -34,6 +34,8 @@
 	Expect string
 	// NotRun in a response guarantees that the target did not execute the request.
 	NotRun string
+	// Leaving is in the responses of a target that leaves, with the value "1".
+	Leaving string
 	// Load is the load that the target reports; see ParseLoad.
 	Load string
 	// Priority ranks requests at a target; 0 is the most urgent.
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -33,8 +33,8 @@
 	// busyRetry is the least Retry-After of a request that was rejected because no
 	// target accepted it.
 	busyRetry = 250 * time.Millisecond
-	// retryJitter is the range of random delay on top of a Retry-After, as a multiple
-	// of it. It keeps callers that were rejected together from returning together.
+	// retryJitter is the range of random delay on top of the least Retry-After, as a
+	// multiple of it. It keeps callers that were rejected together from returning together.
 	retryJitter = 3
 	// retryTimeDivisor limits Retry-After to this fraction (1/n) of the caller's
 	// remaining time.
@@ -227,6 +227,10 @@
 
 // serve reserves tokens, makes the attempts and settles the reservation.
 func (x *exchange) serve() {
+	if _, ok := x.e.fleet.firstReturn(x.service); ok {
+		x.reject(route.ErrResting.Error())
+		return
+	}
 	var reservation alloc.Reservation
 	bound := x.tokens.Prompt + x.tokens.Output
 	if x.org != nil && x.org.Limited && bound > 0 {
@@ -282,7 +286,7 @@
 			x.outcome, x.status, x.reason = outcomeFailed, act.response.status, "target responded with an error status"
 			x.recordCallerGone(x.w.writeResponse(act.response, !x.isHead()))
 		case rejectAction:
-			x.deny(statusUnavailable, busyRetry, act.reason)
+			x.reject(act.reason)
 		case failAction:
 			x.deny(act.status, 0, act.reason)
 		case disconnect:
@@ -334,21 +338,37 @@
 	return true
 }
 
+// reject tells the caller that no target took the request, and when to return: not before
+// a target takes work again, if all of them rest.
+func (x *exchange) reject(reason string) {
+	least := busyRetry
+	if wait, ok := x.e.fleet.firstReturn(x.service); ok {
+		least = max(least, wait)
+	}
+	x.respondError(statusUnavailable, x.jitter(least, retryJitter*busyRetry), reason)
+}
+
 // deny sends an error response of the instance itself. It returns false.
 func (x *exchange) deny(status int, retryAfter time.Duration, reason string) bool {
 	if retryAfter > 0 {
-		retryAfter = x.jitter(retryAfter)
+		retryAfter = x.jitter(retryAfter, retryJitter*retryAfter)
 	}
+	x.respondError(status, retryAfter, reason)
+	return false
+}
+
+// respondError writes an error response of the instance itself. If retryAfter is 0, the
+// response has no Retry-After field.
+func (x *exchange) respondError(status int, retryAfter time.Duration, reason string) {
 	x.outcome, x.status, x.reason = outcomeDenied, status, reason
 	x.recordCallerGone(x.w.writeError(status, x.id, x.e.Dialect.RequestID, retryAfter, reason))
-	return false
 }
 
-// jitter returns a random Retry-After from least to (1+retryJitter)*least. If the caller
-// has a deadline, the result is cut to 1/retryTimeDivisor of the remaining time, even if
-// that is below least. It is never below 1 ms.
-func (x *exchange) jitter(least time.Duration) time.Duration {
-	d := least + rand.N(retryJitter*least)
+// jitter returns a random Retry-After from least to least+spread. If the caller has a
+// deadline, the result is cut to 1/retryTimeDivisor of the remaining time, even if that is
+// below least. It is never below 1 ms.
+func (x *exchange) jitter(least, spread time.Duration) time.Duration {
+	d := least + rand.N(spread)
 	if !x.deadline.IsZero() {
 		d = min(d, time.Until(x.deadline)/retryTimeDivisor)
 	}
--- a/internal/edge/engine_test.go
+++ b/internal/edge/engine_test.go
@@ -370,7 +370,7 @@
 	x := &exchange{deadline: time.Now().Add(time.Minute)}
 	returns := make(map[time.Duration]int)
 	for range callers {
-		d := x.jitter(busyRetry)
+		d := x.jitter(busyRetry, retryJitter*busyRetry)
 		if d < busyRetry || d > (1+retryJitter)*busyRetry {
 			t.Fatalf("got Retry-After %v, want %v to %v", d, busyRetry, (1+retryJitter)*busyRetry)
 		}
@@ -385,7 +385,7 @@
 	}
 	x.deadline = time.Now().Add(300 * time.Millisecond)
 	for range callers {
-		if d := x.jitter(busyRetry); d > 100*time.Millisecond {
+		if d := x.jitter(busyRetry, retryJitter*busyRetry); d > 100*time.Millisecond {
 			t.Fatalf("got Retry-After %v with 300 ms left, want at most 100 ms", d)
 		}
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -260,7 +260,8 @@
 
 // state returns the current values of the gauges.
 func (n *Node) state() meter.State {
-	s := meter.State{Targets: n.engine.fleet.targetCounts(), TableAge: n.engine.age(), Open: n.server.Busy()}
+	leaving, resting := n.engine.fleet.withdrawn()
+	s := meter.State{Leaving: leaving, Resting: resting, Targets: n.engine.fleet.targetCounts(), TableAge: n.engine.age(), Open: n.server.Busy()}
 	if t := n.engine.view.Load(); t != nil {
 		s.TableVersion = t.Version
 	}
--- /dev/null
+++ b/internal/edge/notice.go
@@ -0,0 +1,101 @@
+package edge
+
+import (
+	"bytes"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/beryllanding/beryllanding/pkg/http1"
+)
+
+// Notices of targets, in the log and the metrics.
+const (
+	noticeLeaving = "leaving"
+	noticeRest    = "rest"
+)
+
+// leavingValue is the value of Dialect.Leaving in the responses of a target that leaves.
+const leavingValue = "1"
+
+// recordNotices records what a response says about the target that sent it: that the
+// target leaves, or that it wants no request for a time. It is called for each response
+// read from a target, whatever its status and whichever request it belongs to.
+func (x *exchange) recordNotices(a *attempt, head *http1.Head) {
+	if string(bytes.TrimSpace(head.Get(x.e.Dialect.Leaving))) == leavingValue && x.e.fleet.leave(x.service, a) {
+		x.e.Meter.Notice(x.service, noticeLeaving)
+		x.logNotice("target says that it leaves; it gets no new requests", a)
+	}
+	if head.Status != statusUnavailable {
+		return
+	}
+	if wish := restWish(head.Get("Retry-After")); wish > 0 {
+		if until, news := x.e.fleet.rest(x.service, a, wish); news {
+			x.e.Meter.Notice(x.service, noticeRest)
+			x.logNotice("target asks for a rest; it gets no requests until it ends", a, "wish", wish, "rest", time.Until(until))
+		}
+	}
+}
+
+func (x *exchange) logNotice(msg string, a *attempt, more ...any) {
+	if x.e.Logger == nil {
+		return
+	}
+	fields := append([]any{"request-id", string(x.id), "service", x.service, "target", a.target.ID, "address", a.target.Address}, more...)
+	x.e.Logger.Info(msg, fields...)
+}
+
+// restWish returns the time that a Retry-After field asks for, in seconds with or without
+// a fraction. A date, and any value that is not a number above 0, give 0. Values too
+// large for a time.Duration give the largest one.
+func restWish(field []byte) time.Duration {
+	seconds, err := strconv.ParseFloat(string(bytes.TrimSpace(field)), 64)
+	if err != nil || math.IsNaN(seconds) || seconds <= 0 {
+		return 0
+	}
+	if seconds >= math.MaxInt64/float64(time.Second) {
+		return math.MaxInt64
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// leave records that the target of an attempt said that it leaves. It reports whether
+// this is news.
+func (f *fleet) leave(service string, a *attempt) bool {
+	f.mu.Lock()
+	news := f.group(service).picker.Leave(time.Now(), a.target.name)
+	f.mu.Unlock()
+	if news {
+		a.target.pool.CloseIdle()
+	}
+	return news
+}
+
+// rest records that the target of an attempt asked for a rest. It returns the end of the
+// rest, and whether the target did not rest before.
+func (f *fleet) rest(service string, a *attempt, wish time.Duration) (until time.Time, news bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.group(service).picker.Rest(time.Now(), a.target.name, wish)
+}
+
+// firstReturn returns the time until the first target of a service ends its rest. ok is
+// false unless all targets of the service that may take work rest.
+func (f *fleet) firstReturn(service string) (wait time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	end, ok := f.group(service).picker.AllRest(now)
+	return end.Sub(now), ok
+}
+
+// withdrawn returns the number of targets that leave and of those that rest, by service.
+func (f *fleet) withdrawn() (leaving, resting map[string]int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	leaving, resting = make(map[string]int, len(f.groups)), make(map[string]int, len(f.groups))
+	for service, g := range f.groups {
+		leaving[service], resting[service] = g.picker.Withdrawn(time.Now())
+	}
+	return leaving, resting
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -25,8 +25,10 @@
 type State struct {
 	// Budgets are the tokens of each budget at this instance.
 	Budgets []Budget
-	// Targets is the number of targets in use, by service.
-	Targets map[string]int
+	// Targets is the number of targets in use, by service. Leaving and Resting are the
+	// numbers of those among them that get no requests because they said that they
+	// leave, or asked for a rest.
+	Targets, Leaving, Resting map[string]int
 	// TableVersion is the version of the active configuration. TableAge is the time
 	// since the store last confirmed that it is the newest.
 	TableVersion int64
@@ -47,8 +49,8 @@
 type Meter struct {
 	handler http.Handler
 
-	requests, attempts, retries         metric.Int64Counter
-	wrongResponses, connections         metric.Int64Counter
+	requests, attempts, retries, notices metric.Int64Counter
+	wrongResponses, connections          metric.Int64Counter
 	requestTime, firstByte, reserveTime metric.Float64Histogram
 }
 
@@ -114,6 +116,11 @@
 	m.add(m.retries, attribute.String("service", service), attribute.Bool("allowed", allowed))
 }
 
+// Notice counts a notice by which a target withdrew from work: "leaving" or "rest".
+func (m *Meter) Notice(service, kind string) {
+	m.add(m.notices, attribute.String("service", service), attribute.String("kind", kind))
+}
+
 // WrongResponse counts a response, on a connection to a target, that belongs to no
 // request in progress.
 func (m *Meter) WrongResponse() { m.add(m.wrongResponses) }
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -30,7 +30,7 @@
 	t.Helper()
 	m, err := New(func() State {
 		return State{
-			Budgets: []Budget{{"o", 500, 70}}, Targets: map[string]int{"s": 3}, TableVersion: 7,
+			Budgets: []Budget{{"o", 500, 70}}, Targets: map[string]int{"s": 3}, Leaving: map[string]int{"s": 1}, Resting: map[string]int{"s": 0}, TableVersion: 7,
 			TableAge: 250 * time.Millisecond, Open: 2, LogDropped: 4,
 		}
 	})
@@ -44,6 +44,7 @@
 	m.Reserve(time.Millisecond)
 	m.Attempt("s", "may-have-run")
 	m.Retry("s", false)
+	m.Notice("s", "rest")
 	m.WrongResponse()
 	m.Connection()
 	return m
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -39,10 +39,13 @@
 	reserveTimeMetric    = definition{"beryl.reserve", histogram, seconds, "", "Time that a request waited for its tokens. It rises: the store is slow"}
 	attemptsMetric       = definition{"beryl.attempts", counter, "", "service, outcome", "Attempts at targets: `answered`, `failed` (by the target's own status), `not-run` (proved), `may-have-run`"}
 	retriesMetric        = definition{"beryl.repeats", counter, "", "service, allowed", "Attempts after the first. `allowed` is `false`: the budget of repeats is used up"}
+	noticesMetric        = definition{"beryl.target.notices", counter, "", "service, kind", "Notices of targets about themselves: `leaving`, `rest`"}
 	wrongResponsesMetric = definition{"beryl.foreign.answers", counter, "", "", "Answers that belong to no request: some target sends too many"}
 	connectionsMetric    = definition{"beryl.connections", counter, "", "", "Connections accepted from callers"}
 	openMetric           = definition{"beryl.open.requests", gauge, "", "", "Requests in progress"}
 	targetsMetric        = definition{"beryl.targets", gauge, "", "service", "Targets in use"}
+	leavingMetric        = definition{"beryl.targets.leaving", gauge, "", "service", "Targets in the list that get no new requests because they said that they leave. As many as `beryl_targets`: callers get 503"}
+	restingMetric        = definition{"beryl.targets.resting", gauge, "", "service", "Targets in the list that get no requests because they asked for a rest. As many as `beryl_targets`: callers get 503 with the time of the first return"}
 	freeMetric           = definition{"beryl.budget.free", gauge, "", "budget", "Tokens that this instance may use. 0 for long: the budget is spent or the store away"}
 	reservedMetric       = definition{"beryl.budget.reserved", gauge, "", "budget", "Tokens of requests in progress, at their most"}
 	versionMetric        = definition{"beryl.table.version", gauge, "", "", "Version of the configuration in force"}
@@ -50,8 +53,8 @@
 	logDroppedMetric     = definition{"beryl.log.dropped", counter, "", "", "Log lines that the output did not take in time"}
 
 	definitions = []definition{
-		requestsMetric, requestTimeMetric, firstByteMetric, reserveTimeMetric, attemptsMetric, retriesMetric, wrongResponsesMetric, connectionsMetric, openMetric,
-		targetsMetric, freeMetric, reservedMetric, versionMetric, ageMetric, logDroppedMetric,
+		requestsMetric, requestTimeMetric, firstByteMetric, reserveTimeMetric, attemptsMetric, retriesMetric, noticesMetric, wrongResponsesMetric, connectionsMetric, openMetric,
+		targetsMetric, leavingMetric, restingMetric, freeMetric, reservedMetric, versionMetric, ageMetric, logDroppedMetric,
 	}
 )
 
@@ -76,8 +79,10 @@
 	}
 	m.requests, m.attempts, m.retries = newCounter(requestsMetric), newCounter(attemptsMetric), newCounter(retriesMetric)
 	m.wrongResponses, m.connections = newCounter(wrongResponsesMetric), newCounter(connectionsMetric)
+	m.notices = newCounter(noticesMetric)
 	m.requestTime, m.firstByte, m.reserveTime = newHistogram(requestTimeMetric), newHistogram(firstByteMetric), newHistogram(reserveTimeMetric)
 	open, targets, free, reserved := newGauge(openMetric), newGauge(targetsMetric), newGauge(freeMetric), newGauge(reservedMetric)
+	leaving, resting := newGauge(leavingMetric), newGauge(restingMetric)
 	version, age := newGauge(versionMetric), newGauge(ageMetric)
 	dropped, err := meter.Int64ObservableCounter(logDroppedMetric.Name, metric.WithDescription(logDroppedMetric.Text))
 	errs = append(errs, err)
@@ -88,15 +93,17 @@
 			o.ObserveFloat64(free, float64(b.Free), label)
 			o.ObserveFloat64(reserved, float64(b.Reserved), label)
 		}
-		for service, n := range s.Targets {
-			o.ObserveFloat64(targets, float64(n), metric.WithAttributes(attribute.String("service", service)))
+		for gauge, byService := range map[metric.Float64Observable]map[string]int{targets: s.Targets, leaving: s.Leaving, resting: s.Resting} {
+			for service, n := range byService {
+				o.ObserveFloat64(gauge, float64(n), metric.WithAttributes(attribute.String("service", service)))
+			}
 		}
 		o.ObserveFloat64(open, float64(s.Open))
 		o.ObserveFloat64(version, float64(s.TableVersion))
 		o.ObserveFloat64(age, s.TableAge.Seconds())
 		o.ObserveInt64(dropped, s.LogDropped)
 		return nil
-	}, open, targets, free, reserved, version, age, dropped)
+	}, open, targets, leaving, resting, free, reserved, version, age, dropped)
 	return errors.Join(append(errs, err)...)
 }
 
--- a/pkg/route/notice_test.go
+++ b/pkg/route/notice_test.go
@@ -97,7 +97,7 @@
 	if _, err := p.Pick(start, rnd, Request{}); !errors.Is(err, ErrResting) {
 		t.Errorf("error is %v, want ErrResting", err)
 	}
-	if end, ok := p.RestEnd(start); !ok || !end.Equal(start.Add(2*time.Second)) {
+	if end, ok := p.AllRest(start); !ok || !end.Equal(start.Add(2*time.Second)) {
 		t.Errorf("first return is at %v (%v), want after 2s", end.Sub(start), ok)
 	}
 	// A shorter wish does not shorten a rest.
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -17,7 +17,7 @@
 		if available > 0 {
 			return Target{}, ErrSaturated
 		}
-		if _, resting := p.RestEnd(now); resting {
+		if _, resting := p.AllRest(now); resting {
 			return Target{}, ErrResting
 		}
 		return Target{}, ErrNoTarget
--- a/pkg/route/rest.go
+++ b/pkg/route/rest.go
@@ -6,7 +6,7 @@
 )
 
 // ErrResting reports that no target takes the request, and that at least one of them
-// asked for a rest that will end. RestEnd says when.
+// asked for a rest that will end. AllRest returns when.
 var ErrResting = errors.New("every target that takes work rests")
 
 const (
@@ -75,11 +75,17 @@
 	return n.rest.until, news
 }
 
-// RestEnd returns when the first of the resting targets ends its rest. ok is false if
-// none rests.
-func (p *Picker) RestEnd(now time.Time) (end time.Time, ok bool) {
+// AllRest returns when the first of the resting targets ends its rest. ok is false unless
+// at least one target rests and no target takes work now.
+func (p *Picker) AllRest(now time.Time) (end time.Time, ok bool) {
+	if len(p.notices) == 0 {
+		return time.Time{}, false
+	}
 	for _, t := range p.targets {
-		if t.Draining || t.notice == nil || t.notice.leaving || !t.notice.rest.active(now) {
+		if t.takesWork(now) {
+			return time.Time{}, false
+		}
+		if t.draining(now) || t.notice.leaving {
 			continue
 		}
 		if !ok || t.notice.rest.until.Before(end) {
