--- a/internal/emul/emul_test.go
+++ b/internal/emul/emul_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -32,7 +31,15 @@
 // outcome, and no rule is broken.
 func run(t *testing.T, s emul.Scenario) emul.Report {
 	t.Helper()
-	r, err := emul.Run(t.Context(), s, io.Discard)
+	r, _ := runCountingRests(t, s)
+	return r
+}
+
+// runCountingRests is run. It also returns the number of responses in which targets asked
+// for a rest.
+func runCountingRests(t *testing.T, s emul.Scenario) (emul.Report, int) {
+	t.Helper()
+	r, asked, err := emul.RunCountingRests(t.Context(), s)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -46,7 +53,7 @@
 	for _, b := range r.Violations {
 		t.Error("broken rule: " + b)
 	}
-	return r
+	return r, asked
 }
 
 // TestQuiet guards against requests that are refused or fail although nothing is
@@ -75,6 +82,28 @@
 	}
 }
 
+// TestNotices guards against requests to targets that withdrew by their own notice: one
+// of six targets says that it leaves, and two ask for a rest. Each instance may send a
+// resting target what was on its way when it asked, and nothing more. The other targets
+// have the capacity for all requests.
+func TestNotices(t *testing.T) {
+	s := small(t)
+	s.Targets = 6
+	s.Faults = []emul.Fault{
+		{At: 200 * time.Millisecond, For: s.Length, Target: &modeld.Switches{Rest: time.Minute}, Count: 2},
+		{At: 800 * time.Millisecond, For: s.Length, Target: &modeld.Switches{Leaving: true}, Count: 1},
+	}
+	r, asked := runCountingRests(t, s)
+	if r.All.Failed > 0 || 20*r.All.Refused > r.All.Asked {
+		t.Errorf("got %+v, want none failed and at most one in twenty refused", r.All)
+	}
+	// Requests of one instance that were sent to one target before its first refusal.
+	const onTheWay = 8
+	if asked == 0 || asked > 2*s.Instances*onTheWay {
+		t.Errorf("resting targets refused %d requests, want 1 to %d", asked, 2*s.Instances*onTheWay)
+	}
+}
+
 // TestBudgetsEnd guards against a spent budget that affects other organisations: only
 // the organisation whose budget is spent may be refused.
 func TestBudgetsEnd(t *testing.T) {
--- a/internal/emul/export_test.go
+++ b/internal/emul/export_test.go
@@ -15,3 +15,14 @@
 		}
 	})
 }
+
+// RunCountingRests runs a scenario. It also returns the number of responses in which
+// targets asked for a rest.
+func RunCountingRests(ctx context.Context, s Scenario) (r Report, asked int, err error) {
+	r, err = runScenario(ctx, s, io.Discard, func(f *fleet) {
+		for _, e := range f.engines {
+			asked += e.AskedRest()
+		}
+	})
+	return r, asked, err
+}
--- a/internal/emul/scenario.go
+++ b/internal/emul/scenario.go
@@ -116,6 +116,7 @@
 	lateEffect    = time.Second            // delay of a write whose response was lost
 	breakEvents   = 2                      // events before a stream is cut off
 	slowMultiple  = 5                      // factor on a target's latencies
+	restWish      = 2 * time.Second        // rest that a target asks for
 )
 
 // Parse parses a scenario file. The error lists all its faults and wraps ErrScenario.
@@ -189,10 +190,14 @@
 		t.Target = &modeld.Switches{Break: breakEvents}
 	case "foreign":
 		t.Target = &modeld.Switches{Foreign: true}
+	case "leave":
+		t.Target = &modeld.Switches{Leaving: true}
+	case "rest":
+		t.Target = &modeld.Switches{Rest: restWish}
 	case "slow":
 		t.Target = &modeld.Switches{Slow: slowMultiple}
 	default:
-		p.fault(fmt.Sprintf("what = %q: expected store-down, store-slow, store-forgetful, silent, reject, fault, break, foreign or slow", what))
+		p.fault(fmt.Sprintf("what = %q: expected store-down, store-slow, store-forgetful, silent, reject, fault, break, foreign, leave, rest or slow", what))
 	}
 	return t
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -51,7 +51,7 @@
 
 	requests, attempts, retries, notices metric.Int64Counter
 	wrongResponses, connections          metric.Int64Counter
-	requestTime, firstByte, reserveTime metric.Float64Histogram
+	requestTime, firstByte, reserveTime  metric.Float64Histogram
 }
 
 // New returns a meter. The meter calls read for each scrape.
--- a/internal/stand/modeld/modeld.go
+++ b/internal/stand/modeld/modeld.go
@@ -29,6 +29,11 @@
 	Break int `json:"break"`
 	// Foreign answers with the answer to another request, and closes the connection.
 	Foreign bool `json:"foreign"`
+	// Leaving adds the header field that says that the replica leaves to all responses.
+	// The replica goes on serving.
+	Leaving bool `json:"leaving"`
+	// Rest refuses requests as Reject does, and asks for a rest of this duration.
+	Rest time.Duration `json:"rest"`
 	// Slow multiplies all latencies; 0 stands for 1.
 	Slow float64 `json:"slow"`
 }
@@ -59,6 +64,8 @@
 	// seen holds the prefixes that were read.
 	seen map[uint64]bool
 	runs map[string]int
+	// askedRest is the number of responses that asked for a rest.
+	askedRest int
 }
 
 // Runs returns the number of runs of each request, by request id.
@@ -72,6 +79,13 @@
 	return runs
 }
 
+// AskedRest returns the number of responses in which the replica asked for a rest.
+func (e *Engine) AskedRest() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.askedRest
+}
+
 func (e *Engine) init() {
 	e.slots = make(chan struct{}, max(1, e.Slots))
 	e.seen = make(map[uint64]bool)
@@ -99,6 +113,9 @@
 	q := &request{e: e, w: w, r: r, id: r.Header.Get(d.RequestID), switches: e.Switches.Get()}
 	_, _ = io.Copy(io.Discard, r.Body) // If the body is cut off, the request's context ends.
 	w.Header().Set(d.RequestID, q.id)
+	if q.switches.Leaving {
+		w.Header().Set(d.Leaving, "1")
+	}
 	if q.switches.Silent {
 		<-r.Context().Done()
 		return
@@ -114,6 +131,14 @@
 		q.prefix, q.shared = d.ParsePrefix([]byte(field))
 	}
 	q.after, _ = strconv.ParseInt(r.Header.Get(d.LastEvent), 10, 64) // An absent field gives 0: all events.
+	if rest := q.switches.Rest; rest > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
+		e.mu.Lock()
+		e.askedRest++
+		e.mu.Unlock()
+		q.decline(http.StatusServiceUnavailable)
+		return
+	}
 	if q.switches.Reject || !q.acquireSlot() {
 		q.decline(http.StatusServiceUnavailable)
 		return
