pkg/keyed, platform, pkg/roster: a store that was restored from an older copy

Offsets go back and are given out again.

Configuration: versions never went back; now the configuration also does not count as confirmed while the store has an older one than is in force. Targets: after a restore an entry older than the known one of the same run, or of a run that was removed, is ignored until the target writes a newer one, and entries that the copy lacks have the grace of an outage.

keyd.Restore puts the stand-in back to its copy of a time ago, with the writers' numbers, and writes the records of operators and targets again later. A read beyond the end now fails like one before the first retained record.

Budgets do not follow restores yet.

--- a/cmd/beryl-edge/main.go
+++ b/cmd/beryl-edge/main.go
@@ -74,6 +74,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	store := platform.NewStore(settings.StoreAddress)
+	store.Logger = logger.WithPrefix("store")
 	nodeOptions := platform.Options(settings, store, logger)
 	nodeOptions.LogDropped = out.Dropped
 	node := edge.New(nodeOptions)
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -25,6 +25,10 @@
 
 // applyTables applies changes of the configuration.
 func (n *Node) applyTables(c keyed.Change) {
+	if c.Restored {
+		n.logRestored(n.opts.Tables.Topic, c)
+		n.storedVersion = 0
+	}
 	for _, entry := range c.Entries {
 		t, err := n.opts.Decoder.Table(entry)
 		if err != nil {
@@ -32,10 +36,19 @@
 			continue
 		}
 		if t != nil {
+			n.storedVersion = t.Version
 			n.applyTable(t)
 		}
 	}
-	n.engine.confirm(c.RequestedAt)
+	// A store that was restored from an older copy has an older configuration, or none,
+	// until the operators have written the newest one again.
+	if view := n.engine.view.Load(); view == nil || n.storedVersion >= view.Version {
+		n.engine.confirm(c.RequestedAt)
+	}
+}
+
+func (n *Node) logRestored(topic string, c keyed.Change) {
+	n.logger("store").Warn("store was restored from an older copy; following it from the start", "topic", topic, "epoch", c.LogEpoch, "records", len(c.Entries))
 }
 
 // applyTable activates a configuration if it is newer than the active one.
@@ -68,6 +81,10 @@
 	defer n.listMu.Unlock()
 	n.engine.fleet.confirm(c.RequestedAt)
 	now := time.Now()
+	if c.Restored {
+		n.logRestored(n.opts.Targets.Topic, c)
+		n.list.Restored(now)
+	}
 	ids := make(map[string]bool)
 	for _, entry := range c.Entries {
 		id, ok := n.opts.Decoder.TargetID(entry.Key)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -103,6 +103,10 @@
 	tables  *keyed.Follower
 	targets *keyed.Follower
 
+	// storedVersion is the version of the configuration that the store had at the last
+	// read; 0 if it had none. Only applyTables uses it.
+	storedVersion int64
+
 	listMu     sync.Mutex
 	list       roster.Roster
 	graceTimer *time.Timer
--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -16,6 +16,7 @@
 	"github.com/beryllanding/beryllanding/internal/stand/keyd"
 	"github.com/beryllanding/beryllanding/pkg/acct"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
+	"github.com/beryllanding/beryllanding/pkg/roster"
 	"github.com/beryllanding/beryllanding/pkg/table"
 )
 
@@ -104,6 +105,58 @@
 	return status
 }
 
+// tableVersion returns the version of the configuration in force.
+func (n *nodeEnv) tableVersion() int64 { return n.node.engine.view.Load().Version }
+
+// TestNodeStoreRestored: a store comes back as a copy that lacks the newest
+// configuration and a target that joined, and shows a draining target as ready. Until the
+// operators and targets have written their records again, the node goes on with what it
+// knew.
+func TestNodeStoreRestored(t *testing.T) {
+	const copyAge, rewrite = 500 * time.Millisecond, 1500 * time.Millisecond
+	n := newNode(t, respondOK, respondOK)
+	targets := n.engine.fleet.groups["s"].byName
+	byID := make(map[string]roster.Target)
+	for _, target := range targets {
+		e := target.Target
+		e.Born, e.Sequence = 1, 1
+		byID[e.ID] = e
+	}
+	n.put("targets", "t0", byID["t0"])
+	n.store.Put(keyed.Partition{Topic: "targets"}, keyed.Entry{Key: "t1"})
+	time.Sleep(copyAge)
+
+	// All of this is lost.
+	leaving := byID["t0"]
+	leaving.Sequence, leaving.Draining = 2, true
+	n.put("targets", "t0", leaving)
+	n.put("targets", "t1", byID["t1"])
+	next := *n.node.engine.view.Load()
+	next.Version++
+	next.Routes = append(append([]*table.Route(nil), next.Routes...),
+		&table.Route{Name: "new", Host: "h", Prefix: "/new/", MaxTargets: 1, Public: true, Timeout: time.Second, Shares: []table.Share{{Service: "s"}}})
+	n.put("tables", "config", &next)
+	for n.tableVersion() != next.Version || n.node.engine.fleet.targetCount() != 2 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	n.store.Restore(copyAge/2, rewrite)
+	restored := time.Now()
+	before := n.countAt("t0")
+	for time.Since(restored) < rewrite+time.Second {
+		got := n.ask("/new/", "Request-Id: r\n", "x")
+		if got.status != 200 {
+			t.Fatalf("%v after the restore: got response %+v, want status 200 on the newest route", time.Since(restored), got)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if got := n.countAt("t0"); got != before {
+		t.Errorf("the draining target got %d requests after the restore, want none", got-before)
+	}
+	if n.tableVersion() != next.Version || n.node.engine.stale() {
+		t.Errorf("version %d in force, stale %v; want %d, not stale", n.tableVersion(), n.node.engine.stale(), next.Version)
+	}
+}
+
 // TestNode: a node becomes ready from the records in the store, follows changes of
 // routes and targets, keeps serving while the store is down, and serves its metrics.
 func TestNode(t *testing.T) {
--- a/internal/stand/keyd/keyd.go
+++ b/internal/stand/keyd/keyd.go
@@ -47,6 +47,7 @@
 
 	mu         sync.Mutex
 	partitions map[keyed.Partition]*partition
+	epoch      keyed.LogEpoch
 }
 
 // partition is one partition of a topic.
@@ -59,6 +60,17 @@
 	writers map[string]keyed.Writer
 	// changed is closed when the next record is written.
 	changed chan struct{}
+	// history holds everything that was written, also records that were compacted. It
+	// is what an older copy is made from.
+	history []change
+}
+
+// change is one record that was written.
+type change struct {
+	at    time.Time
+	entry keyed.Entry
+	// writer is nil for a record of Put.
+	writer *keyed.Writer
 }
 
 func (p *partition) end() keyed.Offset { return p.first + keyed.Offset(len(p.log)) }
@@ -101,7 +113,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(id)
-	page := keyed.Page{End: p.end()}
+	page := keyed.Page{End: p.end(), LogEpoch: s.epoch}
 	for _, e := range p.newest {
 		if e.Key > after {
 			page.Entries = append(page.Entries, e)
@@ -115,7 +127,8 @@
 }
 
 // Read returns the records from an offset on. If there are none, it waits up to wait for
-// the next one. It returns keyed.ErrTrimmed if the record at from was dropped.
+// the next one. It returns keyed.ErrTrimmed if the record at from was dropped, or if the
+// partition ends before from.
 func (s *Store) Read(ctx context.Context, id keyed.Partition, from keyed.Offset, wait time.Duration) (keyed.Page, error) {
 	if err := s.begin(ctx); err != nil {
 		return keyed.Page{}, err
@@ -140,10 +153,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(id)
-	if from < p.first {
+	if from < p.first || from > p.end() {
 		return keyed.Page{}, nil, keyed.ErrTrimmed
 	}
-	page := keyed.Page{End: p.end()}
+	page := keyed.Page{End: p.end(), LogEpoch: s.epoch}
 	if from < p.end() {
 		page.Entries = slices.Clone(p.log[from-p.first:])
 	}
@@ -190,8 +203,7 @@
 	case w.Number <= last.Number:
 		return nil // already written
 	}
-	p.writers[w.ID] = w
-	p.put(e)
+	p.put(e, &w)
 	return nil
 }
 
@@ -211,21 +223,84 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(id)
-	p.put(e)
+	p.put(e, nil)
 	return p.end()
 }
 
-func (p *partition) put(e keyed.Entry) {
+func (p *partition) put(e keyed.Entry, w *keyed.Writer) {
+	p.history = append(p.history, change{at: time.Now(), entry: e, writer: w})
+	p.apply(e, w)
+	p.wake()
+}
+
+// apply adds a record at the end of the log.
+func (p *partition) apply(e keyed.Entry, w *keyed.Writer) {
+	if w != nil {
+		p.writers[w.ID] = *w
+	}
 	e.Offset = p.end()
 	p.log = append(p.log, e)
 	p.newest[e.Key] = e
 	if e.Value == nil {
 		delete(p.newest, e.Key)
 	}
+}
+
+// wake wakes the reads that wait for a record.
+func (p *partition) wake() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
+// Restore replaces the store by its copy of some time ago and starts the next epoch of
+// the log. Records written since are lost, with the numbers of their writers, and their
+// offsets are given out again. Those of Put are written again after the duration rewrite,
+// in their order.
+func (s *Store) Restore(age, rewrite time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	copied := time.Now().Add(-age)
+	for id, p := range s.partitions {
+		if again := p.restore(copied); len(again) > 0 {
+			time.AfterFunc(rewrite, func() {
+				for _, e := range again {
+					s.Put(id, e)
+				}
+			})
+		}
+	}
+}
+
+// Epoch returns the number of restores.
+func (s *Store) Epoch() keyed.LogEpoch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch
+}
+
+// restore replaces the partition by its copy at a time, and returns the lost records of
+// Put.
+func (p *partition) restore(copied time.Time) (lost []keyed.Entry) {
+	history := p.history
+	p.history, p.log, p.newest, p.writers = nil, nil, make(map[string]keyed.Entry), make(map[string]keyed.Writer)
+	first := p.first
+	p.first = 0
+	for _, c := range history {
+		switch {
+		case !c.at.After(copied):
+			p.history = append(p.history, c)
+			p.apply(c.entry, c.writer)
+		case c.writer == nil:
+			lost = append(lost, c.entry)
+		}
+	}
+	dropped := min(first, p.end())
+	p.first, p.log = dropped, p.log[dropped:]
+	p.wake()
+	return lost
+}
+
 // Compact drops the history of a partition but keeps the newest record of each key.
 func (s *Store) Compact(id keyed.Partition) {
 	s.mu.Lock()
--- a/pkg/keyed/follow.go
+++ b/pkg/keyed/follow.go
@@ -28,6 +28,12 @@
 	Entries []Entry
 	// Full means that Entries holds every existing key. Other keys no longer exist.
 	Full bool
+	// Restored is set in the first change after the store was restored from an older
+	// copy. Full is set too. Records that were passed on before may be missing or older
+	// in it, and their writers may not have written them again yet.
+	Restored bool
+	// LogEpoch is the epoch that the change is from.
+	LogEpoch LogEpoch
 	// RequestedAt is when the call that returned the change was sent. The change is at least
 	// as new as the store's state at that time.
 	RequestedAt time.Time
@@ -57,6 +63,10 @@
 	// synced means that the follower can read on from end. While it is false, the
 	// follower needs a snapshot.
 	synced bool
+	// epochs tracks the restores of the store. restored means that the next change is
+	// the first after a restore.
+	epochs   EpochTracker
+	restored bool
 	// unreachable means that the last call failed.
 	unreachable bool
 	backoff     time.Duration
@@ -89,12 +99,15 @@
 		if err != nil {
 			return err
 		}
+		if err := f.observe(page.LogEpoch); err != nil {
+			return err
+		}
 		// An older snapshot would undo changes that were passed on already.
 		if page.End < f.end {
 			return errors.Join(ErrUnavailable, fmt.Errorf("snapshot ends at offset %d, but the follower has read up to offset %d", page.End, f.end))
 		}
 		f.deliver(page, true, at)
-		f.synced = true
+		f.synced, f.restored = true, false
 		return nil
 	}
 	wait := f.Wait
@@ -109,10 +122,27 @@
 	if err != nil {
 		return err
 	}
+	if err := f.observe(page.LogEpoch); err != nil || !f.synced {
+		return err
+	}
 	f.deliver(page, false, at)
 	return nil
 }
 
+// observe records the epoch of a response. If the store was restored, the follower
+// forgets its offsets and needs a snapshot. The error wraps ErrUnavailable if the response
+// is from before a restore.
+func (f *Follower) observe(epoch LogEpoch) error {
+	switch f.epochs.Observe(epoch) {
+	case EpochSame:
+	case EpochRestored:
+		f.synced, f.restored, f.offsets, f.end = false, true, nil, 0
+	case EpochOld:
+		return errors.Join(ErrUnavailable, fmt.Errorf("response is from epoch %d of the log, but the follower has read epoch %d", epoch, f.epochs.Current))
+	}
+	return nil
+}
+
 // deliver passes a page's records to OnChange. It leaves out a record that is older
 // than the known record of its key: later pages of a snapshot may contain records
 // that are newer than the changes read after the snapshot.
@@ -129,7 +159,7 @@
 		newer = append(newer, e)
 	}
 	f.end = max(f.end, page.End)
-	f.OnChange(Change{Entries: newer, Full: full, RequestedAt: at})
+	f.OnChange(Change{Entries: newer, Full: full, Restored: full && f.restored, LogEpoch: f.epochs.Current, RequestedAt: at})
 }
 
 // reportState calls OnReachability if the store's reachability has changed.
--- a/pkg/keyed/keyed.go
+++ b/pkg/keyed/keyed.go
@@ -52,6 +52,8 @@
 	End Offset
 	// More is set by Newest if there are keys after the key of the last entry.
 	More bool
+	// LogEpoch is the epoch in which the store responded.
+	LogEpoch LogEpoch
 }
 
 // Store is a client of the store. Implementations are safe for concurrent use.
@@ -85,7 +87,7 @@
 // Snapshot returns the newest records of all keys, which it reads page by page. End
 // of the result is the End of the first page, so a Read from there returns every
 // change made while the pages were read. Snapshot fails with ErrUnavailable after
-// 1000 pages.
+// 1000 pages, and if the store was restored while the pages were read.
 func Snapshot(ctx context.Context, s Store, p Partition) (Page, error) {
 	var all Page
 	after := ""
@@ -95,7 +97,10 @@
 			return Page{}, err
 		}
 		if n == 0 {
-			all.End = page.End
+			all.End, all.LogEpoch = page.End, page.LogEpoch
+		}
+		if page.LogEpoch != all.LogEpoch {
+			return Page{}, errors.Join(ErrUnavailable, fmt.Errorf("store was restored during a snapshot: epoch %d after %d", page.LogEpoch, all.LogEpoch))
 		}
 		all.Entries = append(all.Entries, page.Entries...)
 		if !page.More || len(page.Entries) == 0 {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -22,6 +22,9 @@
 	// Born is the start time of the target in Unix milliseconds. It distinguishes runs
 	// of a target under one ID; 0 means unknown.
 	Born int64
+	// Sequence is the number of the entry among those of its run. Later entries have
+	// higher numbers.
+	Sequence int64
 }
 
 // Same reports whether two entries describe the same run of a target.
@@ -41,6 +44,16 @@
 // drained within this time is used until the end of the grace, for at most 2.1 s.
 const lapseWindow = 400 * time.Millisecond
 
+// goneTTL is how long the last entry of a target that was removed is remembered. It
+// exceeds the age of the copies from which a store is restored.
+const goneTTL = 2 * time.Minute
+
+// gone is the last entry of a target that was removed.
+type gone struct {
+	Target
+	at time.Time
+}
+
 // Roster is the state of the target list. The zero value is an empty list that was
 // never read. A Roster is not safe for concurrent use.
 type Roster struct {
@@ -56,6 +69,11 @@
 	complete bool
 	// storeDown is set while the store is unreachable.
 	storeDown bool
+	// gone holds the targets that were removed, by ID.
+	gone map[string]gone
+	// restored is set once the store was restored from an older copy. From then on, an
+	// entry may be older than one that was read before.
+	restored bool
 	// storeBackAt is when the store last became reachable again.
 	storeBackAt time.Time
 }
@@ -75,8 +93,25 @@
 	r.storeDown = false
 }
 
-// Set adds or replaces an entry.
+// Restored records that the store was restored from an older copy, whose entries are
+// passed in next. Targets write their entries again, so entries that the copy lacks are
+// treated like those that expired during an outage. Entries that are older than what was
+// read before are ignored; see Set.
+func (r *Roster) Restored(now time.Time) {
+	r.restored = true
+	if r.complete {
+		r.storeBackAt = now
+	}
+}
+
+// Set adds or replaces an entry. After a restore of the store, an entry that is older
+// than a known one of the same target is ignored, and so is one of a target that was
+// removed, until the target has written a newer one. A target that drains or has left is
+// therefore not used again because the store was restored.
 func (r *Roster) Set(t Target) {
+	if r.restored && r.isOutdated(t) {
+		return
+	}
 	if r.listed == nil {
 		r.listed = make(map[string]Target)
 	}
@@ -84,6 +119,36 @@
 	delete(r.missing, t.ID)
 }
 
+// isOutdated reports whether a newer entry of the target is known, or the target was
+// removed after this entry. A target whose start time is unknown may have started again
+// with lower numbers.
+func (r *Roster) isOutdated(t Target) bool {
+	for _, known := range []map[string]Target{r.listed, r.missing} {
+		if k, ok := known[t.ID]; ok && t.isBefore(k) {
+			return true
+		}
+	}
+	g, ok := r.gone[t.ID]
+	return ok && (t.isBefore(g.Target) || (t.Born == g.Born && t.Born != 0 && t.Sequence == g.Sequence))
+}
+
+// isBefore reports whether the entry is older than another one of the same target.
+func (t Target) isBefore(o Target) bool {
+	if t.Born == 0 || o.Born == 0 {
+		return false
+	}
+	return t.Born < o.Born || (t.Born == o.Born && t.Sequence < o.Sequence)
+}
+
+// remember records the last entry of a target that is removed, and forgets old ones.
+func (r *Roster) remember(t Target, now time.Time) {
+	if r.gone == nil {
+		r.gone = make(map[string]gone)
+	}
+	maps.DeleteFunc(r.gone, func(_ string, g gone) bool { return now.Sub(g.at) > goneTTL })
+	r.gone[t.ID] = gone{Target: t, at: now}
+}
+
 // Remove removes an entry that was deleted from the store or that describes no
 // usable target. The target stays in use until the end of the grace if the entry
 // may have expired because of an outage and the target is not draining.
@@ -93,6 +158,7 @@
 		return
 	}
 	delete(r.listed, id)
+	r.remember(t, now)
 	if t.Draining || !r.mayHaveLapsed(now) {
 		return
 	}
