pkg/acct, internal/alloc: budgets when the store comes back from an older copy

Before: after a restore an instance refused to read accounts that end before where it had read, or skipped records, or took its predecessor's account for a takeover and refused everything for good.

Change: accounts and pledges carry the epoch of the log in which they were written. An account of an earlier epoch is unconfirmed: its holder may have been granted more in the lost seconds. A holder that sees a restore forgets offsets and the result of a pending write, and writes its account as it is, under a higher epoch of the writer, without asking for anything; it also pledges again. Until all have done so, an unconfirmed account counts with the larger of the copy and of what the reader knew before, plus a margin: 12 s of the demand that the copy shows and an equal part of a sixteenth of the budget. While accounts are unconfirmed, readers don't settle others' grants. A successor of an unconfirmed holder counts all of that as used and doesn't trust pledges of earlier epochs. Tokens withheld in the first 2 s don't make a budget spent. The followers of configuration and targets tell the budgets at once.

The test of a faulty scenario asks for 999 instances instead of 99, since 99 are allowed now.

--- a/internal/alloc/alloc.go
+++ b/internal/alloc/alloc.go
@@ -59,6 +59,10 @@
 	// refused as spent. By then the other instances have given back the tokens that
 	// they do not need.
 	spentDelay = 3 * refreshScarce
+	// confirmTime is how long after a restore of the store the other holders are expected
+	// to write their accounts again. Until then, tokens that are withheld do not count as
+	// spent.
+	confirmTime = 2 * time.Second
 	// unreachableRetryAfter is the retry time given to a request whose tokens this
 	// instance cannot get now.
 	unreachableRetryAfter = 500 * time.Millisecond
@@ -321,6 +325,16 @@
 	}
 }
 
+// StoreRestored tells the service that the store was restored from an older copy. The
+// service finds out by itself when it next reads the accounts, but until then its own
+// account may be missing in the store.
+func (s *Service) StoreRestored() {
+	for _, p := range s.partitions {
+		p.requestRead()
+	}
+	s.kickPartitions()
+}
+
 // Loaded reports whether all accounts were read and this instance still owns its own.
 func (s *Service) Loaded() bool {
 	for _, p := range s.partitions {
@@ -445,7 +459,8 @@
 	if !ok || view.Free >= missing {
 		return false, false
 	}
-	spent = b.isSpent(time.Now())
+	// Tokens that are withheld since a restore may become free within moments.
+	spent = b.isSpent(time.Now()) && (view.Free+view.Withheld < missing || b.partition.sinceRestore() > confirmTime)
 	if spent {
 		began = began.Add(-spentReadAge)
 	}
--- a/internal/alloc/history_test.go
+++ b/internal/alloc/history_test.go
@@ -31,6 +31,11 @@
 	rnd   *rand.Rand
 	store *keyd.Store
 	start time.Time
+	// restores makes the store come back from older copies, at times. apart is the least
+	// time between a restore and a kill, in which the store has no other fault; 0 allows
+	// both at any time.
+	restores bool
+	apart    time.Duration
 	// frozenClock stops the machines' clocks, which breaks the rule that they continue
 	// after a restart.
 	frozenClock bool
@@ -46,6 +51,10 @@
 	overspend string
 	// served and refused count requests.
 	served, refused int
+	// restored counts the restores of the store. restoredAt is the time of the last one,
+	// and died that of the last kill.
+	restored         int
+	restoredAt, died time.Time
 }
 
 // machine runs the incarnations of one instance, one after another.
@@ -105,6 +114,7 @@
 // kill ends the incarnation without a stop. A power loss also changes the machine's
 // clock.
 func (m *machine) kill(power bool) {
+	m.sim.died = time.Now()
 	m.cancel()
 	close(m.current.ended)
 	m.sim.network.set(m.name, nil)
@@ -156,14 +166,17 @@
 	}
 }
 
-// history runs one random history.
-func history(t *testing.T, seed uint64, frozenClock bool) *simulation {
+// history runs one random history. configure, which may be nil, sets its options.
+func history(t *testing.T, seed uint64, configure func(*simulation)) *simulation {
 	rnd := rand.New(rand.NewPCG(seed, 1))
 	sim := &simulation{
-		t: t, rnd: rnd, store: &keyd.Store{Rand: rand.New(rand.NewPCG(seed, 2))}, start: time.Now(), frozenClock: frozenClock,
+		t: t, rnd: rnd, store: &keyd.Store{Rand: rand.New(rand.NewPCG(seed, 2))}, start: time.Now(),
 		used: make(map[string]ledger.Tokens),
 		paid: map[string]ledger.Tokens{"large": 3_000_000, "small": 200_000, "spare": 30_000_000},
 	}
+	if configure != nil {
+		configure(sim)
+	}
 	sim.network.rnd, sim.network.lost = rand.New(rand.NewPCG(seed, 3)), 0.2
 	var fleet []*machine
 	for i := range instances {
@@ -191,6 +204,12 @@
 
 // injectFault sometimes kills instances or changes the faults of the store.
 func (sim *simulation) injectFault(fleet []*machine) {
+	if sim.restores && sim.rnd.IntN(400) == 0 && time.Since(sim.died) > sim.apart {
+		sim.restoreStore(fleet)
+	}
+	if sim.restores && time.Since(sim.restoredAt) < sim.apart {
+		return
+	}
 	switch n := sim.rnd.IntN(2000); {
 	case n < 6:
 		m := fleet[sim.rnd.IntN(len(fleet))]
@@ -217,6 +236,72 @@
 	}
 }
 
+// restoreStore takes the store away for a moment and puts it back to a copy that is some
+// seconds old, once or twice in a row.
+func (sim *simulation) restoreStore(fleet []*machine) {
+	switches := sim.store.Switches.Get()
+	if sim.apart > 0 {
+		switches = keyd.Switches{Delay: 4 * time.Millisecond}
+	}
+	for range 1 + sim.rnd.IntN(2) {
+		down := switches
+		down.Down = true
+		sim.store.Switches.Set(down)
+		time.Sleep(time.Duration(sim.rnd.Int64N(int64(500 * time.Millisecond))))
+		sim.store.Restore(time.Duration(sim.rnd.Int64N(int64(5*time.Second))), time.Second)
+		sim.store.Switches.Set(switches)
+		sim.restored++
+		sim.restoredAt = time.Now()
+		for _, m := range fleet {
+			m.current.service.StoreRestored()
+		}
+	}
+}
+
+// TestHistoriesWithRestores is TestHistories with a store that comes back from older
+// copies, several times in a history. All holders live through a restore.
+func TestHistoriesWithRestores(t *testing.T) {
+	historiesWithRestores(t, 6*time.Second, nil)
+}
+
+// TestHistoriesWithRestoresAndDeaths is TestHistoriesWithRestores with kills and power
+// losses at any time, also between a restore and the moment at which a holder has written
+// its account again.
+func TestHistoriesWithRestoresAndDeaths(t *testing.T) {
+	// In these histories, holders die without having written their accounts again, and
+	// had used more in the lost seconds than the margin of an unconfirmed account.
+	overspending := []uint64{72, 75, 166, 186, 276}
+	historiesWithRestores(t, 0, overspending)
+}
+
+// historiesWithRestores runs histories in which kills and restores are at least some time
+// apart, for the usual seeds and for more of them.
+func historiesWithRestores(t *testing.T, apart time.Duration, more []uint64) {
+	served, refused, restored := 0, 0, 0
+	seeds := more
+	for seed := range uint64(historySeeds) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
+		overspend := ""
+		synctest.Test(t, func(t *testing.T) {
+			sim := history(t, seed, func(s *simulation) { s.restores, s.apart = true, apart })
+			served, refused, restored = served+sim.served, refused+sim.refused, restored+sim.restored
+			overspend = sim.overspend
+		})
+		if overspend != "" {
+			t.Errorf("seed %d: %s", seed, overspend)
+		}
+	}
+	t.Logf("%d requests served, %d refused, %d restores", served, refused, restored)
+	if restored < historySeeds {
+		t.Errorf("%d restores in %d histories, want more than one in each", restored, historySeeds)
+	}
+	if refused > served {
+		t.Errorf("%d requests refused and %d served, want more served than refused", refused, served)
+	}
+}
+
 // TestHistories guards against overspending: the organisations must not use more than
 // is paid. It runs random histories of kills, power losses, outages, lost answers and
 // late writes, and compares with a simple sum.
@@ -224,7 +309,7 @@
 	served, refused := 0, 0
 	for seed := range uint64(historySeeds) {
 		synctest.Test(t, func(t *testing.T) {
-			sim := history(t, seed, false)
+			sim := history(t, seed, nil)
 			if sim.overspend != "" {
 				t.Errorf("seed %d: %s", seed, sim.overspend)
 			}
@@ -243,7 +328,9 @@
 func TestHistoriesDetectOverspend(t *testing.T) {
 	for seed := uint64(21); seed < 21+historySeeds; seed++ {
 		overspend := ""
-		synctest.Test(t, func(t *testing.T) { overspend = history(t, seed, true).overspend })
+		synctest.Test(t, func(t *testing.T) {
+			overspend = history(t, seed, func(s *simulation) { s.frozenClock = true }).overspend
+		})
 		if overspend != "" {
 			t.Logf("seed %d: %s", seed, overspend)
 			return
--- a/internal/alloc/part.go
+++ b/internal/alloc/part.go
@@ -34,6 +34,10 @@
 	state acct.State
 	end   keyed.Offset
 	known bool
+	// epochs tracks the restores of the store. restored is when the last one was seen, or
+	// zero.
+	epochs   keyed.EpochTracker
+	restored time.Time
 	// read is when the call that returned state was sent.
 	read time.Time
 	// refresh is set if the next turn has to read.
@@ -67,6 +71,31 @@
 	return p.state.Budget(b.name, total), p.read, p.known
 }
 
+// unconfirmed reports whether the store was restored since this instance wrote its
+// account. The caller holds p.mu.
+func (p *partition) unconfirmed() bool { return p.own != nil && !p.state.Confirmed(p.own) }
+
+// logEpoch returns the epoch of the log that was read last.
+func (p *partition) logEpoch() keyed.LogEpoch {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.epochs.Current
+}
+
+// isUnconfirmed is unconfirmed for callers that do not hold p.mu.
+func (p *partition) isUnconfirmed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unconfirmed()
+}
+
+// sinceRestore returns the time since the last restore of the store was seen.
+func (p *partition) sinceRestore() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.restored)
+}
+
 // requestRead requests a turn that reads the accounts.
 func (p *partition) requestRead() {
 	p.mu.Lock()
@@ -149,6 +178,9 @@
 	if !s.isPredecessorClosed(p) {
 		return s.pledger.isKnown()
 	}
+	if p.isUnconfirmed() {
+		return true
+	}
 	if s.isStopped() {
 		s.returnFree() // Requests that ended since have freed tokens.
 		return slices.ContainsFunc(p.list(), func(b *budgetState) bool { return b.pendingReturn() > 0 })
@@ -164,10 +196,12 @@
 }
 
 // plan returns the changes to write. Once any change is due, those that are not urgent
-// are included, because they cost no further call.
+// are included, because they cost no further call. An account that is not confirmed is
+// written as it is: what is free is known only once the other holders have written theirs.
 func (s *Service) plan(p *partition) []acct.Change {
 	now := time.Now()
 	stopped := s.isStopped()
+	confirming := p.isUnconfirmed()
 	var changes []acct.Change
 	for _, b := range p.list() {
 		total, known := b.knownTotal()
@@ -175,6 +209,10 @@
 			continue
 		}
 		c := acct.Change{Budget: b.name, Total: total, PerSecond: s.holder.PerSecond(b.name, now)}
+		if confirming {
+			changes = append(changes, c)
+			continue
+		}
 		if !stopped {
 			for _, e := range s.holder.TopUp(b.name, now) {
 				switch e := e.(type) {
@@ -205,13 +243,24 @@
 	if known {
 		page, err = readFrom(ctx, s.opts.Store, p.id, end)
 	}
-	full := !known || errors.Is(err, keyed.ErrTrimmed)
+	if err == nil && known {
+		err = s.observe(p, page.LogEpoch)
+	}
+	full := !known || errors.Is(err, keyed.ErrTrimmed) || errors.Is(err, errRestored)
 	if full {
-		page, err = keyed.Snapshot(ctx, s.opts.Store, p.id)
+		if page, err = keyed.Snapshot(ctx, s.opts.Store, p.id); err == nil {
+			err = s.observe(p, page.LogEpoch)
+		}
+		if errors.Is(err, errRestored) {
+			err = nil
+		}
 	}
 	if err != nil {
 		return err
 	}
+	p.mu.Lock()
+	end = p.end
+	p.mu.Unlock()
 	if page.End < end {
 		// A lagging replica of the store would show grants that were made as missing.
 		return errors.Join(keyed.ErrUnavailable, errors.New("accounts end before an offset that was read earlier"))
@@ -222,19 +271,55 @@
 	}
 	p.mu.Lock()
 	if full {
-		p.state = acct.State{}
+		p.state.Reset()
 	}
 	s.apply(p, accounts, full)
 	p.end, p.known, p.read, p.refresh = page.End, true, at, false
 	own, newest := p.own, p.state.Account(s.key)
+	// An account of an earlier epoch may be one from before this incarnation started.
+	takenOver := own != nil && (newest == nil || newest.Holder != own.Holder)
+	if takenOver && p.unconfirmed() && (newest == nil || !p.state.Confirmed(newest)) {
+		takenOver = false
+	}
 	p.mu.Unlock()
-	if own != nil && (newest == nil || newest.Holder != own.Holder) {
+	if takenOver {
 		s.fence(newest)
 	}
 	s.sync(p)
 	return s.settle(p)
 }
 
+// errRestored reports that the store was restored, so that the accounts have to be read
+// from the start.
+var errRestored = errors.New("store was restored from an older copy")
+
+// observe records the epoch of a response. It returns errRestored after a restore: the
+// offsets and the result of a pending write are then forgotten, since the store may have
+// lost them. It returns keyed.ErrUnavailable for a response from before a restore.
+func (s *Service) observe(p *partition, epoch keyed.LogEpoch) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change := p.epochs.Observe(epoch)
+	switch change {
+	case keyed.EpochOld:
+		return errors.Join(keyed.ErrUnavailable, fmt.Errorf("response is from epoch %d of the log, but epoch %d has been read", epoch, p.epochs.Current))
+	case keyed.EpochRestored:
+		if w := p.pending; w != nil {
+			p.pending = nil
+			s.rejectGrants(w.changes)
+		}
+		p.end, p.restored = 0, time.Now()
+		s.logf(log.WarnLevel, "store of budget accounts was restored from an older copy; writing the account again",
+			"part", p.id.Index, "epoch", p.epochs.Current, "accounts", len(p.state.Keys()))
+	case keyed.EpochSame:
+	}
+	p.state.SetEpoch(int64(p.epochs.Current))
+	if change == keyed.EpochRestored {
+		return errRestored
+	}
+	return nil
+}
+
 // settle passes the result of the pending write to the holder and the budgets. A read
 // after the write must have been applied. That read contains the write if the store has
 // it.
@@ -273,6 +358,10 @@
 		if err != nil {
 			return keyed.Page{}, err
 		}
+		if all.LogEpoch != 0 && page.LogEpoch != 0 && page.LogEpoch != all.LogEpoch {
+			return keyed.Page{}, errors.Join(keyed.ErrUnavailable, errRestored)
+		}
+		all.LogEpoch = max(all.LogEpoch, page.LogEpoch)
 		all.Entries = append(all.Entries, page.Entries...)
 		if page.End <= all.End || !page.More {
 			all.End = max(all.End, page.End)
@@ -412,7 +501,7 @@
 				s.logf(log.WarnLevel, "store rejected the number of the account; retrying under a new epoch", "epoch", next.Epoch+1, "err", err)
 				next.Epoch, next.Serial = next.Epoch+1, 0
 			}
-			if s.fenced.Load() {
+			if s.fenced.Load() || next.LogEpoch != int64(p.logEpoch()) {
 				return errors.Join(keyed.ErrUnavailable, err)
 			}
 		case failures == 0 && errors.Is(err, keyed.ErrUnavailable):
--- a/internal/alloc/pledge.go
+++ b/internal/alloc/pledge.go
@@ -25,6 +25,8 @@
 	known    bool
 	previous *acct.Pledges
 	writer   keyed.Writer
+	// epoch is the epoch of the log in which the last pledges were written.
+	epoch keyed.LogEpoch
 	// latency is a moving average of the duration of a write.
 	latency time.Duration
 }
@@ -67,7 +69,8 @@
 		// left to write. The next write shows whether the store is reachable again.
 		return did || p.worker.isFailed(), nil
 	}
-	pledges := &acct.Pledges{Holder: s.holder.ID(), BootID: s.bootID(), Clock: s.opts.Clock()}
+	epoch := s.logEpoch()
+	pledges := &acct.Pledges{Holder: s.holder.ID(), BootID: s.bootID(), Clock: s.opts.Clock(), LogEpoch: int64(epoch)}
 	p.mu.Lock()
 	latency := p.latency
 	p.mu.Unlock()
@@ -77,23 +80,46 @@
 			pledges.Lines = append(pledges.Lines, line)
 		}
 	}
-	err = s.writePledges(ctx, pledges)
+	if err = s.writePledges(ctx, pledges); err == nil {
+		p.mu.Lock()
+		p.epoch = epoch
+		p.mu.Unlock()
+	}
 	for _, line := range pledges.Lines {
 		s.holder.Pledged(line.Budget, err == nil)
 	}
 	return true, err
 }
 
+// pledgeDue reports whether new pledges have to be written. After a restore of the store
+// they have to, since the store may have older ones.
 func (s *Service) pledgeDue() bool {
 	now := time.Now()
+	lost := s.pledger.lastEpoch() != s.logEpoch()
 	for _, b := range s.allBudgets() {
-		if s.holder.PledgeDue(b.name, now) {
+		if s.holder.PledgeDue(b.name, now) || (lost && s.holder.Pledges(b.name)) {
 			return true
 		}
 	}
 	return false
 }
 
+// logEpoch returns the lowest epoch of the log that the accounts were read from.
+func (s *Service) logEpoch() keyed.LogEpoch {
+	lowest := s.partitions[0].logEpoch()
+	for _, p := range s.partitions[1:] {
+		lowest = min(lowest, p.logEpoch())
+	}
+	return lowest
+}
+
+// lastEpoch returns the epoch of the log in which the last pledges were written.
+func (p *pledger) lastEpoch() keyed.LogEpoch {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.epoch
+}
+
 // readPledges reads the pledges of an earlier incarnation. Pledges that cannot be
 // decoded give no bound, so all tokens of that incarnation count as spent.
 func (s *Service) readPledges(ctx context.Context) error {
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -26,7 +26,7 @@
 // applyTables applies changes of the configuration.
 func (n *Node) applyTables(c keyed.Change) {
 	if c.Restored {
-		n.logRestored(n.opts.Tables.Topic, c)
+		n.storeRestored(n.opts.Tables.Topic, c)
 		n.storedVersion = 0
 	}
 	for _, entry := range c.Entries {
@@ -47,7 +47,9 @@
 	}
 }
 
-func (n *Node) logRestored(topic string, c keyed.Change) {
+// storeRestored logs that a follower saw a restore of the store, and tells the budgets.
+func (n *Node) storeRestored(topic string, c keyed.Change) {
+	n.engine.Budgets.StoreRestored()
 	n.logger("store").Warn("store was restored from an older copy; following it from the start", "topic", topic, "epoch", c.LogEpoch, "records", len(c.Entries))
 }
 
@@ -82,7 +84,7 @@
 	n.engine.fleet.confirm(c.RequestedAt)
 	now := time.Now()
 	if c.Restored {
-		n.logRestored(n.opts.Targets.Topic, c)
+		n.storeRestored(n.opts.Targets.Topic, c)
 		n.list.Restored(now)
 	}
 	ids := make(map[string]bool)
--- a/internal/emul/emul_test.go
+++ b/internal/emul/emul_test.go
@@ -104,6 +104,24 @@
 	}
 }
 
+// TestStoreRestored guards against overspending, and against refusals that last, when the
+// store comes back twice from copies that lack the newest grants.
+func TestStoreRestored(t *testing.T) {
+	s := small(t)
+	s.Organisations[0].Tokens = 12_000
+	s.Faults = []emul.Fault{
+		{At: 500 * time.Millisecond, For: 100 * time.Millisecond, Store: &keyd.Switches{Down: true}, Copy: 400 * time.Millisecond},
+		{At: 1200 * time.Millisecond, For: 100 * time.Millisecond, Store: &keyd.Switches{Down: true}, Copy: 600 * time.Millisecond},
+	}
+	r := run(t, s)
+	if y := r.Organisations["yard"]; 5*(y.InAim+y.Late) < 4*y.Asked {
+		t.Errorf("yard: got %+v, want at least four in five served: it has tokens to spare", y)
+	}
+	if d := r.Organisations["desk"]; d.Refused == 0 || d.InAim+d.Late == 0 {
+		t.Errorf("desk: got %+v, want some served and some refused, so that its budget ends", d)
+	}
+}
+
 // TestBudgetsEnd guards against a spent budget that affects other organisations: only
 // the organisation whose budget is spent may be refused.
 func TestBudgetsEnd(t *testing.T) {
@@ -134,7 +152,7 @@
 }
 
 func TestParse(t *testing.T) {
-	_, err := emul.Parse([]byte("[fleet]\nlength = long\ninstances = 99\ncolour = red\n[kind a]\nrate = x\n[trouble 1]\nwhat = rain\n[other]\n"))
+	_, err := emul.Parse([]byte("[fleet]\nlength = long\ninstances = 999\ncolour = red\n[kind a]\nrate = x\n[trouble 1]\nwhat = rain\n[other]\n"))
 	if !errors.Is(err, emul.ErrScenario) {
 		t.Fatal(err)
 	}
--- a/internal/emul/fleet.go
+++ b/internal/emul/fleet.go
@@ -212,6 +212,9 @@
 			now = *t.Store
 		}
 		f.store.Switches.Set(now)
+		if !on && t.Copy > 0 {
+			f.store.Restore(t.Copy, rewriteDelay)
+		}
 		return
 	}
 	now := modeld.Switches{}
--- a/internal/emul/scenario.go
+++ b/internal/emul/scenario.go
@@ -93,12 +93,15 @@
 	Store  *keyd.Switches
 	Target *modeld.Switches
 	Count  int
+	// Copy, if it is not 0, is the age of the copy that the store comes back from at the
+	// end of the fault.
+	Copy time.Duration
 }
 
 // Limits of a scenario, as it runs in one process. Rates are in requests per second.
 const (
-	maxInstances     = 16
-	maxTargets       = 64
+	maxInstances     = 128
+	maxTargets       = 128
 	maxRate          = 2000
 	maxLength        = 10 * time.Minute
 	maxKinds         = 64
@@ -116,9 +119,13 @@
 	lateEffect    = time.Second            // delay of a write whose response was lost
 	breakEvents   = 2                      // events before a stream is cut off
 	slowMultiple  = 5                      // factor on a target's latencies
+	rewriteDelay  = time.Second            // time until operators and targets write again after a restore
 	restWish      = 2 * time.Second        // rest that a target asks for
 )
 
+// defaultCopy is the age of the copy from which a store is restored.
+const defaultCopy = 3 * time.Second
+
 // Parse parses a scenario file. The error lists all its faults and wraps ErrScenario.
 func Parse(data []byte) (Scenario, error) {
 	file, err := ini.LoadSources(ini.LoadOptions{SpaceBeforeInlineComment: true}, data)
@@ -176,6 +183,8 @@
 	switch what := p.text("what"); what {
 	case "store-down":
 		t.Store = &keyd.Switches{Down: true}
+	case "store-restored":
+		t.Store, t.Copy = &keyd.Switches{Down: true}, p.duration("copy", defaultCopy)
 	case "store-slow":
 		t.Store = &keyd.Switches{Delay: slowStore}
 	case "store-forgetful":
@@ -197,7 +206,7 @@
 	case "slow":
 		t.Target = &modeld.Switches{Slow: slowMultiple}
 	default:
-		p.fault(fmt.Sprintf("what = %q: expected store-down, store-slow, store-forgetful, silent, reject, fault, break, foreign, leave, rest or slow", what))
+		p.fault(fmt.Sprintf("what = %q: expected store-down, store-restored, store-slow, store-forgetful, silent, reject, fault, break, foreign, leave, rest or slow", what))
 	}
 	return t
 }
--- a/pkg/acct/acct.go
+++ b/pkg/acct/acct.go
@@ -32,6 +32,9 @@
 	// Lines holds one line for each budget with granted or spent tokens, sorted by the
 	// budgets' names.
 	Lines []Line `cbor:"4,keyasint"`
+	// LogEpoch is the epoch of the log that the holder had read when it wrote the
+	// account.
+	LogEpoch int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Line is an account's part of one budget. Amounts are in tokens.
@@ -68,6 +71,9 @@
 	Clock  time.Duration `cbor:"2,keyasint"`
 	BootID string        `cbor:"3,keyasint"`
 	Lines  []Pledge      `cbor:"4,keyasint"`
+	// LogEpoch is the epoch of the log that the holder had read when it wrote the
+	// pledges.
+	LogEpoch int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Pledge bounds what a holder uses of its tokens of one budget: at most Base+Burst at
--- a/pkg/acct/pledge.go
+++ b/pkg/acct/pledge.go
@@ -49,11 +49,14 @@
 	// BootID and Clock are those of the successor; see Pledges.
 	BootID string
 	Clock  time.Duration
+	// LogEpoch is the epoch of the log that the successor has read.
+	LogEpoch int64
 }
 
 // Close returns the lines of an ended holder's account, with the holder's use added to
 // Spent. The use is what the pledge allowed, or all that the holder held if there is no
-// pledge that can be trusted. The remaining tokens are free again.
+// pledge that can be trusted. The remaining tokens are free again. A pledge from before a
+// restore of the store is not trusted: the holder may have written later ones.
 //
 // Only a later process of the same instance on the same machine may call Close. That
 // this process runs proves that the holder has ended.
@@ -61,9 +64,10 @@
 	lines := make([]Line, 0, len(a.Lines))
 	for _, l := range a.Lines {
 		used, likelyUsed := l.Held(), ledger.Tokens(0)
+		confirmed := a.LogEpoch == c.LogEpoch
 		if p, ok := c.Pledges.Line(a.Holder, l.Budget); ok {
 			likelyUsed = p.Base + p.Burst
-			if age, ok := c.Pledges.age(c.BootID, c.Clock); ok {
+			if age, ok := c.Pledges.age(c.BootID, c.Clock); ok && confirmed && c.Pledges.LogEpoch == c.LogEpoch {
 				used = min(used, p.At(age))
 			}
 		}
--- a/pkg/acct/state.go
+++ b/pkg/acct/state.go
@@ -12,6 +12,10 @@
 // It is not safe for concurrent use.
 type State struct {
 	accounts map[string]*Account
+	// epoch is the epoch of the log that the accounts are read from. evidence holds what
+	// was known of accounts before the store was restored.
+	epoch    int64
+	evidence map[string]*Account
 	// budgets holds the sums over the accounts. It is nil if they have to be recomputed.
 	budgets map[string]*sums
 }
@@ -21,11 +25,14 @@
 	total Total
 	// committed is the number of tokens that are spent or held.
 	committed ledger.Tokens
-	// unsettled is the number of lines whose pending grant is not settled.
-	unsettled int
-	lost      ledger.Tokens
-	perSecond ledger.Tokens
-	holders   int
+	// withheld is the part of committed that is the margin of unconfirmed accounts.
+	withheld ledger.Tokens
+	// unsettled is the number of lines whose pending grant is not settled. unconfirmed
+	// is the number of accounts that are not confirmed.
+	unsettled, unconfirmed int
+	lost                   ledger.Tokens
+	perSecond              ledger.Tokens
+	holders                int
 }
 
 // Budget is the view of one budget over all accounts. Amounts are in tokens.
@@ -36,6 +43,9 @@
 	// the total was lowered below Committed.
 	Committed ledger.Tokens
 	Free      ledger.Tokens
+	// Withheld is the part of Committed that holders may not have, but that is not free
+	// because their accounts are not confirmed since the store was restored.
+	Withheld ledger.Tokens
 	// Lost estimates the tokens of ended holders that count as spent but were not used.
 	Lost ledger.Tokens
 	// PerSecond is the demand of all holders, in tokens per second.
@@ -86,6 +96,7 @@
 		if m.total.Version > known.Version {
 			b.Total = m.total
 		}
+		b.Withheld = m.withheld
 		b.Committed, b.Lost, b.PerSecond, b.Holders = m.committed, m.lost, m.perSecond, m.holders
 	}
 	b.Free = max(0, b.Total.Tokens-b.Committed)
@@ -99,26 +110,42 @@
 	}
 	s.budgets = make(map[string]*sums)
 	for _, a := range s.accounts {
+		if !s.Confirmed(a) {
+			continue
+		}
 		for _, l := range a.Lines {
-			m := s.budgets[l.Budget]
-			if m == nil {
-				m = &sums{}
-				s.budgets[l.Budget] = m
-			}
-			if l.Version > m.total.Version {
-				m.total = Total{Version: l.Version, Tokens: l.Total}
-			}
-			m.committed += l.Spent + l.Held()
-			if l.Pending > 0 {
-				m.unsettled++
-			}
-			m.lost += l.Lost
-			m.perSecond += l.PerSecond
-			if l.Held() > 0 {
-				m.holders++
-			}
+			s.sum(l.Budget).add(l)
 		}
 	}
+	if list := s.unconfirmed(); len(list) > 0 {
+		s.addUnconfirmed(list)
+	}
+}
+
+// sum returns the sums of a budget, which it creates if needed.
+func (s *State) sum(budget string) *sums {
+	m := s.budgets[budget]
+	if m == nil {
+		m = &sums{}
+		s.budgets[budget] = m
+	}
+	return m
+}
+
+// add adds the line of an account.
+func (m *sums) add(l Line) {
+	if l.Version > m.total.Version {
+		m.total = Total{Version: l.Version, Tokens: l.Total}
+	}
+	m.committed += l.committed()
+	if l.Pending > 0 {
+		m.unsettled++
+	}
+	m.lost += l.Lost
+	m.perSecond += l.PerSecond
+	if l.Held() > 0 {
+		m.holders++
+	}
 }
 
 // Line returns an account's line of a budget. If there is none, or a is nil, it returns
@@ -153,14 +180,25 @@
 // base is what Settled returned for the holder's previous account. It is nil for the
 // first account of a holder, which closes the earlier holder's account under the key.
 func (s *State) Next(key string, holder ident.Incarnation, base *Account, closing Closing, changes []Change) *Account {
-	next := &Account{Holder: holder, Epoch: 1}
+	next := &Account{Holder: holder, Epoch: 1, LogEpoch: s.epoch}
 	switch before := s.accounts[key]; {
 	case base != nil:
 		next.Epoch, next.Serial = base.Epoch, base.Serial+1
 		next.Lines = slices.Clone(base.Lines)
+		if !s.Confirmed(base) {
+			// The store may not know the numbers of the epoch before. A higher epoch of
+			// the writer also invalidates writes of it that are still in progress.
+			next.Epoch, next.Serial = max(base.Epoch, before.epochOrZero())+1, 0
+		}
 	case before != nil:
 		next.Epoch = before.Epoch + 1
-		next.Lines = before.Close(closing)
+		closing.LogEpoch = s.epoch
+		if s.Confirmed(before) {
+			next.Lines = before.Close(closing)
+			break
+		}
+		known := larger(before, s.evidence[key])
+		next.Lines = s.closeUnconfirmed(known.Close(closing), known, changes)
 	}
 	for _, c := range changes {
 		next.change(c, s.Budget(c.Budget, c.Total).Total)
@@ -169,6 +207,14 @@
 	return next
 }
 
+// epochOrZero returns the account's epoch, or 0 if there is no account.
+func (a *Account) epochOrZero() int64 {
+	if a == nil {
+		return 0
+	}
+	return a.Epoch
+}
+
 // change applies a change to the account's line. A return of more than the holder has,
 // and a grant over ledger.MaxTokens, are ignored.
 func (a *Account) change(c Change, total Total) {
@@ -211,7 +257,9 @@
 			if previous.Pending > 0 {
 				unsettled--
 			}
-			if unsettled > 0 && !always {
+			// Other readers know other evidence of unconfirmed accounts, so the holder may
+			// have got more than this reader would leave to it.
+			if (unsettled > 0 || m.unconfirmed > 0) && !always {
 				continue
 			}
 			if m.total.Version > l.Version {
--- a/pkg/lease/pledge.go
+++ b/pkg/lease/pledge.go
@@ -70,6 +70,15 @@
 	return due
 }
 
+// Pledges reports whether the holder can pledge anything for a budget: it was granted
+// tokens, and no pledge is being written.
+func (h *Holder) Pledges(budget string) (ok bool) {
+	h.with(budget, func(_ *shard, b *budgetState) {
+		ok = h.Policy.PledgeEvery > 0 && b.credited > 0 && b.nextPledge == nil
+	})
+	return ok
+}
+
 func (p Policy) pledgeDue(b *budgetState, now time.Time) bool {
 	if p.PledgeEvery == 0 || b.nextPledge != nil || b.credited == 0 {
 		return false
