internal/edge: a panic ends one request, not the process

A panic in the handling of a response now ends the attempt as one that may have run, on a connection that is not used again; any other one resets its caller's connection. The target's count and the reservation are settled in both cases. It is logged with its stack.

Tests for others of those points: TestGarbage (random bytes from callers and targets), TestSlowStreamIsWhole, TestTrickledStreamEnds.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -45,7 +45,7 @@
 		// The goroutine that reads from the connection closes it.
 		_ = conn.SetDeadline(expiredDeadline)
 	})
-	result, reuse := x.roundTrip(conn, a)
+	result, reuse := x.containedRoundTrip(conn, a)
 	stopped := stop()
 	if x.ctx.Err() != nil {
 		if u, ok := result.(uncertain); ok {
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -117,9 +117,7 @@
 	x := &exchange{e: e, ctx: ctx, head: head, body: body, w: w, arrived: arrived, lastEvent: -1}
 	e.lastRequest.Store(int64(time.Since(e.started)))
 	x.id = head.Get(e.Dialect.RequestID)
-	if x.admit() {
-		x.serve()
-	}
+	x.containedServe()
 	x.recordRequest()
 }
 
@@ -243,8 +241,9 @@
 			return
 		}
 	}
+	// Also after a panic, which containedServe handles.
+	defer func() { x.e.Budgets.Settle(reservation, x.usedTokens()) }()
 	x.runAttempts()
-	x.e.Budgets.Settle(reservation, x.usedTokens())
 }
 
 // usedTokens returns the tokens charged to the organisation: the prompt once, and the
--- a/internal/edge/retry.go
+++ b/internal/edge/retry.go
@@ -21,6 +21,8 @@
 	ErrPartialEvent = errors.New("stream ended inside an event")
 	// ErrCallerGone reports that the caller disconnected.
 	ErrCallerGone = errors.New("caller has disconnected")
+	// ErrInternal reports a panic in the code of the instance.
+	ErrInternal = errors.New("internal error")
 	// ErrSilent reports a target that sent nothing for too long.
 	ErrSilent = errors.New("target sent nothing for too long")
 )
