--- a/internal/edge/contain_test.go
+++ b/internal/edge/contain_test.go
@@ -46,6 +46,8 @@
 	if got := w.ask("/once/", fields, "x"); got.status != 200 {
 		t.Errorf("next request: got response %+v, want status 200", got)
 	}
+	w.engine.fleet.mu.Lock()
+	defer w.engine.fleet.mu.Unlock()
 	for _, target := range w.engine.fleet.groups["s"].byName {
 		if target.open != 0 {
 			t.Errorf("%d requests count as open at the target, want 0", target.open)
