internal/edge: requests at the start wait for the first reading

Change: such a request waits for the first reading of both, up to 0.4 s, as it already does for tokens. After that it is refused with a time for a retry.

Shown: TestRequestsAtStart fails without the wait (503).

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -25,6 +25,7 @@
 
 // applyTables applies changes of the configuration.
 func (n *Node) applyTables(c keyed.Change) {
+	defer n.noteLoaded()
 	if c.Restored {
 		n.storeRestored(n.opts.Tables.Topic, c)
 		n.storedVersion = 0
@@ -79,6 +80,7 @@
 
 // applyTargets applies changes of the target list.
 func (n *Node) applyTargets(c keyed.Change) {
+	defer n.noteLoaded()
 	n.listMu.Lock()
 	defer n.listMu.Unlock()
 	n.engine.fleet.confirm(c.RequestedAt)
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -27,6 +27,10 @@
 	// have been added since it was read. Reads of the store wait up to 2 s, and a lost
 	// read is detected within 2 s more.
 	staleAfter = 4 * time.Second
+	// startWait is how long a request waits for the first reading of the configuration
+	// and of the targets by an instance that has just started. The reading takes a few
+	// calls to the store.
+	startWait = 400 * time.Millisecond
 	// startRetry is the Retry-After of an instance that has no configuration or no
 	// targets yet. Other instances in the data centre have them.
 	startRetry = 300 * time.Millisecond
@@ -50,6 +54,9 @@
 	Meter   *meter.Meter
 
 	fleet *fleet
+	// loaded is closed once the configuration and the targets were read for the first
+	// time.
+	loaded chan struct{}
 	// view is the active configuration, or nil before the first.
 	view atomic.Pointer[table.Table]
 	// confirmed is when the store last confirmed that view is the newest, in ns since
@@ -128,6 +135,7 @@
 	if len(x.id) == 0 || x.head.Count(e.Dialect.RequestID) != 1 {
 		return x.deny(statusBadRequest, 0, "a request carries one id")
 	}
+	e.awaitLoaded(x.ctx)
 	x.table, x.tableAge = e.view.Load(), e.age()
 	if x.table == nil {
 		return x.deny(statusUnavailable, startRetry, "no configuration is known yet")
@@ -150,6 +158,23 @@
 	return x.parseFields()
 }
 
+// awaitLoaded waits until the configuration and the targets were read for the first time,
+// up to startWait.
+func (e *Engine) awaitLoaded(ctx context.Context) {
+	select {
+	case <-e.loaded:
+		return
+	default:
+	}
+	timeout := time.NewTimer(startWait)
+	defer timeout.Stop()
+	select {
+	case <-e.loaded:
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+}
+
 // identify looks up the organisation of the request's key.
 func (x *exchange) identify() bool {
 	if x.route.Public || !x.table.NeedsKey {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -111,7 +111,8 @@
 	list       roster.Roster
 	graceTimer *time.Timer
 
-	stopping atomic.Bool
+	loadedOnce sync.Once
+	stopping   atomic.Bool
 	wasReady atomic.Bool
 }
 
@@ -126,7 +127,7 @@
 	})
 	n.engine = &Engine{
 		Dialect: opts.Dialect, Budgets: budgets, Logger: opts.Logger.WithPrefix("requests"), Meter: &meter.Meter{},
-		fleet: newFleet(opts.DataCentre, opts.Retries), started: time.Now(),
+		fleet: newFleet(opts.DataCentre, opts.Retries), loaded: make(chan struct{}), started: time.Now(),
 	}
 	n.server = &Server{Engine: n.engine, Logger: opts.Logger.WithPrefix("callers")}
 	n.tables = &keyed.Follower{
@@ -152,6 +153,16 @@
 	return known && n.engine.Budgets.Loaded()
 }
 
+// noteLoaded lets waiting requests go on once the configuration and the targets were read.
+func (n *Node) noteLoaded() {
+	n.listMu.Lock()
+	complete := n.list.Complete()
+	n.listMu.Unlock()
+	if complete && n.engine.view.Load() != nil {
+		n.loadedOnce.Do(func() { close(n.engine.loaded) })
+	}
+}
+
 // Run serves until the context is cancelled, then stops within Options.Grace.
 func (n *Node) Run(ctx context.Context) error {
 	m, err := meter.New(n.state)
--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -77,10 +77,7 @@
 
 func (n *nodeEnv) start() {
 	n.t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	n.node, n.stop = New(n.opts), cancel
-	n.t.Cleanup(cancel)
-	go func() { n.ended <- n.node.Run(ctx) }()
+	n.run()
 	for range 200 {
 		if n.ready() == http.StatusOK {
 			return
@@ -90,6 +87,42 @@
 	n.t.Fatal("the node is not ready after 4 s")
 }
 
+// run starts the node without waiting until it is ready.
+func (n *nodeEnv) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.node, n.stop = New(n.opts), cancel
+	n.t.Cleanup(cancel)
+	go func() { n.ended <- n.node.Run(ctx) }()
+}
+
+// TestRequestsAtStart: requests that arrive before a node has read anything wait for the
+// first reading and are served. If the store does not respond, they are refused with a
+// time for a retry.
+func TestRequestsAtStart(t *testing.T) {
+	n := newNode(t, respondOK)
+	n.stop()
+	<-n.ended
+	for _, c := range []struct {
+		delay  time.Duration
+		status int
+	}{{startWait / 4, 200}, {4 * startWait, 503}} {
+		n.store.Switches.Set(keyd.Switches{Delay: c.delay})
+		n.run()
+		for c, err := net.Dial("tcp", n.addr); ; c, err = net.Dial("tcp", n.addr) {
+			if err == nil {
+				_ = c.Close()
+				break
+			}
+		}
+		got := n.ask("/once/", "Request-Id: r\nKey: k\n", "x")
+		if got.status != c.status || (got.status == 503) != (got.head.Get("Retry-After") != nil) {
+			t.Errorf("store answers after %v: got response %+v, want status %d", c.delay, got, c.status)
+		}
+		n.stop()
+		<-n.ended
+	}
+}
+
 func (n *nodeEnv) get(url string) (int, string) {
 	resp, err := http.Get(url)
 	if err != nil {
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -86,6 +86,8 @@
 		Dialect: testDialect, Budgets: budgets, Logger: logger, Meter: &meter.Meter{},
 		fleet: newFleet("here", Retries{Window: 10 * time.Second, Share: 1, Burst: 1000}), started: time.Now(),
 	}
+	w.engine.loaded = make(chan struct{})
+	close(w.engine.loaded)
 	w.server = &Server{Engine: w.engine, Logger: logger}
 	w.setTable(&table.Table{
 		Version: 1,
