--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -113,7 +113,7 @@
 
 	loadedOnce sync.Once
 	stopping   atomic.Bool
-	wasReady atomic.Bool
+	wasReady   atomic.Bool
 }
 
 // New returns a node. It is inactive until Run is called.
