--- a/internal/alloc/alloc.go
+++ b/internal/alloc/alloc.go
@@ -325,16 +325,6 @@
 	}
 }
 
-// StoreRestored tells the service that the store was restored from an older copy. The
-// service finds out by itself when it next reads the accounts, but until then its own
-// account may be missing in the store.
-func (s *Service) StoreRestored() {
-	for _, p := range s.partitions {
-		p.requestRead()
-	}
-	s.kickPartitions()
-}
-
 // Loaded reports whether all accounts were read and this instance still owns its own.
 func (s *Service) Loaded() bool {
 	for _, p := range s.partitions {
--- a/internal/alloc/part.go
+++ b/internal/alloc/part.go
@@ -71,31 +71,6 @@
 	return p.state.Budget(b.name, total), p.read, p.known
 }
 
-// unconfirmed reports whether the store was restored since this instance wrote its
-// account. The caller holds p.mu.
-func (p *partition) unconfirmed() bool { return p.own != nil && !p.state.Confirmed(p.own) }
-
-// logEpoch returns the epoch of the log that was read last.
-func (p *partition) logEpoch() keyed.LogEpoch {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.epochs.Current
-}
-
-// isUnconfirmed is unconfirmed for callers that do not hold p.mu.
-func (p *partition) isUnconfirmed() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.unconfirmed()
-}
-
-// sinceRestore returns the time since the last restore of the store was seen.
-func (p *partition) sinceRestore() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return time.Since(p.restored)
-}
-
 // requestRead requests a turn that reads the accounts.
 func (p *partition) requestRead() {
 	p.mu.Lock()
@@ -289,37 +264,6 @@
 	return s.settle(p)
 }
 
-// errRestored reports that the store was restored, so that the accounts have to be read
-// from the start.
-var errRestored = errors.New("store was restored from an older copy")
-
-// observe records the epoch of a response. It returns errRestored after a restore: the
-// offsets and the result of a pending write are then forgotten, since the store may have
-// lost them. It returns keyed.ErrUnavailable for a response from before a restore.
-func (s *Service) observe(p *partition, epoch keyed.LogEpoch) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	change := p.epochs.Observe(epoch)
-	switch change {
-	case keyed.EpochOld:
-		return errors.Join(keyed.ErrUnavailable, fmt.Errorf("response is from epoch %d of the log, but epoch %d has been read", epoch, p.epochs.Current))
-	case keyed.EpochRestored:
-		if w := p.pending; w != nil {
-			p.pending = nil
-			s.rejectGrants(w.changes)
-		}
-		p.end, p.restored = 0, time.Now()
-		s.logf(log.WarnLevel, "store of budget accounts was restored from an older copy; writing the account again",
-			"part", p.id.Index, "epoch", p.epochs.Current, "accounts", len(p.state.Keys()))
-	case keyed.EpochSame:
-	}
-	p.state.SetEpoch(int64(p.epochs.Current))
-	if change == keyed.EpochRestored {
-		return errRestored
-	}
-	return nil
-}
-
 // settle passes the result of the pending write to the holder and the budgets. A read
 // after the write must have been applied. That read contains the write if the store has
 // it.
--- a/internal/alloc/pledge.go
+++ b/internal/alloc/pledge.go
@@ -104,15 +104,6 @@
 	return false
 }
 
-// logEpoch returns the lowest epoch of the log that the accounts were read from.
-func (s *Service) logEpoch() keyed.LogEpoch {
-	lowest := s.partitions[0].logEpoch()
-	for _, p := range s.partitions[1:] {
-		lowest = min(lowest, p.logEpoch())
-	}
-	return lowest
-}
-
 // lastEpoch returns the epoch of the log in which the last pledges were written.
 func (p *pledger) lastEpoch() keyed.LogEpoch {
 	p.mu.Lock()
--- a/pkg/acct/restore.go
+++ b/pkg/acct/restore.go
@@ -68,7 +68,7 @@
 }
 
 // closeUnconfirmed adds the margin to the lines of an ended holder's account that is not
-// confirmed, as used. budgets are the changes that the successor makes, with the totals.
+// confirmed, as used. The changes that the successor makes name the budgets and their totals.
 func (s *State) closeUnconfirmed(lines []Line, before *Account, changes []Change) []Line {
 	for _, c := range changes {
 		l := before.Line(c.Budget)
