internal/audit, internal/meter: show the epoch of the log and unconfirmed accounts

Fault: audit read accounts without the epoch of the log, so all of them counted as unconfirmed wherever the store has an era, and beryl edge budgets would have shown margins as withheld. TestBudgetsAfterRestore failed before.

beryl edge budgets shows withheld tokens and unconfirmed accounts; the metric beryl_log_epoch shows restores.

--- a/cmd/beryl/edge.go
+++ b/cmd/beryl/edge.go
@@ -46,7 +46,8 @@
 Lost is the part of spent that was probably not used. A holder is an instance
 that holds tokens. It pledges how many of them it has used or reserved, and how
 fast that number may grow. If it ends, its successor takes back the tokens
-beyond the pledge.`,
+beyond the pledge. Withheld tokens are not free because accounts are unconfirmed:
+their holders have not written them since the store came back from an older copy.`,
 				Examples: []cmds.Example{
 					{Line: "beryl edge budgets --boot settings.toml", Does: "one line for each budget"},
 					{Line: "beryl edge budgets parts-desk --boot settings.toml", Does: "one budget, and the instances that hold its tokens"},
@@ -147,17 +148,21 @@
 }
 
 func writeBudgets(w io.Writer, list []audit.Budget, whole bool) {
-	_, _ = fmt.Fprintln(w, "BUDGET\tVERSION\tPAID\tFREE\tSPENT\tLOST\tHOLDERS")
+	_, _ = fmt.Fprintln(w, "BUDGET\tVERSION\tPAID\tFREE\tWITHHELD\tSPENT\tLOST\tHOLDERS")
 	for _, a := range list {
-		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\n", a.Name, a.Version, a.Paid, a.Free, a.Spent, a.Lost, len(a.Leases))
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", a.Name, a.Version, a.Paid, a.Free, a.Withheld, a.Spent, a.Lost, len(a.Leases))
 	}
 	if !whole {
 		return
 	}
 	for _, a := range list {
-		_, _ = fmt.Fprintln(w, "\nHOLDER\tMACHINE\tHELD\tPLEDGED\tPER SECOND")
+		_, _ = fmt.Fprintln(w, "\nHOLDER\tMACHINE\tHELD\tPLEDGED\tPER SECOND\tACCOUNT")
 		for _, s := range a.Leases {
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\n", s.Holder, s.Machine, s.Held, s.Pledged, s.PerSecond)
+			account := "confirmed"
+			if s.Unconfirmed {
+				account = "unconfirmed"
+			}
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\n", s.Holder, s.Machine, s.Held, s.Pledged, s.PerSecond, account)
 		}
 	}
 }
--- a/cmd/beryl/edge_test.go
+++ b/cmd/beryl/edge_test.go
@@ -22,8 +22,8 @@
 	var out bytes.Buffer
 	w := tabwriter.NewWriter(&out, 0, 0, 2, ' ', 0)
 	writeBudgets(w, []audit.Budget{{
-		Name: "desk", Version: 4, Paid: 200_000, Free: 150_000, Spent: 12_000, Lost: 3000,
-		Leases: []audit.Lease{{Holder: "edge-1~ab", Machine: "10.0.0.1", Held: ledger.Tokens(38_000), Pledged: 5000, PerSecond: 900}},
+		Name: "desk", Version: 4, Paid: 200_000, Free: 140_000, Withheld: 10_000, Spent: 12_000, Lost: 3000,
+		Leases: []audit.Lease{{Holder: "edge-1~ab", Machine: "10.0.0.1", Held: ledger.Tokens(38_000), Pledged: 5000, PerSecond: 900, Unconfirmed: true}},
 	}}, true)
 	writeTargets(w, []audit.Target{
 		{Target: roster.Target{ID: "i-1", Service: "chat", Address: "10.0.0.9:80", DataCentre: "z", Draining: true}},
--- a/internal/alloc/pledge.go
+++ b/internal/alloc/pledge.go
@@ -69,7 +69,7 @@
 		// left to write. The next write shows whether the store is reachable again.
 		return did || p.worker.isFailed(), nil
 	}
-	epoch := s.logEpoch()
+	epoch := s.LogEpoch()
 	pledges := &acct.Pledges{Holder: s.holder.ID(), BootID: s.bootID(), Clock: s.opts.Clock(), LogEpoch: int64(epoch)}
 	p.mu.Lock()
 	latency := p.latency
@@ -95,7 +95,7 @@
 // they have to, since the store may have older ones.
 func (s *Service) pledgeDue() bool {
 	now := time.Now()
-	lost := s.pledger.lastEpoch() != s.logEpoch()
+	lost := s.pledger.lastEpoch() != s.LogEpoch()
 	for _, b := range s.allBudgets() {
 		if s.holder.PledgeDue(b.name, now) || (lost && s.holder.Pledges(b.name)) {
 			return true
--- a/internal/alloc/restore.go
+++ b/internal/alloc/restore.go
@@ -51,8 +51,8 @@
 	s.kickPartitions()
 }
 
-// logEpoch returns the lowest epoch of the log that the accounts were read from.
-func (s *Service) logEpoch() keyed.LogEpoch {
+// LogEpoch returns the lowest epoch of the log that the accounts were read from.
+func (s *Service) LogEpoch() keyed.LogEpoch {
 	lowest := s.partitions[0].logEpoch()
 	for _, p := range s.partitions[1:] {
 		lowest = min(lowest, p.logEpoch())
--- a/internal/audit/accounts.go
+++ b/internal/audit/accounts.go
@@ -19,11 +19,14 @@
 	Name string `json:"name"`
 	// Version is the version of the configuration that Paid is taken from.
 	Version int64 `json:"version"`
-	// Paid is the sum of Free, Spent and the Held of all Leases. Spent counts the
-	// tokens booked as spent by ended instances.
-	Paid  ledger.Tokens `json:"paid"`
-	Free  ledger.Tokens `json:"free"`
-	Spent ledger.Tokens `json:"spent"`
+	// Paid is the sum of Free, Withheld, Spent and the Held of all Leases. Spent counts
+	// the tokens booked as spent by ended instances. Withheld counts those that are not
+	// free because holders have not written their accounts again since the store was
+	// restored from an older copy.
+	Paid     ledger.Tokens `json:"paid"`
+	Free     ledger.Tokens `json:"free"`
+	Spent    ledger.Tokens `json:"spent"`
+	Withheld ledger.Tokens `json:"withheld"`
 	// Lost is the part of Spent that was probably never used.
 	Lost   ledger.Tokens `json:"lost"`
 	Leases []Lease       `json:"slices"`
@@ -43,6 +46,9 @@
 	// Machine identifies the machine and its boot.
 	PledgeClock time.Duration `json:"pledge-clock-ns"`
 	Machine     string        `json:"machine,omitempty"`
+	// Unconfirmed means that the holder has not written its account since the store was
+	// restored from an older copy. It may hold more.
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
 }
 
 // Topics names the topics in which instances keep their accounts and pledges, and
@@ -80,10 +86,12 @@
 					budgets[l.Budget] = b
 				}
 				view := state.Budget(l.Budget, totals[l.Budget])
-				b.Version, b.Paid, b.Free, b.Lost = view.Total.Version, view.Total.Tokens, view.Free, view.Lost
+				b.Version, b.Paid, b.Free, b.Lost, b.Withheld = view.Total.Version, view.Total.Tokens, view.Free, view.Lost, view.Withheld
 				b.Spent += l.Spent
 				if l.Held() > 0 {
-					b.Leases = append(b.Leases, leaseOf(state.Account(key).Holder, l, pledges[key]))
+					lease := leaseOf(state.Account(key).Holder, l, pledges[key])
+					lease.Unconfirmed = !state.Confirmed(state.Account(key))
+					b.Leases = append(b.Leases, lease)
 				}
 			}
 		}
@@ -121,6 +129,7 @@
 		return nil, fmt.Errorf("read partition %d of topic %s: %w", partition.Index, partition.Topic, err)
 	}
 	state := &acct.State{}
+	state.SetEpoch(int64(page.LogEpoch))
 	for _, e := range page.Entries {
 		if e.Value == nil {
 			continue
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -76,6 +76,46 @@
 	})
 }
 
+// TestBudgetsAfterRestore reads the accounts after the store came back from an older copy:
+// right after, when no holder has written again, and when all have.
+func TestBudgetsAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &keyd.Store{}
+		store.Restore(0, time.Hour) // The first epoch of a store may be any.
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := alloc.New(alloc.Options{Store: store, Topic: "b", Instance: "a", Policy: alloc.Policy, Machine: "m"})
+		go s.Run(ctx)
+		s.SetTotals(4, []alloc.Total{{Budget: "desk", Tokens: 160_000}})
+		reservation, err := s.Reserve(t.Context(), "desk", 5000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Settle(reservation, 3000)
+		time.Sleep(5 * time.Second)
+		topics := audit.Topics{Accounts: "b", AccountPartitions: 1, Pledges: "p", PledgePartitions: 1}
+		totals := map[string]acct.Total{"desk": {Version: 4, Tokens: 160_000}}
+		check := func(when string, unconfirmed bool) {
+			t.Helper()
+			list, err := audit.Budgets(t.Context(), store, topics, totals, "desk")
+			if err != nil {
+				t.Fatal(err)
+			}
+			b := list[0]
+			if (b.Withheld > 0) != unconfirmed || len(b.Leases) != 1 || b.Leases[0].Unconfirmed != unconfirmed ||
+				b.Free+b.Withheld+b.Leases[0].Held+b.Spent != b.Paid {
+				t.Errorf("%s: got budget %+v, want paid = free + withheld + held + spent, and unconfirmed %v", when, b, unconfirmed)
+			}
+		}
+		check("before the restore", false)
+		store.Restore(time.Second, time.Hour)
+		check("right after it", true)
+		time.Sleep(5 * time.Second)
+		check("seconds after it", false)
+		cancel()
+	})
+}
+
 func put(t *testing.T, s *keyd.Store, topic, key, value string) {
 	t.Helper()
 	s.Put(keyed.Partition{Topic: topic}, keyed.Entry{Key: key, Value: []byte(value)})
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -276,7 +276,7 @@
 // state returns the current values of the gauges.
 func (n *Node) state() meter.State {
 	leaving, resting := n.engine.fleet.withdrawn()
-	s := meter.State{Leaving: leaving, Resting: resting, Targets: n.engine.fleet.targetCounts(), TableAge: n.engine.age(), Open: n.server.Busy()}
+	s := meter.State{Leaving: leaving, Resting: resting, LogEpoch: int64(n.engine.Budgets.LogEpoch()), Targets: n.engine.fleet.targetCounts(), TableAge: n.engine.age(), Open: n.server.Busy()}
 	if t := n.engine.view.Load(); t != nil {
 		s.TableVersion = t.Version
 	}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -33,6 +33,8 @@
 	// since the store last confirmed that it is the newest.
 	TableVersion int64
 	TableAge     time.Duration
+	// LogEpoch is the number of times that the store was restored, as far as it told.
+	LogEpoch int64
 	// Open is the number of requests in progress.
 	Open int
 	// LogDropped is the number of log lines dropped so far.
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -31,7 +31,7 @@
 	m, err := New(func() State {
 		return State{
 			Budgets: []Budget{{"o", 500, 70}}, Targets: map[string]int{"s": 3}, Leaving: map[string]int{"s": 1}, Resting: map[string]int{"s": 0}, TableVersion: 7,
-			TableAge: 250 * time.Millisecond, Open: 2, LogDropped: 4,
+			TableAge: 250 * time.Millisecond, LogEpoch: 3, Open: 2, LogDropped: 4,
 		}
 	})
 	if err != nil {
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -49,12 +49,13 @@
 	freeMetric           = definition{"beryl.budget.free", gauge, "", "budget", "Tokens that this instance may use. 0 for long: the budget is spent or the store away"}
 	reservedMetric       = definition{"beryl.budget.reserved", gauge, "", "budget", "Tokens of requests in progress, at their most"}
 	versionMetric        = definition{"beryl.table.version", gauge, "", "", "Version of the configuration in force"}
+	epochMetric          = definition{"beryl.log.epoch", gauge, "", "", "Epoch of the store's log, by which the budgets' accounts were last read. It rises: the store came back from an older copy"}
 	ageMetric            = definition{"beryl.table.age", gauge, seconds, "", "Time since the store last showed that the configuration is the newest. Over 4: the store is out of reach"}
 	logDroppedMetric     = definition{"beryl.log.dropped", counter, "", "", "Log lines that the output did not take in time"}
 
 	definitions = []definition{
 		requestsMetric, requestTimeMetric, firstByteMetric, reserveTimeMetric, attemptsMetric, retriesMetric, noticesMetric, wrongResponsesMetric, connectionsMetric, openMetric,
-		targetsMetric, leavingMetric, restingMetric, freeMetric, reservedMetric, versionMetric, ageMetric, logDroppedMetric,
+		targetsMetric, leavingMetric, restingMetric, freeMetric, reservedMetric, versionMetric, ageMetric, epochMetric, logDroppedMetric,
 	}
 )
 
@@ -83,7 +84,7 @@
 	m.requestTime, m.firstByte, m.reserveTime = newHistogram(requestTimeMetric), newHistogram(firstByteMetric), newHistogram(reserveTimeMetric)
 	open, targets, free, reserved := newGauge(openMetric), newGauge(targetsMetric), newGauge(freeMetric), newGauge(reservedMetric)
 	leaving, resting := newGauge(leavingMetric), newGauge(restingMetric)
-	version, age := newGauge(versionMetric), newGauge(ageMetric)
+	version, age, epoch := newGauge(versionMetric), newGauge(ageMetric), newGauge(epochMetric)
 	dropped, err := meter.Int64ObservableCounter(logDroppedMetric.Name, metric.WithDescription(logDroppedMetric.Text))
 	errs = append(errs, err)
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
@@ -101,9 +102,10 @@
 		o.ObserveFloat64(open, float64(s.Open))
 		o.ObserveFloat64(version, float64(s.TableVersion))
 		o.ObserveFloat64(age, s.TableAge.Seconds())
+		o.ObserveFloat64(epoch, float64(s.LogEpoch))
 		o.ObserveInt64(dropped, s.LogDropped)
 		return nil
-	}, open, targets, leaving, resting, free, reserved, version, age, dropped)
+	}, open, targets, leaving, resting, free, reserved, version, age, epoch, dropped)
 	return errors.Join(append(errs, err)...)
 }
 
