internal/emul: tests that are not about time give requests a minute

The report shows why: requests took longer than their 5 s, and repeatable ones left targets that seemed silent for 0.5 s. Neither is what the tests are for.

--- a/internal/emul/emul_test.go
+++ b/internal/emul/emul_test.go
@@ -82,6 +82,14 @@
 	}
 }
 
+// allowTime gives all requests a minute, for tests that are not about time. On a busy
+// machine, responses are slow, and a target may seem silent.
+func allowTime(s *emul.Scenario) {
+	for i := range s.Kinds {
+		s.Kinds[i].Goal, s.Kinds[i].Deadline = time.Minute, time.Minute
+	}
+}
+
 // TestNotices guards against requests to targets that withdrew by their own notice: one
 // of six targets says that it leaves, and two ask for a rest. Each instance may send a
 // resting target what was on its way when it asked, and nothing more. The other targets
@@ -89,6 +97,7 @@
 func TestNotices(t *testing.T) {
 	s := small(t)
 	s.Targets = 6
+	allowTime(&s)
 	s.Faults = []emul.Fault{
 		{At: 200 * time.Millisecond, For: s.Length, Target: &modeld.Switches{Rest: time.Minute}, Count: 2},
 		{At: 800 * time.Millisecond, For: s.Length, Target: &modeld.Switches{Leaving: true}, Count: 1},
@@ -108,6 +117,7 @@
 // store comes back twice from copies that lack the newest grants.
 func TestStoreRestored(t *testing.T) {
 	s := small(t)
+	allowTime(&s)
 	s.Organisations[0].Tokens = 12_000
 	s.Faults = []emul.Fault{
 		{At: 500 * time.Millisecond, For: 100 * time.Millisecond, Store: &keyd.Switches{Down: true}, Copy: 400 * time.Millisecond},
