pkg/acct, internal/alloc, internal/edge: one piece for what the change wrote twice

* pkg/acct: findLine serves accounts and the lines of a closed one.
* internal/alloc: read observes the epoch where it reads.
* internal/edge: isListComplete serves Ready and noteLoaded; the gauges are read in one literal, and one time serves all groups.
* internal/audit: the account of a key is looked up once.
* pkg/route: the comment of returnFactor said that arrivals double; the limit trebles at most, as the test has it.

--- a/internal/alloc/part.go
+++ b/internal/alloc/part.go
@@ -216,10 +216,9 @@
 	var page keyed.Page
 	var err error
 	if known {
-		page, err = readFrom(ctx, s.opts.Store, p.id, end)
-	}
-	if err == nil && known {
-		err = s.observe(p, page.LogEpoch)
+		if page, err = readFrom(ctx, s.opts.Store, p.id, end); err == nil {
+			err = s.observe(p, page.LogEpoch)
+		}
 	}
 	full := !known || errors.Is(err, keyed.ErrTrimmed) || errors.Is(err, errRestored)
 	if full {
--- a/internal/audit/accounts.go
+++ b/internal/audit/accounts.go
@@ -79,7 +79,8 @@
 			return nil, err
 		}
 		for _, key := range state.Keys() {
-			for _, l := range state.Account(key).Lines {
+			account := state.Account(key)
+			for _, l := range account.Lines {
 				b := budgets[l.Budget]
 				if b == nil {
 					b = &Budget{Name: l.Budget, Leases: []Lease{}}
@@ -89,8 +90,8 @@
 				b.Version, b.Paid, b.Free, b.Lost, b.Withheld = view.Total.Version, view.Total.Tokens, view.Free, view.Lost, view.Withheld
 				b.Spent += l.Spent
 				if l.Held() > 0 {
-					lease := leaseOf(state.Account(key).Holder, l, pledges[key])
-					lease.Unconfirmed = !state.Confirmed(state.Account(key))
+					lease := leaseOf(account.Holder, l, pledges[key])
+					lease.Unconfirmed = !state.Confirmed(account)
 					b.Leases = append(b.Leases, lease)
 				}
 			}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -147,18 +147,19 @@
 	if n.stopping.Load() || n.engine.view.Load() == nil {
 		return false
 	}
+	return n.isListComplete() && n.engine.Budgets.Loaded()
+}
+
+// isListComplete reports whether the target list was read completely at least once.
+func (n *Node) isListComplete() bool {
 	n.listMu.Lock()
-	known := n.list.Complete()
-	n.listMu.Unlock()
-	return known && n.engine.Budgets.Loaded()
+	defer n.listMu.Unlock()
+	return n.list.Complete()
 }
 
 // noteLoaded lets waiting requests go on once the configuration and the targets were read.
 func (n *Node) noteLoaded() {
-	n.listMu.Lock()
-	complete := n.list.Complete()
-	n.listMu.Unlock()
-	if complete && n.engine.view.Load() != nil {
+	if n.isListComplete() && n.engine.view.Load() != nil {
 		n.loadedOnce.Do(func() { close(n.engine.loaded) })
 	}
 }
@@ -276,7 +277,10 @@
 // state returns the current values of the gauges.
 func (n *Node) state() meter.State {
 	leaving, resting := n.engine.fleet.withdrawn()
-	s := meter.State{Leaving: leaving, Resting: resting, LogEpoch: int64(n.engine.Budgets.LogEpoch()), Targets: n.engine.fleet.targetCounts(), TableAge: n.engine.age(), Open: n.server.Busy()}
+	s := meter.State{
+		Targets: n.engine.fleet.targetCounts(), Leaving: leaving, Resting: resting,
+		TableAge: n.engine.age(), LogEpoch: int64(n.engine.Budgets.LogEpoch()), Open: n.server.Busy(),
+	}
 	if t := n.engine.view.Load(); t != nil {
 		s.TableVersion = t.Version
 	}
--- a/internal/edge/notice.go
+++ b/internal/edge/notice.go
@@ -93,9 +93,10 @@
 func (f *fleet) withdrawn() (leaving, resting map[string]int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := time.Now()
 	leaving, resting = make(map[string]int, len(f.groups)), make(map[string]int, len(f.groups))
 	for service, g := range f.groups {
-		leaving[service], resting[service] = g.picker.Withdrawn(time.Now())
+		leaving[service], resting[service] = g.picker.Withdrawn(now)
 	}
 	return leaving, resting
 }
--- a/pkg/acct/restore.go
+++ b/pkg/acct/restore.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 )
@@ -73,7 +72,7 @@
 	for _, c := range changes {
 		l := before.Line(c.Budget)
 		l.Total = c.Total.Tokens
-		i, ok := slices.BinarySearchFunc(lines, c.Budget, func(l Line, name string) int { return strings.Compare(l.Budget, name) })
+		i, ok := findLine(lines, c.Budget)
 		if !ok {
 			lines = slices.Insert(lines, i, Line{Budget: c.Budget})
 		}
--- a/pkg/acct/state.go
+++ b/pkg/acct/state.go
@@ -159,8 +159,11 @@
 	return Line{Budget: budget}
 }
 
-func (a *Account) find(budget string) (int, bool) {
-	return slices.BinarySearchFunc(a.Lines, budget, func(l Line, name string) int { return strings.Compare(l.Budget, name) })
+func (a *Account) find(budget string) (int, bool) { return findLine(a.Lines, budget) }
+
+// findLine returns the index of a budget's line among sorted lines, or where it belongs.
+func findLine(lines []Line, budget string) (int, bool) {
+	return slices.BinarySearchFunc(lines, budget, func(l Line, name string) int { return strings.Compare(l.Budget, name) })
 }
 
 // Change is a change that a holder wants to make to its line of a budget.
--- a/pkg/route/rest.go
+++ b/pkg/route/rest.go
@@ -15,7 +15,7 @@
 	// rests.
 	maxRest = 5 * time.Minute
 	// returnFactor is the number of attempts that each response after a rest adds to
-	// those allowed at the same time. Arrivals thus double with each round.
+	// those allowed at the same time. Arrivals thus treble at most with each round.
 	returnFactor = 2
 	// returnResponses is the number of responses after which a target that rested
 	// counts as returned, without a limit of its own.
