internal/edge, platform: log the shared parts of the prompt

What callers saw: one target after the other ended under requests of one kind.

Change: ParsePrefix returns the ids of the shared parts besides the affinity key. Nothing is decided by them yet.

--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -45,13 +45,25 @@
 	Internal []string
 	// ParseTokens returns the bounds of a Tokens field.
 	ParseTokens func(field []byte) (Tokens, error)
-	// ParsePrefix returns the affinity key of a Prefix field and the number of prompt
-	// tokens in the shared parts.
-	ParsePrefix func(field []byte) (key uint64, shared int64)
+	// ParsePrefix returns what a Prefix field says of the prompt.
+	ParsePrefix func(field []byte) Prefix
 	// ParseLoad returns the load of a Load field.
 	ParseLoad func(field []byte) (route.Status, bool)
 }
 
+// Prefix describes the parts of a prompt that other requests may share.
+type Prefix struct {
+	// Key is the affinity key, or 0 if there is none. Requests with the same shared parts
+	// have the same key.
+	Key uint64
+	// Shared is the number of prompt tokens in the shared parts that are not cached
+	// everywhere.
+	Shared int64
+	// Parts are the ids of the shared parts, in order. The part of the request itself is
+	// not among them.
+	Parts []string
+}
+
 // Tokens bounds the prompt and the output of a request, in tokens.
 type Tokens struct {
 	Prompt int64
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -96,11 +96,13 @@
 	id    []byte
 	table *table.Table
 	// tableAge is the time since the store last confirmed that table is the newest.
-	tableAge    time.Duration
-	route       *table.Route
-	service     string
-	org         *table.Organisation
-	tokens      Tokens
+	tableAge time.Duration
+	route    *table.Route
+	service  string
+	org      *table.Organisation
+	tokens   Tokens
+	// parts are the ids of the prompt's shared parts.
+	parts       []string
 	pickRequest route.Request
 
 	retry retryState
@@ -229,11 +231,14 @@
 		}
 		x.tokens = tokens
 	}
-	if field := x.head.Get(d.Prefix); field != nil && x.tokens.Prompt > 0 {
-		key, shared := d.ParsePrefix(field)
-		shared = min(shared, x.tokens.Prompt)
-		x.pickRequest.Prefix = key
-		x.pickRequest.Prompt = route.Prompt{Own: x.tokens.Prompt - shared, Shared: shared}
+	if field := x.head.Get(d.Prefix); field != nil {
+		prefix := d.ParsePrefix(field)
+		x.parts = prefix.Parts
+		if x.tokens.Prompt > 0 {
+			shared := min(prefix.Shared, x.tokens.Prompt)
+			x.pickRequest.Prefix = prefix.Key
+			x.pickRequest.Prompt = route.Prompt{Own: x.tokens.Prompt - shared, Shared: shared}
+		}
 	}
 	if field := x.head.Get(d.LastEvent); field != nil {
 		if n, err := strconv.ParseInt(string(field), 10, 64); err == nil {
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -1,6 +1,9 @@
 package edge
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // slowAttempt is the time after which an attempt in progress is logged. If the
 // instance is killed, that line is the only record of the request. Most attempts are
@@ -47,6 +50,9 @@
 	if x.tokens.Prompt > 0 {
 		fields = append(fields, "bound", x.tokens.Prompt+x.tokens.Output, "used", x.usedTokens(), "events", x.events)
 	}
+	if len(x.parts) > 0 {
+		fields = append(fields, "parts", x.loggedParts())
+	}
 	if x.reserveTime > 0 {
 		fields = append(fields, "reserve-ms", millis(x.reserveTime))
 	}
@@ -87,9 +93,23 @@
 	if x.e.Logger == nil || kind == outcomeAnswered {
 		return
 	}
-	x.e.Logger.Info("attempt ended", "request-id", string(x.id), "target", a.target.ID,
+	fields := []any{
+		"request-id", string(x.id), "target", a.target.ID,
 		"address", a.target.Address, "outcome", kind, "status", status,
-		"targets-age-ms", millis(a.listAge), "open-here", a.open, "took-ms", millis(time.Since(a.began)), "events", x.events, "err", err)
+		"targets-age-ms", millis(a.listAge), "open-here", a.open, "took-ms", millis(time.Since(a.began)), "events", x.events, "err", err,
+	}
+	if len(x.parts) > 0 {
+		fields = append(fields, "parts", x.loggedParts())
+	}
+	x.e.Logger.Info("attempt ended", fields...)
+}
+
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// loggedParts returns the first parts of the prompt, separated by commas.
+func (x *exchange) loggedParts() string {
+	return strings.Join(x.parts[:min(maxLoggedParts, len(x.parts))], ",")
 }
 
 func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -39,8 +39,11 @@
 		}
 		return tk, nil
 	},
-	ParsePrefix: func(field []byte) (uint64, int64) { return route.HashPrefix(field), 0 },
-	ParseLoad:   func([]byte) (route.Status, bool) { return route.Status{}, false },
+	ParsePrefix: func(field []byte) Prefix {
+		parts := strings.Split(string(field), ",")
+		return Prefix{Key: route.HashPrefix(field), Parts: parts[:len(parts)-1]}
+	},
+	ParseLoad: func([]byte) (route.Status, bool) { return route.Status{}, false },
 }
 
 // receivedRequest is a request as a target received it.
--- a/internal/emul/dialect.go
+++ b/internal/emul/dialect.go
@@ -19,12 +19,19 @@
 		a, b, err := pair(field, ',')
 		return edge.Tokens{Prompt: a, Output: b}, err
 	},
-	ParsePrefix: func(field []byte) (uint64, int64) {
-		key, shared, err := pair(field, ':')
+	ParsePrefix: func(field []byte) edge.Prefix {
+		// "KEY:SHARED", optionally followed by further parts, as in "KEY:SHARED,PART".
+		hint, more, _ := bytes.Cut(field, []byte(","))
+		key, shared, err := pair(hint, ':')
 		if err != nil {
-			return 0, 0 // An unreadable hint is ignored.
+			return edge.Prefix{} // An unreadable hint is ignored.
 		}
-		return route.HashPrefix(strconv.AppendInt(nil, key, 10)), shared
+		name := strconv.FormatInt(key, 10)
+		p := edge.Prefix{Key: route.HashPrefix([]byte(name)), Shared: shared, Parts: []string{name}}
+		if len(more) > 0 {
+			p.Parts = append(p.Parts, string(more))
+		}
+		return p
 	},
 	ParseLoad: func(field []byte) (route.Status, bool) {
 		running, waiting, err := pair(field, ',')
--- a/internal/stand/modeld/modeld.go
+++ b/internal/stand/modeld/modeld.go
@@ -128,7 +128,8 @@
 		q.tokens = tokens
 	}
 	if field := r.Header.Get(d.Prefix); field != "" {
-		q.prefix, q.shared = d.ParsePrefix([]byte(field))
+		prefix := d.ParsePrefix([]byte(field))
+		q.prefix, q.shared = prefix.Key, prefix.Shared
 	}
 	q.after, _ = strconv.ParseInt(r.Header.Get(d.LastEvent), 10, 64) // An absent field gives 0: all events.
 	if rest := q.switches.Rest; rest > 0 {
