internal/emul, internal/stand/modeld: targets that a part of a prompt crashes

What callers saw: one target after the other ended under requests of one kind, and streams of other callers broke with them.

Change: a stand-in of a target can crash when it begins to answer a prompt with a certain part. The emulator closes its listener and connections, and starts it again under another id. Instances can be partitioned from the store, and stopped and started again. The audit counts the crashing requests that reach targets after the fifth crash.

--- a/internal/emul/export_test.go
+++ b/internal/emul/export_test.go
@@ -20,8 +20,10 @@
 // targets asked for a rest.
 func RunCountingRests(ctx context.Context, s Scenario) (r Report, asked int, err error) {
 	r, err = runScenario(ctx, s, io.Discard, func(f *fleet) {
-		for _, e := range f.engines {
-			asked += e.AskedRest()
+		for _, r := range f.targets {
+			for _, e := range r.engines() {
+				asked += e.AskedRest()
+			}
 		}
 	})
 	return r, asked, err
--- a/internal/emul/fleet.go
+++ b/internal/emul/fleet.go
@@ -4,21 +4,17 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 
-	"github.com/beryllanding/beryllanding/internal/edge"
 	"github.com/beryllanding/beryllanding/internal/stand/keyd"
 	"github.com/beryllanding/beryllanding/internal/stand/modeld"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
 	"github.com/beryllanding/beryllanding/pkg/pause"
-	"github.com/beryllanding/beryllanding/pkg/roster"
 	"github.com/beryllanding/beryllanding/pkg/table"
 )
 
@@ -49,12 +45,14 @@
 	s         Scenario
 	logger    *log.Logger
 	store     *keyd.Store
-	engines   []*modeld.Engine
-	servers   []*http.Server
-	addresses []string
+	targets   []*replica
+	instances []*instance
 
+	ctx  context.Context
 	stop context.CancelFunc
 	wg   sync.WaitGroup
+	// crashes collects what crashing requests did.
+	crashes crashes
 }
 
 // start starts the store, the targets and the instances, and waits until they are
@@ -62,10 +60,10 @@
 func start(ctx context.Context, s Scenario, logs io.Writer) (*fleet, error) {
 	f := &fleet{s: s, store: &keyd.Store{}, logger: log.NewWithOptions(logs, log.Options{Formatter: log.JSONFormatter, ReportTimestamp: true})}
 	f.store.Switches.Set(keyd.Switches{Delay: storeDelay})
-	ctx, f.stop = context.WithCancel(ctx)
+	f.ctx, f.stop = context.WithCancel(ctx)
 	err := errors.Join(f.startTargets(), f.put("tables", "table", f.table()))
 	if err == nil {
-		err = f.startInstances(ctx)
+		err = f.startInstances()
 	}
 	if err != nil {
 		f.close()
@@ -78,8 +76,8 @@
 func (f *fleet) close() {
 	f.stop()
 	f.wg.Wait()
-	for _, s := range f.servers {
-		_ = s.Close() // No requests are in progress.
+	for _, r := range f.targets {
+		r.close()
 	}
 }
 
@@ -92,27 +90,6 @@
 	return nil
 }
 
-func (f *fleet) startTargets() error {
-	for i := range f.s.Targets {
-		e := &modeld.Engine{
-			ID: fmt.Sprintf("target-%d", i), Dialect: dialect, Slots: f.s.Slots, Queue: f.s.Queue,
-			PromptRate: f.s.PromptRate, Step: f.s.Step, EventTokens: f.s.EventTokens,
-		}
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		server := &http.Server{Handler: e, ErrorLog: f.logger.StandardLog()}
-		go func() { _ = server.Serve(l) }() // Serve returns when the server is closed.
-		f.engines, f.servers = append(f.engines, e), append(f.servers, server)
-		t := roster.Target{ID: e.ID, Service: service, Address: l.Addr().String(), DataCentre: "here", Born: 1}
-		if err := f.put("targets", e.ID, t); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // table returns the configuration. It has a route for each kind, and for each
 // organisation a key equal to its name.
 func (f *fleet) table() *table.Table {
@@ -135,37 +112,6 @@
 	return t
 }
 
-func (f *fleet) startInstances(ctx context.Context) error {
-	for i := range f.s.Instances {
-		listen, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		ready, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		node := edge.New(edge.Options{
-			Instance: fmt.Sprintf("instance-%d", i), DataCentre: "here", Machine: fmt.Sprintf("machine-%d", i),
-			Listen: listen, ReadyListen: ready, ReadyPath: "/ready", MetricsPath: "/metrics", Grace: stopGrace,
-			Retries: edge.Retries{Window: retryWindow, Share: retryShare, Burst: retrySpare},
-			Dialect: dialect, Store: f.store, Decoder: keyd.Records{},
-			Tables: keyed.Partition{Topic: "tables"}, Targets: keyed.Partition{Topic: "targets"}, Budgets: "budgets", Pledges: "pledges",
-			Logger: f.logger.With("instance", i),
-		})
-		f.wg.Go(func() {
-			if err := node.Run(ctx); err != nil {
-				f.logger.Error("instance ended", "instance", i, "err", err)
-			}
-		})
-		f.addresses = append(f.addresses, listen)
-		if err := awaitReady(ctx, node); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // freeAddress returns a loopback address with a free port. Another process may take
 // the port before it is used.
 func freeAddress() (string, error) {
@@ -176,15 +122,6 @@
 	return l.Addr().String(), l.Close()
 }
 
-func awaitReady(ctx context.Context, node *edge.Node) error {
-	for end := time.Now().Add(readyTimeout); !node.Ready(); {
-		if time.Now().After(end) || !pause.For(ctx, readyPoll) {
-			return errNotReady
-		}
-	}
-	return nil
-}
-
 // injectFaults injects the scenario's faults until the context ends. began is the
 // start of the scenario.
 func (f *fleet) injectFaults(ctx context.Context, began time.Time) {
@@ -205,7 +142,7 @@
 // set turns a fault on or off. If two faults overlap at the same store or target,
 // the last change wins, so the end of one also ends the other.
 func (f *fleet) set(t Fault, on bool) {
-	f.logger.Info("fault", "at", t.At, "on", on, "store", t.Store != nil, "targets", t.Count)
+	f.logger.Info("fault", "at", t.At, "on", on, "store", t.Store != nil, "count", t.Count)
 	if t.Store != nil {
 		now := keyd.Switches{Delay: storeDelay}
 		if on {
@@ -217,11 +154,17 @@
 		}
 		return
 	}
+	if t.Target == nil {
+		for _, i := range f.instances[:min(t.Count, len(f.instances))] {
+			i.set(t, on)
+		}
+		return
+	}
 	now := modeld.Switches{}
 	if on {
 		now = *t.Target
 	}
-	for _, e := range f.engines[:min(t.Count, len(f.engines))] {
-		e.Switches.Set(now)
+	for _, r := range f.targets[:min(t.Count, len(f.targets))] {
+		r.engine().Switches.Set(now)
 	}
 }
--- a/internal/emul/load.go
+++ b/internal/emul/load.go
@@ -33,7 +33,7 @@
 type request struct {
 	kind           *Kind
 	org            *Organisation
-	address        string
+	instance       *instance
 	prompt, output int64
 	prefix         int
 	id             string
@@ -71,7 +71,7 @@
 // draw returns request n at random: its kind by rate, its organisation by share.
 func (c *caller) draw(rnd *rand.Rand, n int) request {
 	s := &c.f.s
-	a := request{address: c.f.addresses[rnd.IntN(len(c.f.addresses))]}
+	a := request{instance: c.f.instances[rnd.IntN(len(c.f.instances))]}
 	rest := rnd.Float64() * c.rate()
 	for i := range s.Kinds {
 		a.kind = &s.Kinds[i]
@@ -95,6 +95,9 @@
 	a.prompt = max(1, a.kind.Shared, a.kind.Prompt/2+rnd.Int64N(a.kind.Prompt))
 	a.output = max(1, a.kind.Output/2+rnd.Int64N(a.kind.Output))
 	a.prefix = rnd.IntN(a.kind.Prefixes)
+	if a.kind.Crashes {
+		a.prefix = rnd.IntN(s.Kinds[0].Prefixes)
+	}
 	return a
 }
 
@@ -120,7 +123,7 @@
 func (c *caller) sendOnce(ctx context.Context, a request, attempt int, began, end time.Time) (outcome string, after time.Duration) {
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.address+"/"+a.kind.Name+"/", strings.NewReader("{}"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.instance.options.Listen+"/"+a.kind.Name+"/", strings.NewReader("{}"))
 	if err != nil {
 		return failed, 0
 	}
@@ -130,7 +133,11 @@
 	req.Header.Set(dialect.Key, a.org.Name)
 	req.Header.Set(dialect.Deadline, strconv.FormatInt(time.Until(end).Milliseconds(), 10))
 	req.Header.Set(dialect.Tokens, fmt.Sprintf("%d,%d", a.prompt, a.output))
-	if a.kind.Shared > 0 {
+	switch {
+	case a.kind.Crashes:
+		c.f.crashes.sending(fmt.Sprintf("%s.%d", a.id, attempt), a.instance)
+		req.Header.Set(dialect.Prefix, fmt.Sprintf("%d:%d,%s", a.prefix, a.kind.Shared, crashPart))
+	case a.kind.Shared > 0:
 		req.Header.Set(dialect.Prefix, fmt.Sprintf("%d:%d", a.prefix, a.kind.Shared))
 	}
 	resp, err := c.client.Do(req)
--- /dev/null
+++ b/internal/emul/replica.go
@@ -0,0 +1,171 @@
+package emul
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/beryllanding/beryllanding/internal/stand/modeld"
+	"github.com/beryllanding/beryllanding/pkg/keyed"
+	"github.com/beryllanding/beryllanding/pkg/pause"
+	"github.com/beryllanding/beryllanding/pkg/roster"
+)
+
+// crashPart is the part of a prompt that crashes targets; see Kind.Crashes.
+const crashPart = "crash"
+
+// replica is one target. It may crash and start again at its address, as another run.
+type replica struct {
+	f     *fleet
+	index int
+	addr  string
+
+	mu sync.Mutex
+	// runs holds the engines of all runs; the last one is the present one.
+	runs   []*modeld.Engine
+	server *http.Server
+}
+
+func (f *fleet) startTargets() error {
+	for i := range f.s.Targets {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		r := &replica{f: f, index: i, addr: l.Addr().String()}
+		f.targets = append(f.targets, r)
+		if err := r.start(l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// start begins a run on the listener, and writes its entry in the list of targets.
+func (r *replica) start(l net.Listener) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := &r.f.s
+	e := &modeld.Engine{
+		ID: fmt.Sprintf("target-%d", r.index), Dialect: dialect, Slots: s.Slots, Queue: s.Queue,
+		PromptRate: s.PromptRate, Step: s.Step, EventTokens: s.EventTokens, CrashPart: crashPart,
+	}
+	if n := len(r.runs); n > 0 {
+		e.ID = fmt.Sprintf("target-%d-%d", r.index, n)
+	}
+	server := &http.Server{Handler: e, ErrorLog: r.f.logger.StandardLog()}
+	e.Crash, e.Reached = func() { r.crash(server) }, r.f.crashes.reached
+	go func() { _ = server.Serve(l) }() // Serve returns when the server is closed.
+	r.runs, r.server = append(r.runs, e), server
+	return r.f.put("targets", e.ID, roster.Target{ID: e.ID, Service: service, Address: r.addr, DataCentre: "here", Born: int64(len(r.runs))})
+}
+
+// crash ends the run of a server: its listener and all its connections are closed at once.
+// After Scenario.Restart the next run begins.
+func (r *replica) crash(server *http.Server) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.server != server {
+		return // The run has ended already.
+	}
+	r.server = nil
+	_ = server.Close() // It only fails for connections that are closed already.
+	r.f.crashes.targetEnded()
+	id := r.runs[len(r.runs)-1].ID
+	r.f.logger.Info("target crashed", "target", id)
+	r.f.wg.Go(func() {
+		if !pause.For(r.f.ctx, r.f.s.Restart) {
+			return
+		}
+		r.f.store.Put(keyed.Partition{Topic: "targets"}, keyed.Entry{Key: id})
+		l, err := net.Listen("tcp", r.addr)
+		if err == nil {
+			err = r.start(l)
+		}
+		if err != nil {
+			r.f.logger.Error("target did not start again", "target", id, "err", err)
+		}
+	})
+}
+
+// engine returns the engine of the present or last run.
+func (r *replica) engine() *modeld.Engine {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[len(r.runs)-1]
+}
+
+// engines returns the engines of all runs.
+func (r *replica) engines() []*modeld.Engine {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs
+}
+
+func (r *replica) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.server != nil {
+		_ = r.server.Close() // No requests are in progress.
+	}
+}
+
+// crashBound is the number of crashes after which crashing requests must stop within
+// Scenario.Settle, and crashSlack the number of those that may still come later.
+const (
+	crashBound = 5
+	crashSlack = 3
+)
+
+// crashes collects the crashes of targets, and when they got crashing requests from
+// instances that reach the store.
+type crashes struct {
+	mu sync.Mutex
+	// senders holds the instance that each crashing request was sent to, by request id.
+	senders map[string]*instance
+	ended   []time.Time
+	sent    []time.Time
+}
+
+func (c *crashes) targetEnded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = append(c.ended, time.Now())
+}
+
+// sending records that a caller sends a crashing request to an instance.
+func (c *crashes) sending(id string, to *instance) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.senders == nil {
+		c.senders = make(map[string]*instance)
+	}
+	c.senders[id] = to
+}
+
+// reached records that a crashing request has reached a target.
+func (c *crashes) reached(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if sender := c.senders[id]; sender != nil && sender.inTouch() {
+		c.sent = append(c.sent, time.Now())
+	}
+}
+
+// late returns the number of targets that crashed, and of the crashing requests that
+// reached a target later than settle after the crash number crashBound.
+func (c *crashes) late(settle time.Duration) (ended, late int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.ended) < crashBound {
+		return len(c.ended), 0
+	}
+	for _, at := range c.sent {
+		if at.After(c.ended[crashBound-1].Add(settle)) {
+			late++
+		}
+	}
+	return len(c.ended), late
+}
--- a/internal/emul/report.go
+++ b/internal/emul/report.go
@@ -44,6 +44,8 @@
 	// attempts that the caller retried.
 	Attempts int `json:"attempts"`
 	Returned int `json:"returned"`
+	// Crashes is the number of targets that crashing requests ended.
+	Crashes int `json:"crashes"`
 	// Violations describes each broken rule, with the request or organisation.
 	Violations []string `json:"broken"`
 }
@@ -144,11 +146,17 @@
 func (f *fleet) audit(t *tally) {
 	runsOnce := make(map[string]bool, len(f.s.Kinds))
 	runs := make(map[string]int)
-	for _, e := range f.engines {
-		for id, n := range e.Runs() {
-			runs[id] += n
+	for _, r := range f.targets {
+		for _, e := range r.engines() {
+			for id, n := range e.Runs() {
+				runs[id] += n
+			}
 		}
 	}
+	ended, late := f.crashes.late(f.s.Settle)
+	if t.r.Crashes = ended; late > crashSlack {
+		t.violation(fmt.Sprintf("%d crashing requests reached targets later than %v after the crash number %d", late, f.s.Settle, crashBound))
+	}
 	for _, k := range f.s.Kinds {
 		runsOnce[k.Name] = !k.Repeatable
 	}
@@ -173,6 +181,9 @@
 	_, _ = fmt.Fprintln(w, "\nORGANISATION\tASKED\tIN AIM\tLATE\tREFUSED\tFAILED\tWORTH\tUSED")
 	writeCounts(w, r.Organisations, r.Used)
 	_, _ = fmt.Fprintf(w, "\n%d attempts, %d refused requests repeated by their callers\n", r.Attempts, r.Returned)
+	if r.Crashes > 0 {
+		_, _ = fmt.Fprintf(w, "%d crashes of targets\n", r.Crashes)
+	}
 	for _, b := range r.Violations {
 		_, _ = fmt.Fprintln(w, "BROKEN:", b)
 	}
--- a/internal/emul/scenario.go
+++ b/internal/emul/scenario.go
@@ -44,6 +44,11 @@
 	Step time.Duration
 	// EventTokens is the number of tokens in an event.
 	EventTokens int64
+	// Restart is the time after which a target that crashed is back, under a new id.
+	Restart time.Duration
+	// Settle is the time after the fifth crash from which the instances must have stopped
+	// sending crashing requests to targets; see Kind.Crashes.
+	Settle time.Duration
 
 	Kinds         []Kind
 	Organisations []Organisation
@@ -72,6 +77,9 @@
 	Targets int
 	// Retries is how often a caller retries a refused request.
 	Retries int
+	// Crashes means that the prompts have a part in common that crashes each target that
+	// begins to answer. Their other part is one of those of the first kind.
+	Crashes bool
 }
 
 // Organisation is an organisation with a prepaid budget.
@@ -83,7 +91,7 @@
 	Share  float64
 }
 
-// Fault is a fault of the store or of some targets for a limited time.
+// Fault is a fault of the store, of some targets or of some instances for a limited time.
 type Fault struct {
 	// At is the start of the fault, from the start of the scenario, and For its
 	// duration.
@@ -92,7 +100,10 @@
 	// to set at the first Count targets.
 	Store  *keyd.Switches
 	Target *modeld.Switches
-	Count  int
+	// Cut partitions the first Count instances from the store. Stop stops them, and starts
+	// them again at the end of the fault. With either, Store and Target are nil.
+	Cut, Stop bool
+	Count     int
 	// Copy, if it is not 0, is the age of the copy that the store comes back from at the
 	// end of the fault.
 	Copy time.Duration
@@ -123,6 +134,12 @@
 	restWish      = 2 * time.Second        // rest that a target asks for
 )
 
+// Defaults of a fleet whose targets crash.
+const (
+	defaultRestart = 2 * time.Second
+	defaultSettle  = 3 * time.Second
+)
+
 // defaultCopy is the age of the copy from which a store is restored.
 const defaultCopy = 3 * time.Second
 
@@ -153,6 +170,8 @@
 			s.PromptRate = p.number("prompt-rate", 20_000)
 			s.Step = p.duration("step", 20*time.Millisecond)
 			s.EventTokens = p.whole("event-tokens", 1)
+			s.Restart = p.duration("restart", defaultRestart)
+			s.Settle = p.duration("settle", defaultSettle)
 		case "kind":
 			s.Kinds = append(s.Kinds, Kind{
 				Name: name, Rate: p.number("rate", 0), Prompt: p.whole("prompt", 100), Output: p.whole("output", 20),
@@ -160,6 +179,7 @@
 				Goal: p.duration("aim", time.Second), Deadline: p.duration("deadline", 10*time.Second),
 				Credit: p.number("worth", 1), LateCredit: p.number("late-worth", 0.1),
 				Repeatable: p.whole("repeatable", 0) != 0, Targets: int(p.whole("targets", 1)), Retries: int(p.whole("returns", 0)),
+				Crashes: p.whole("crashes", 0) != 0,
 			})
 		case "organisation":
 			s.Organisations = append(s.Organisations, Organisation{Name: name, Tokens: p.whole("tokens", 0), Share: p.number("share", 1)})
@@ -205,8 +225,12 @@
 		t.Target = &modeld.Switches{Rest: restWish}
 	case "slow":
 		t.Target = &modeld.Switches{Slow: slowMultiple}
+	case "instance-cut":
+		t.Cut = true
+	case "instance-stop":
+		t.Stop = true
 	default:
-		p.fault(fmt.Sprintf("what = %q: expected store-down, store-restored, store-slow, store-forgetful, silent, reject, fault, break, foreign, leave, rest or slow", what))
+		p.fault(fmt.Sprintf("what = %q: expected store-down, store-restored, store-slow, store-forgetful, silent, reject, fault, break, foreign, leave, rest, slow, instance-cut or instance-stop", what))
 	}
 	return t
 }
--- a/internal/stand/modeld/modeld.go
+++ b/internal/stand/modeld/modeld.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -51,6 +52,12 @@
 	Step       time.Duration
 	// EventTokens is the number of tokens per event.
 	EventTokens int64
+	// CrashPart, if it is not empty, is a part of a prompt that crashes the replica when it
+	// begins to answer. Crash then ends the replica's process, and may be called again
+	// until it has ended. Reached is called with the id of each such request as it arrives.
+	CrashPart string
+	Crash     func()
+	Reached   func(id string)
 
 	Switches toggle.Box[Switches]
 
@@ -101,6 +108,7 @@
 	tokens edge.Tokens
 	prefix uint64
 	shared int64
+	parts  []string
 	// after is the number of the last event that the caller has.
 	after    int64
 	switches Switches
@@ -129,7 +137,10 @@
 	}
 	if field := r.Header.Get(d.Prefix); field != "" {
 		prefix := d.ParsePrefix([]byte(field))
-		q.prefix, q.shared = prefix.Key, prefix.Shared
+		q.prefix, q.shared, q.parts = prefix.Key, prefix.Shared, prefix.Parts
+	}
+	if q.crashes() {
+		e.Reached(q.id)
 	}
 	q.after, _ = strconv.ParseInt(r.Header.Get(d.LastEvent), 10, 64) // An absent field gives 0: all events.
 	if rest := q.switches.Rest; rest > 0 {
@@ -148,6 +159,11 @@
 	q.run()
 }
 
+// crashes reports whether the request crashes the replica.
+func (q *request) crashes() bool {
+	return q.e.CrashPart != "" && slices.Contains(q.parts, q.e.CrashPart)
+}
+
 // decline refuses the request, with the header field that proves it did not run.
 func (q *request) decline(status int) {
 	q.w.Header().Set(q.e.Dialect.NotRun, "1")
@@ -206,6 +222,11 @@
 	q.w.Header().Set(e.Dialect.Signature, e.ID)
 	q.w.Header().Set(e.Dialect.Load, load)
 	q.w.Header().Set("Content-Type", "text/event-stream")
+	if q.crashes() {
+		_ = http.NewResponseController(q.w).Flush() // The head may not reach the caller.
+		e.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	q.events()
 }
 
