pkg/poison, internal/board, internal/edge: quarantine of prompt parts that crash targets

What callers saw: one target after the other ended under requests that shared a part of their prompts. With each target, up to twelve streams of other callers broke off.

Cause: the outcome of an attempt was recorded against the target alone. What the request holds, and what other instances had seen of requests like it, played no role, so the next request with the part went to the next target. It is the class of faults in which the request is at fault and the target pays.

Change: an attempt whose connection ends by the first event, at a target where nothing listens any more, raises suspicion against the shared parts of its prompt. Instances exchange the evidence as records that merge in any order, on a topic of the store. After three targets that ended apart, without an answer in between, requests with the part get 503 with the time until the end. An answer, an operator or ten minutes end it. State and end are in logs, metrics, 'beryl edge parts' and 'beryl edge release'.

--- a/cmd/beryl/edge.go
+++ b/cmd/beryl/edge.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/beryllanding/beryllanding/internal/alloc"
 	"github.com/beryllanding/beryllanding/internal/audit"
 	"github.com/beryllanding/beryllanding/internal/cmds"
 	"github.com/beryllanding/beryllanding/pkg/acct"
+	"github.com/beryllanding/beryllanding/pkg/poison"
 	"github.com/beryllanding/beryllanding/pkg/table"
 	"github.com/beryllanding/beryllanding/platform"
 )
@@ -26,8 +28,8 @@
 	return cmds.Command{
 		Name:  "edge",
 		Short: "Check settings and read the store of the users' platform",
-		Long: `For operators of beryl-edge on the users' platform. The commands only read: the
-configuration, the budgets' totals and the targets are written with the
+		Long: `For operators of beryl-edge on the users' platform. All commands but release
+only read: the configuration, the budgets' totals and the targets are written with the
 platform's own tools. The store's address comes from the platform's settings
 file.`,
 		Children: []cmds.Command{
@@ -69,6 +71,23 @@
 				Examples: []cmds.Example{{Line: "beryl edge table --boot settings.toml", Does: "the configuration that instances should use"}},
 				New:      func() cmds.Runner { return new(edgeTable) },
 			},
+			{
+				Name:  "parts",
+				Short: "List the parts of prompts that crash targets",
+				Long: `A part is suspected once targets ended when they began to answer a prompt with
+it, and it was not answered since. After several such targets it is in
+quarantine: all instances refuse requests with it until the time that is shown.`,
+				Examples: []cmds.Example{{Line: "beryl edge parts --boot settings.toml", Does: "suspected parts, and those in quarantine"}},
+				New:      func() cmds.Runner { return new(edgeParts) },
+			},
+			{
+				Name:  "release",
+				Short: "End the quarantine of a part of prompts",
+				Long: `All instances that reach the store serve requests with the part again. If it
+still crashes targets, it gets into quarantine again.`,
+				Examples: []cmds.Example{{Line: "beryl edge release chat 5c1e07a2 --boot settings.toml", Does: "release a part after the targets were repaired"}},
+				New:      func() cmds.Runner { return new(edgeRelease) },
+			},
 		},
 	}
 }
@@ -235,3 +254,59 @@
 		_, _ = fmt.Fprintf(w, "%s\t%s\n", o.Name, prepaid)
 	}
 }
+
+type edgeParts struct{ bootFile }
+
+// Run lists the parts.
+func (c *edgeParts) Run(ctx context.Context, app *cmds.App) error {
+	store, _, err := c.store()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, edgeTimeout)
+	defer cancel()
+	list, err := audit.Parts(ctx, store, platform.BoardPartition, time.Now())
+	if err != nil {
+		return err
+	}
+	return app.Print(list, func(w io.Writer) { writeParts(w, list) })
+}
+
+func writeParts(w io.Writer, list []audit.Part) {
+	_, _ = fmt.Fprintln(w, "SERVICE\tPART\tSTATE\tUNTIL\tTERMS\tCLEARED\tENDED TARGETS")
+	for _, p := range list {
+		state, until := "suspected", "-"
+		if p.Quarantined {
+			state = "quarantine"
+		}
+		if p.Until != nil {
+			until = p.Until.Format(time.DateTime)
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%s\n", p.Service, p.ID, state, until, p.Terms, p.Cleared, strings.Join(p.Ended, " "))
+	}
+}
+
+type edgeRelease struct {
+	bootFile
+	Args struct {
+		Service string `positional-arg-name:"SERVICE" description:"Service of the part"`
+		Part    string `positional-arg-name:"PART" description:"Id of the part"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Run releases the part.
+func (c *edgeRelease) Run(ctx context.Context, app *cmds.App) error {
+	store, _, err := c.store()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, edgeTimeout)
+	defer cancel()
+	part := poison.Part{Service: c.Args.Service, ID: c.Args.Part}
+	if err := audit.ReleasePart(ctx, store, platform.BoardPartition, part); err != nil {
+		return err
+	}
+	return app.Print(part, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "part %s of service %s is released\n", part.ID, part.Service)
+	})
+}
--- a/cmd/beryl/edge_test.go
+++ b/cmd/beryl/edge_test.go
@@ -7,11 +7,13 @@
 	"strings"
 	"testing"
 	"text/tabwriter"
+	"time"
 
 	"github.com/beryllanding/beryllanding/internal/audit"
 	"github.com/beryllanding/beryllanding/internal/cmds"
 	"github.com/beryllanding/beryllanding/internal/stand/check"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
+	"github.com/beryllanding/beryllanding/pkg/poison"
 	"github.com/beryllanding/beryllanding/pkg/roster"
 	"github.com/beryllanding/beryllanding/pkg/table"
 	"github.com/beryllanding/beryllanding/platform"
@@ -34,6 +36,11 @@
 		Routes:        []*table.Route{{Name: "r", Host: "h.example", Prefix: "/c/", MaxTargets: 2, Shares: []table.Share{{Service: "chat", Weight: 1}}}},
 		Organisations: []*table.Organisation{{Name: "desk", Prepaid: 200_000, Limited: true}, {Name: "yard"}},
 	})
+	until := time.Date(2026, 1, 2, 3, 4, 0, 0, time.UTC)
+	writeParts(w, []audit.Part{
+		{Part: poison.Part{Service: "chat", ID: "5c1e07a2"}, Ended: []string{"i-1/8", "i-2/9"}, Until: &until, Quarantined: true, Terms: 1},
+		{Part: poison.Part{Service: "chat", ID: "91bd3f06"}, Ended: []string{"i-1/8"}, Cleared: 3},
+	})
 	_ = w.Flush() // Writing to a buffer doesn't fail.
 	check.Golden(t, "edge.txt", out.String())
 }
@@ -66,7 +73,7 @@
 
 func TestEdgeNeedsSettings(t *testing.T) {
 	t.Setenv(platform.SettingsVariable, "")
-	for _, command := range []string{"budgets", "targets", "table"} {
+	for _, command := range []string{"budgets", "targets", "table", "parts"} {
 		if code, out := beryl(t, "edge", command); code == cmds.ExitOK || !strings.Contains(out, "--boot is missing") {
 			t.Errorf("%s: exit code %d, want a failure that reports the missing --boot; output: %s", command, code, out)
 		}
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -1,5 +1,6 @@
-// Package audit reads the budgets, the targets and the configuration from a store
-// with keyed topics, for operators. It never writes.
+// Package audit reads the budgets, the targets, the configuration and the parts of prompts
+// that crash targets from a store with keyed topics, for operators. It writes only to
+// release such a part.
 package audit
 
 import (
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -15,6 +15,7 @@
 	"github.com/beryllanding/beryllanding/pkg/acct"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
+	"github.com/beryllanding/beryllanding/pkg/poison"
 )
 
 // TestBudgets reads the accounts that two instances have written, and checks that
@@ -161,3 +162,44 @@
 		t.Errorf("store down: error is %v, want ErrUnavailable", err)
 	}
 }
+
+// TestParts: the list has the parts that targets ended on, and no other records; a release
+// ends the quarantine at every reader.
+func TestParts(t *testing.T) {
+	s := &keyd.Store{}
+	p := keyed.Partition{Topic: "board"}
+	now := time.Now()
+	bad := poison.Part{Service: "s", ID: "bad"}
+	record := poison.Record{Round: 2, Ended: []string{"t1", "t2"}, Until: now.Add(time.Hour).UnixMilli(), Terms: 1}
+	put(t, s, "board", bad.Key(), string(record.Encode()))
+	put(t, s, "board", poison.Part{Service: "s", ID: "cleared"}.Key(), string(poison.Record{Round: 1}.Encode()))
+	put(t, s, "board", "foreign", "x")
+	list, err := audit.Parts(t.Context(), s, p, now)
+	if err != nil || len(list) != 1 || list[0].Part != bad || !list[0].Quarantined || list[0].Cleared != 2 {
+		t.Fatalf("got %+v, error %v; want the part in quarantine alone", list, err)
+	}
+	if err := audit.ReleasePart(t.Context(), s, p, poison.Part{Service: "s", ID: "other"}); !errors.Is(err, audit.ErrNotFound) {
+		t.Errorf("release of an unknown part: error %v, want ErrNotFound", err)
+	}
+	if err := audit.ReleasePart(t.Context(), s, p, bad); err != nil {
+		t.Fatal(err)
+	}
+	var reader poison.Tracker
+	reader.Merge(now, bad, record)
+	page, err := keyed.Snapshot(t.Context(), s, p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range page.Entries {
+		if e.Key == bad.Key() {
+			r, err := poison.Decode(e.Value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			reader.Merge(now, bad, r)
+		}
+	}
+	if _, _, held := reader.Check(now, "s", []string{"bad"}); held {
+		t.Error("the part is still in quarantine at a reader")
+	}
+}
--- /dev/null
+++ b/internal/board/board_test.go
@@ -0,0 +1,97 @@
+package board_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/beryllanding/beryllanding/internal/board"
+	"github.com/beryllanding/beryllanding/internal/stand/keyd"
+	"github.com/beryllanding/beryllanding/pkg/keyed"
+)
+
+var partition = keyed.Partition{Topic: "board"}
+
+// reader is a board that keeps the newest values that it read.
+type reader struct {
+	board.Board
+	mu     sync.Mutex
+	values map[string]string
+	reads  int
+}
+
+func start(ctx context.Context, store keyed.Store) *reader {
+	r := &reader{values: make(map[string]string)}
+	r.Board = board.Board{Store: store, Partition: partition, OnChange: func(c keyed.Change) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, e := range c.Entries {
+			r.reads++
+			if r.values[e.Key] = string(e.Value); e.Value == nil {
+				delete(r.values, e.Key)
+			}
+		}
+	}}
+	go r.Run(ctx)
+	return r
+}
+
+func (r *reader) known() map[string]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.values)
+}
+
+// TestRecordsReachOthers: records reach the other instances, also those written while the
+// store is down, whose answer is lost, or in large numbers; a canceled one doesn't.
+func TestRecordsReachOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		store := &keyd.Store{}
+		a, b := start(ctx, store), start(ctx, store)
+		a.Write("k", []byte("1"), 0)
+		a.Write("gone", []byte("1"), 0)
+		a.Write("canceled", []byte("1"), time.Second)
+		a.Cancel("canceled")
+		time.Sleep(time.Second)
+		store.Switches.Set(keyd.Switches{Down: true})
+		a.Write("k", []byte("2"), 0)
+		a.Write("gone", nil, 0)
+		time.Sleep(5 * time.Second)
+		store.Switches.Set(keyd.Switches{Lost: 0.5, Late: time.Second})
+		for i := range 1000 {
+			b.Write(fmt.Sprint("many", i), []byte("x"), time.Duration(i)*time.Millisecond)
+		}
+		time.Sleep(20 * time.Second)
+		if got := b.known(); len(got) != 1001 || got["k"] != "2" {
+			t.Errorf("got %d records, k = %q; want 1001 and \"2\"", len(got), got["k"])
+		}
+		if got := a.known(); len(got) != 1001 {
+			t.Errorf("got %d records at the first instance, want 1001", len(got))
+		}
+	})
+}
+
+// TestLaterWriteReplaces: of several writes of a key before the first is made, only the last
+// reaches the store, at the time of the first.
+func TestLaterWriteReplaces(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		r := start(ctx, &keyd.Store{})
+		for i := range 100 {
+			r.Write("k", fmt.Append(nil, i), time.Second+time.Duration(i)*time.Second)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		if got := r.known(); got["k"] != "99" || r.reads != 1 {
+			t.Errorf("got k = %q after %d records, want \"99\" after 1", got["k"], r.reads)
+		}
+	})
+}
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -53,7 +53,8 @@
 	Logger  *log.Logger
 	Meter   *meter.Meter
 
-	fleet *fleet
+	fleet      *fleet
+	quarantine quarantine
 	// loaded is closed once the configuration and the targets were read for the first
 	// time.
 	loaded chan struct{}
@@ -255,6 +256,10 @@
 
 // serve reserves tokens, makes the attempts and settles the reservation.
 func (x *exchange) serve() {
+	if reason, _ := x.checkParts(); reason != "" {
+		x.reject(reason)
+		return
+	}
 	if _, ok := x.e.fleet.firstReturn(x.service); ok {
 		x.reject(route.ErrResting.Error())
 		return
@@ -331,6 +336,9 @@
 
 // makeAttempt makes one attempt and returns the action that follows.
 func (x *exchange) makeAttempt(act retryAction) action {
+	if reason, _ := x.checkParts(); reason != "" {
+		return x.retry.giveUp(reason)
+	}
 	if act.spendBudget && !x.e.fleet.takeRetry(x.service) {
 		x.e.Meter.Retry(x.service, false)
 		return x.retry.giveUp("budget of retries is used up")
@@ -345,8 +353,10 @@
 	x.targets = append(x.targets, a.target.ID)
 	x.pickRequest.Exclude = append(x.pickRequest.Exclude, a.target.name)
 	stopLog := x.logIfSlow(a)
+	a.events = x.events
 	result := x.attempt(a)
 	stopLog()
+	x.recordBeginning(a, result)
 	x.e.fleet.done(x.service, a, result)
 	x.recordAttempt(a, result)
 	x.retry.forwarded = x.w.started
@@ -368,8 +378,15 @@
 }
 
 // reject tells the caller that no target took the request, and when to return: not before
-// a target takes work again, if all of them rest.
+// a target takes work again, if all of them rest, and not before the end of the quarantine,
+// if a part of the prompt is in one.
 func (x *exchange) reject(reason string) {
+	if _, left := x.checkParts(); left > 0 {
+		x.e.Meter.QuarantineRefusal(x.service)
+		// The caller's remaining time does not matter: an earlier return is in vain.
+		x.respondError(statusUnavailable, left, reason)
+		return
+	}
 	least := busyRetry
 	if wait, ok := x.e.fleet.firstReturn(x.service); ok {
 		least = max(least, wait)
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -174,6 +174,8 @@
 	// number of this instance's requests at the target, including this one.
 	listAge time.Duration
 	open    int
+	// events is the number of events that the caller had when the attempt began.
+	events int64
 }
 
 // pick chooses a target and records the start of an attempt at it.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -14,6 +14,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/beryllanding/beryllanding/internal/alloc"
+	"github.com/beryllanding/beryllanding/internal/board"
 	"github.com/beryllanding/beryllanding/internal/meter"
 	"github.com/beryllanding/beryllanding/internal/peers"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
@@ -85,6 +86,8 @@
 	Budgets          string
 	Pledges          string
 	PledgePartitions int
+	// Board is where instances share what they see of targets and prompts.
+	Board keyed.Partition
 	// Reconnect drops the connections to the store. It is called after a suspension of
 	// the machine.
 	Reconnect func()
@@ -102,6 +105,7 @@
 
 	tables  *keyed.Follower
 	targets *keyed.Follower
+	board   *board.Board
 
 	// storedVersion is the version of the configuration that the store had at the last
 	// read; 0 if it had none. Only applyTables uses it.
@@ -129,6 +133,9 @@
 		Dialect: opts.Dialect, Budgets: budgets, Logger: opts.Logger.WithPrefix("requests"), Meter: &meter.Meter{},
 		fleet: newFleet(opts.DataCentre, opts.Retries), loaded: make(chan struct{}), started: time.Now(),
 	}
+	quarantine := &n.engine.quarantine
+	n.board = &board.Board{Store: opts.Store, Partition: opts.Board, OnChange: quarantine.apply, OnReachability: n.logStoreState(opts.Board.Topic, nil)}
+	quarantine.board, quarantine.logger = n.board, opts.Logger.WithPrefix("quarantine")
 	n.server = &Server{Engine: n.engine, Logger: opts.Logger.WithPrefix("callers")}
 	n.tables = &keyed.Follower{
 		Store: opts.Store, Partition: opts.Tables, Wait: tablesWait, OnChange: n.applyTables,
@@ -170,7 +177,7 @@
 	if err != nil {
 		return err
 	}
-	n.engine.Meter = m
+	n.engine.Meter, n.engine.quarantine.meter = m, m
 	l, err := net.Listen("tcp", n.opts.Listen)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
@@ -189,7 +196,7 @@
 	// need it.
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){n.tables.Run, n.targets.Run, n.engine.Budgets.Run, n.watchClock} {
+	for _, run := range []func(context.Context){n.tables.Run, n.targets.Run, n.engine.Budgets.Run, n.board.Run, n.engine.quarantine.run, n.watchClock} {
 		wg.Go(func() { run(work) })
 	}
 	served := make(chan error, 1)
@@ -277,7 +284,9 @@
 // state returns the current values of the gauges.
 func (n *Node) state() meter.State {
 	leaving, resting := n.engine.fleet.withdrawn()
+	suspected, quarantined := n.engine.quarantine.counts()
 	s := meter.State{
+		Suspected: suspected, Quarantined: quarantined,
 		Targets: n.engine.fleet.targetCounts(), Leaving: leaving, Resting: resting,
 		TableAge: n.engine.age(), LogEpoch: int64(n.engine.Budgets.LogEpoch()), Open: n.server.Busy(),
 	}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -25,7 +25,7 @@
 // only if the target's framing shows that the stream is complete.
 func (x *exchange) forwardStream(conn *pool.Conn, a *attempt, head *http1.Head, body *http1.Body) attemptResult {
 	pending := make([]byte, 0, streamReadBytes)
-	first := true
+	first, answered := true, false
 	for {
 		if cap(pending)-len(pending) < streamReadBytes/2 {
 			grown := make([]byte, len(pending), 2*cap(pending)+streamReadBytes)
@@ -60,6 +60,10 @@
 				return uncertain{err: errors.Join(ErrCallerGone, werr), forwarded: true}
 			}
 			pending = append(pending[:0], pending[complete:]...)
+			if !answered && x.events-a.events > beginEvents {
+				answered = true
+				x.e.quarantine.answered(x.service, x.parts)
+			}
 		}
 		if err != nil {
 			return uncertain{err: err, forwarded: x.w.started}
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -70,6 +70,15 @@
 	mu       sync.Mutex
 	requests []receivedRequest
 	scripts  map[string]script
+	// listeners holds the listener of each target.
+	listeners map[string]net.Listener
+}
+
+// end closes the listener of a target, as if its process had ended.
+func (w *testEnv) end(target string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.listeners[target].Close()
 }
 
 func okResponse(id, body string) string {
@@ -79,7 +88,7 @@
 // newTestEnv starts an engine with targets of the service "s", one for each script.
 func newTestEnv(t *testing.T, scripts ...script) *testEnv {
 	t.Helper()
-	w := &testEnv{t: t, scripts: make(map[string]script)}
+	w := &testEnv{t: t, scripts: make(map[string]script), listeners: make(map[string]net.Listener)}
 	logger := log.New(io.Discard)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
@@ -141,6 +150,9 @@
 // target starts a scripted target and returns its address.
 func (w *testEnv) target(id string) string {
 	return w.listen(func(l net.Listener) {
+		w.mu.Lock()
+		w.listeners[id] = l
+		w.mu.Unlock()
 		for {
 			c, err := l.Accept()
 			if err != nil {
--- a/internal/emul/instance.go
+++ b/internal/emul/instance.go
@@ -73,6 +73,14 @@
 	return l.Store.Write(ctx, p, w, e)
 }
 
+// Append calls the store.
+func (l *link) Append(ctx context.Context, p keyed.Partition, entries []keyed.Entry) error {
+	if err := l.check(); err != nil {
+		return err
+	}
+	return l.Store.Append(ctx, p, entries)
+}
+
 func (f *fleet) startInstances() error {
 	for i := range f.s.Instances {
 		listen, err := freeAddress()
@@ -90,6 +98,7 @@
 			Retries: edge.Retries{Window: retryWindow, Share: retryShare, Burst: retrySpare},
 			Dialect: dialect, Store: l, Decoder: keyd.Records{},
 			Tables: keyed.Partition{Topic: "tables"}, Targets: keyed.Partition{Topic: "targets"}, Budgets: "budgets", Pledges: "pledges",
+			Board:  keyed.Partition{Topic: "board"},
 			Logger: f.logger.With("instance", i),
 		}}
 		f.instances = append(f.instances, in)
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -29,6 +29,9 @@
 	// numbers of those among them that get no requests because they said that they
 	// leave, or asked for a rest.
 	Targets, Leaving, Resting map[string]int
+	// Suspected and Quarantined are the numbers of prompt parts that are suspected to
+	// crash targets, and of those in quarantine, by service.
+	Suspected, Quarantined map[string]int
 	// TableVersion is the version of the active configuration. TableAge is the time
 	// since the store last confirmed that it is the newest.
 	TableVersion int64
@@ -53,6 +56,7 @@
 
 	requests, attempts, retries, notices metric.Int64Counter
 	wrongResponses, connections          metric.Int64Counter
+	ended, quarantines, refusals         metric.Int64Counter
 	requestTime, firstByte, reserveTime  metric.Float64Histogram
 }
 
@@ -123,6 +127,26 @@
 	m.add(m.notices, attribute.String("service", service), attribute.String("kind", kind))
 }
 
+// TargetEnded counts a target that ended when it began to answer a prompt.
+func (m *Meter) TargetEnded(service string) {
+	if m != nil {
+		m.add(m.ended, attribute.String("service", service))
+	}
+}
+
+// Quarantine counts a change of a prompt part's quarantine: "begun", "cleared" or
+// "expired".
+func (m *Meter) Quarantine(service, change string) {
+	if m != nil {
+		m.add(m.quarantines, attribute.String("service", service), attribute.String("change", change))
+	}
+}
+
+// QuarantineRefusal counts a request that was refused for a part in quarantine.
+func (m *Meter) QuarantineRefusal(service string) {
+	m.add(m.refusals, attribute.String("service", service))
+}
+
 // WrongResponse counts a response, on a connection to a target, that belongs to no
 // request in progress.
 func (m *Meter) WrongResponse() { m.add(m.wrongResponses) }
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -30,7 +30,8 @@
 	t.Helper()
 	m, err := New(func() State {
 		return State{
-			Budgets: []Budget{{"o", 500, 70}}, Targets: map[string]int{"s": 3}, Leaving: map[string]int{"s": 1}, Resting: map[string]int{"s": 0}, TableVersion: 7,
+			Budgets: []Budget{{"o", 500, 70}}, Targets: map[string]int{"s": 3}, Leaving: map[string]int{"s": 1}, Resting: map[string]int{"s": 0},
+			Suspected: map[string]int{"s": 2}, Quarantined: map[string]int{"s": 1}, TableVersion: 7,
 			TableAge: 250 * time.Millisecond, LogEpoch: 3, Open: 2, LogDropped: 4,
 		}
 	})
@@ -45,6 +46,9 @@
 	m.Attempt("s", "may-have-run")
 	m.Retry("s", false)
 	m.Notice("s", "rest")
+	m.TargetEnded("s")
+	m.Quarantine("s", "begun")
+	m.QuarantineRefusal("s")
 	m.WrongResponse()
 	m.Connection()
 	return m
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -40,6 +40,11 @@
 	attemptsMetric       = definition{"beryl.attempts", counter, "", "service, outcome", "Attempts at targets: `answered`, `failed` (by the target's own status), `not-run` (proved), `may-have-run`"}
 	retriesMetric        = definition{"beryl.repeats", counter, "", "service, allowed", "Attempts after the first. `allowed` is `false`: the budget of repeats is used up"}
 	noticesMetric        = definition{"beryl.target.notices", counter, "", "service, kind", "Notices of targets about themselves: `leaving`, `rest`"}
+	endedMetric          = definition{"beryl.targets.ended", counter, "", "service", "Targets that ended when they began to answer a prompt. It rises by many: a part of prompts may crash them; see the lines of the layer `quarantine`"}
+	quarantinesMetric    = definition{"beryl.quarantine.changes", counter, "", "service, change", "Quarantines of prompt parts that have `begun`, were `cleared` by an answer, another instance or an operator, or `expired`. `cleared`: a sound part was held for a while"}
+	refusalsMetric       = definition{"beryl.quarantine.refusals", counter, "", "service", "Requests refused with 503 because a part of their prompt is in quarantine"}
+	suspectedMetric      = definition{"beryl.parts.suspected", gauge, "", "service", "Prompt parts that targets ended on, not in quarantine. Requests with them are served"}
+	quarantinedMetric    = definition{"beryl.parts.quarantined", gauge, "", "service", "Prompt parts in quarantine. Requests with them are refused; `beryl edge parts` names them"}
 	wrongResponsesMetric = definition{"beryl.foreign.answers", counter, "", "", "Answers that belong to no request: some target sends too many"}
 	connectionsMetric    = definition{"beryl.connections", counter, "", "", "Connections accepted from callers"}
 	openMetric           = definition{"beryl.open.requests", gauge, "", "", "Requests in progress"}
@@ -55,6 +60,7 @@
 
 	definitions = []definition{
 		requestsMetric, requestTimeMetric, firstByteMetric, reserveTimeMetric, attemptsMetric, retriesMetric, noticesMetric, wrongResponsesMetric, connectionsMetric, openMetric,
+		endedMetric, quarantinesMetric, refusalsMetric, suspectedMetric, quarantinedMetric,
 		targetsMetric, leavingMetric, restingMetric, freeMetric, reservedMetric, versionMetric, ageMetric, epochMetric, logDroppedMetric,
 	}
 )
@@ -81,9 +87,11 @@
 	m.requests, m.attempts, m.retries = newCounter(requestsMetric), newCounter(attemptsMetric), newCounter(retriesMetric)
 	m.wrongResponses, m.connections = newCounter(wrongResponsesMetric), newCounter(connectionsMetric)
 	m.notices = newCounter(noticesMetric)
+	m.ended, m.quarantines, m.refusals = newCounter(endedMetric), newCounter(quarantinesMetric), newCounter(refusalsMetric)
 	m.requestTime, m.firstByte, m.reserveTime = newHistogram(requestTimeMetric), newHistogram(firstByteMetric), newHistogram(reserveTimeMetric)
 	open, targets, free, reserved := newGauge(openMetric), newGauge(targetsMetric), newGauge(freeMetric), newGauge(reservedMetric)
 	leaving, resting := newGauge(leavingMetric), newGauge(restingMetric)
+	suspected, quarantined := newGauge(suspectedMetric), newGauge(quarantinedMetric)
 	version, age, epoch := newGauge(versionMetric), newGauge(ageMetric), newGauge(epochMetric)
 	dropped, err := meter.Int64ObservableCounter(logDroppedMetric.Name, metric.WithDescription(logDroppedMetric.Text))
 	errs = append(errs, err)
@@ -94,7 +102,9 @@
 			o.ObserveFloat64(free, float64(b.Free), label)
 			o.ObserveFloat64(reserved, float64(b.Reserved), label)
 		}
-		for gauge, byService := range map[metric.Float64Observable]map[string]int{targets: s.Targets, leaving: s.Leaving, resting: s.Resting} {
+		for gauge, byService := range map[metric.Float64Observable]map[string]int{
+			targets: s.Targets, leaving: s.Leaving, resting: s.Resting, suspected: s.Suspected, quarantined: s.Quarantined,
+		} {
 			for service, n := range byService {
 				o.ObserveFloat64(gauge, float64(n), metric.WithAttributes(attribute.String("service", service)))
 			}
@@ -105,7 +115,7 @@
 		o.ObserveFloat64(epoch, float64(s.LogEpoch))
 		o.ObserveInt64(dropped, s.LogDropped)
 		return nil
-	}, open, targets, leaving, resting, free, reserved, version, age, epoch, dropped)
+	}, open, targets, leaving, resting, suspected, quarantined, free, reserved, version, age, epoch, dropped)
 	return errors.Join(append(errs, err)...)
 }
 
--- a/internal/stand/keyd/keyd.go
+++ b/internal/stand/keyd/keyd.go
@@ -176,6 +176,26 @@
 	return s.write(id, w, e)
 }
 
+// Append writes records without a writer's number. It returns keyed.ErrOutcomeUnknown if
+// the answer is lost.
+func (s *Store) Append(ctx context.Context, id keyed.Partition, entries []keyed.Entry) error {
+	if err := s.begin(ctx); err != nil {
+		return err
+	}
+	write := func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, e := range entries {
+			s.partition(id).put(e, &keyed.Writer{}) // Unlike a record of Put, it is lost with a restore.
+		}
+	}
+	if s.lose(write) {
+		return keyed.ErrOutcomeUnknown
+	}
+	write()
+	return nil
+}
+
 // lose decides whether the answer of a write is lost. If so, it runs the write at once
 // or after Late, and returns true.
 func (s *Store) lose(write func()) bool {
--- a/pkg/keyed/keyed.go
+++ b/pkg/keyed/keyed.go
@@ -69,6 +69,10 @@
 	// record that is sent again has no second effect, and a record has no effect after
 	// a later one of its writer.
 	Write(ctx context.Context, p Partition, w Writer, e Entry) error
+	// Append writes records without a writer's number, all or none. A record may take
+	// effect late, and again after a later record of its key. It is meant for records
+	// that readers merge.
+	Append(ctx context.Context, p Partition, entries []Entry) error
 }
 
 // Writer numbers the records that one process writes to a partition.
