pkg/poison, internal/edge: evidence against a prompt part survives restarts

What callers would have seen: after a restart of all instances between two ends, evidence counted anew, so a part could crash up to two targets more; and an instance that had just started sent a request with a part in quarantine before it had read of it.

Cause: how many ends count apart was known to the processes that lived through them, not to the records; requests at the start waited for configuration and targets only.

Change: records carry the number of ends that count apart. Requests with parts of a prompt wait for the first reading of the shared records, within the 0.4 s after the start that they already had for the rest.

Evidence: TestEvidenceOutlivesRestarts; TestQuarantineIsReadAtStart fails without the wait (the request is served); the models of pkg/poison hold with the new field.

--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -27,9 +27,9 @@
 	// have been added since it was read. Reads of the store wait up to 2 s, and a lost
 	// read is detected within 2 s more.
 	staleAfter = 4 * time.Second
-	// startWait is how long a request waits for the first reading of the configuration
-	// and of the targets by an instance that has just started. The reading takes a few
-	// calls to the store.
+	// startWait is how long a request waits for the first reading of the configuration, of
+	// the targets and of the shared records by an instance that has just started. The
+	// reading takes a few calls to the store.
 	startWait = 400 * time.Millisecond
 	// startRetry is the Retry-After of an instance that has no configuration or no
 	// targets yet. Other instances in the data centre have them.
@@ -138,7 +138,7 @@
 	if len(x.id) == 0 || x.head.Count(e.Dialect.RequestID) != 1 {
 		return x.deny(statusBadRequest, 0, "a request carries one id")
 	}
-	e.awaitLoaded(x.ctx)
+	e.awaitLoaded(x.ctx, x.head.Get(e.Dialect.Prefix) != nil)
 	x.table, x.tableAge = e.view.Load(), e.age()
 	if x.table == nil {
 		return x.deny(statusUnavailable, startRetry, "no configuration is known yet")
@@ -161,21 +161,26 @@
 	return x.parseFields()
 }
 
-// awaitLoaded waits until the configuration and the targets were read for the first time,
-// up to startWait.
-func (e *Engine) awaitLoaded(ctx context.Context) {
+// awaitLoaded waits until the configuration, the targets and, for a request with parts of a
+// prompt, the shared records were read for the first time, up to startWait. Later than
+// startWait after the start, it doesn't wait for the shared records.
+func (e *Engine) awaitLoaded(ctx context.Context, parts bool) {
 	select {
 	case <-e.loaded:
-		return
+		if !parts || time.Since(e.started) > startWait {
+			return
+		}
 	default:
 	}
-	timeout := time.NewTimer(startWait)
-	defer timeout.Stop()
+	ctx, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
 	select {
 	case <-e.loaded:
-	case <-timeout.C:
 	case <-ctx.Done():
 	}
+	if parts {
+		e.quarantine.awaitRead(ctx)
+	}
 }
 
 // identify looks up the organisation of the request's key.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -135,7 +135,7 @@
 	}
 	quarantine := &n.engine.quarantine
 	n.board = &board.Board{Store: opts.Store, Partition: opts.Board, OnChange: quarantine.apply, OnReachability: n.logStoreState(opts.Board.Topic, nil)}
-	quarantine.board, quarantine.logger = n.board, opts.Logger.WithPrefix("quarantine")
+	quarantine.board, quarantine.logger, quarantine.read = n.board, opts.Logger.WithPrefix("quarantine"), make(chan struct{})
 	n.server = &Server{Engine: n.engine, Logger: opts.Logger.WithPrefix("callers")}
 	n.tables = &keyed.Follower{
 		Store: opts.Store, Partition: opts.Tables, Wait: tablesWait, OnChange: n.applyTables,
--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -16,6 +16,7 @@
 	"github.com/beryllanding/beryllanding/internal/stand/keyd"
 	"github.com/beryllanding/beryllanding/pkg/acct"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
+	"github.com/beryllanding/beryllanding/pkg/poison"
 	"github.com/beryllanding/beryllanding/pkg/roster"
 	"github.com/beryllanding/beryllanding/pkg/table"
 )
@@ -310,3 +311,37 @@
 		t.Errorf("after the restart: got response %+v, want status 200", got)
 	}
 }
+
+// slowBoard is a store that takes longer for the shared records than for the rest.
+type slowBoard struct{ *keyd.Store }
+
+// Newest waits for half of startWait before it returns shared records.
+func (s slowBoard) Newest(ctx context.Context, p keyed.Partition, after string) (keyed.Page, error) {
+	if p.Topic == "board" {
+		time.Sleep(startWait / 2)
+	}
+	return s.Store.Newest(ctx, p, after)
+}
+
+// TestQuarantineIsReadAtStart: an instance that starts refuses its first request with a part
+// that the others hold in quarantine.
+func TestQuarantineIsReadAtStart(t *testing.T) {
+	n := newNode(t, respondOK)
+	n.stop()
+	<-n.ended
+	part := poison.Part{Service: "s", ID: "bad"}
+	record := poison.Record{Ended: []string{"t7/0"}, Until: time.Now().Add(time.Hour).UnixMilli(), Terms: 1}
+	n.store.Put(n.opts.Board, keyed.Entry{Key: part.Key(), Value: record.Encode()})
+	n.opts.Store = slowBoard{n.store}
+	n.run()
+	for {
+		if c, err := net.Dial("tcp", n.addr); err == nil {
+			_ = c.Close()
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if got := n.ask("/once/", promptFields("q1", "bad"), "x"); got.status != 503 || len(n.received()) > 0 {
+		t.Errorf("got status %d, %d requests at targets; want 503 and none", got.status, len(n.received()))
+	}
+}
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -57,6 +57,9 @@
 	// checks holds, by target, the parts of the prompts whose responses broke off at their
 	// beginning, until the target is checked.
 	checks map[*target]map[string]bool
+	// read is closed once the shared records were read for the first time. It may be nil.
+	read     chan struct{}
+	readOnce sync.Once
 	// suspected is set while the tracker has records, so that most requests take no lock.
 	suspected atomic.Bool
 }
@@ -180,6 +183,9 @@
 
 // apply merges the records of other instances.
 func (q *quarantine) apply(c keyed.Change) {
+	if q.read != nil {
+		defer q.readOnce.Do(func() { close(q.read) })
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
@@ -268,6 +274,18 @@
 	}
 }
 
+// awaitRead waits until the shared records were read for the first time, or until the
+// context ends.
+func (q *quarantine) awaitRead(ctx context.Context) {
+	if q.read == nil {
+		return
+	}
+	select {
+	case <-q.read:
+	case <-ctx.Done():
+	}
+}
+
 // checkParts returns why the request is refused, or "" if no part of its prompt is in
 // quarantine.
 func (x *exchange) checkParts() (reason string, left time.Duration) {
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -64,6 +64,9 @@
 	// Ended names the runs of targets that ended when they began to answer a prompt with
 	// the part, in this round. It is sorted and holds maxEnded names at most.
 	Ended []string `json:"ended,omitempty"`
+	// Apart is the number of these ends that count apart. It is lower than their number if
+	// targets ended together.
+	Apart int `json:"apart,omitempty"`
 	// Until is the end of the quarantine, in Unix milliseconds. It is 0 before the first
 	// quarantine of the round.
 	Until int64 `json:"until,omitempty"`
@@ -86,13 +89,13 @@
 	ended = slices.Compact(ended)
 	return Record{
 		Round: r.Round, Ended: ended[:min(maxEnded, len(ended)):min(maxEnded, len(ended))],
-		Until: max(r.Until, o.Until), Terms: max(r.Terms, o.Terms),
+		Apart: max(r.Apart, o.Apart), Until: max(r.Until, o.Until), Terms: max(r.Terms, o.Terms),
 	}
 }
 
 // Equal reports whether both records say the same.
 func (r Record) Equal(o Record) bool {
-	return r.Round == o.Round && r.Until == o.Until && r.Terms == o.Terms && slices.Equal(r.Ended, o.Ended)
+	return r.Round == o.Round && r.Apart == o.Apart && r.Until == o.Until && r.Terms == o.Terms && slices.Equal(r.Ended, o.Ended)
 }
 
 // Quarantined reports whether the part is in quarantine at a time.
@@ -115,7 +118,7 @@
 	}
 	slices.Sort(r.Ended)
 	r.Ended = slices.Compact(r.Ended)
-	if r.Round < 0 || r.Until < 0 || r.Terms < 0 || len(r.Ended) > maxEnded ||
+	if r.Round < 0 || r.Apart < 0 || r.Until < 0 || r.Terms < 0 || len(r.Ended) > maxEnded ||
 		slices.ContainsFunc(r.Ended, func(run string) bool { return run == "" || len(run) > maxRun }) {
 		return Record{}, fmt.Errorf("%w: a value is out of range", ErrRecord)
 	}
--- a/pkg/poison/tracker.go
+++ b/pkg/poison/tracker.go
@@ -46,10 +46,8 @@
 // suspect is a part with a record.
 type suspect struct {
 	Record
-	// separate is the number of ends that became known at least minGap apart, in this
-	// round. lastEnd is when the last one became known.
-	separate int
-	lastEnd  time.Time
+	// lastEnd is when the last end that counts became known.
+	lastEnd time.Time
 	// changed is when the record last changed.
 	changed time.Time
 	// held is set while the part is known to be in quarantine.
@@ -100,15 +98,22 @@
 	return changes
 }
 
-// countEnd counts an end, and begins a quarantine if enough ends are known.
+// countEnd counts an end, unless another one became known less than minGap before.
 func (s *suspect) countEnd(now time.Time) Event {
 	s.changed = now
-	if s.separate == 0 || now.Sub(s.lastEnd) >= minGap {
-		s.separate++
+	if s.Apart == 0 || now.Sub(s.lastEnd) >= minGap {
+		s.Apart++
 		s.lastEnd = now
 	}
 	// After a quarantine, one more end is enough.
-	if !s.Quarantined(now) && (s.Terms > 0 || (s.separate >= minEnded && len(s.Ended) >= minEnded)) {
+	return s.decide(now, s.Terms > 0)
+}
+
+// decide begins the first quarantine of the round if enough ends are known, or another one
+// if again is set.
+func (s *suspect) decide(now time.Time, again bool) Event {
+	first := s.Terms == 0 && s.Apart >= minEnded && len(s.Ended) >= minEnded
+	if !s.Quarantined(now) && (first || again) {
 		term := maxTerm
 		if s.Terms < 16 { // Larger shifts could overflow.
 			term = min(maxTerm, firstTerm<<s.Terms)
@@ -159,7 +164,6 @@
 // replace sets a record of another round.
 func (s *suspect) replace(now time.Time, r Record) {
 	s.Record, s.changed, s.lastEnd = r, now, now
-	s.separate = min(1, len(r.Ended))
 }
 
 // Merge adds the record of another instance. stale is set if the known record says more,
@@ -176,13 +180,16 @@
 	switch {
 	case merged.Round != known.Round || s.changed.IsZero():
 		s.replace(now, merged)
-		c.Event = s.observe(now, Cleared)
+		c.Event = s.decide(now, false)
 	case !merged.Equal(known):
-		news := len(merged.Ended) > len(known.Ended)
 		s.Record, s.changed = merged, now
-		if news {
+		switch {
+		case merged.Apart > known.Apart: // The other instance has counted its end.
+			s.lastEnd = now
+			c.Event = s.decide(now, false)
+		case len(merged.Ended) > len(known.Ended):
 			c.Event = s.countEnd(now)
-		} else {
+		default:
 			c.Event = s.observe(now, Cleared)
 		}
 	}
--- a/pkg/poison/tracker_test.go
+++ b/pkg/poison/tracker_test.go
@@ -131,6 +131,30 @@
 	}
 }
 
+// TestEvidenceOutlivesRestarts: instances that start again between the ends go on from what
+// the records say, and a record whose quarantine has expired begins none.
+func TestEvidenceOutlivesRestarts(t *testing.T) {
+	now := start
+	var record poison.Record
+	for i := range 3 {
+		var tr poison.Tracker
+		if i > 0 {
+			tr.Merge(now, poison.Part{Service: "s", ID: "bad"}, record)
+		}
+		now = now.Add(step)
+		changes := tr.Ended(now, "s", []string{"bad"}, fmt.Sprintf("t%d", i))
+		if len(changes) != 1 || held(&tr, now, "bad") != (i == 2) {
+			t.Fatalf("end %d: changes are %+v, in quarantine %v; want a quarantine after the third", i, changes, held(&tr, now, "bad"))
+		}
+		record = changes[0].Record
+	}
+	var tr poison.Tracker
+	later := time.UnixMilli(record.Until)
+	if c, stale := tr.Merge(later, poison.Part{Service: "s", ID: "bad"}, record); held(&tr, later, "bad") || stale {
+		t.Errorf("an expired record: %+v, stale %v; want no quarantine", c, stale)
+	}
+}
+
 // TestTrackerIsBounded: parts that come once each don't take memory without end, and don't
 // displace a part in quarantine.
 func TestTrackerIsBounded(t *testing.T) {
@@ -150,7 +174,7 @@
 
 func genRecord() *rapid.Generator[poison.Record] {
 	return rapid.Custom(func(t *rapid.T) poison.Record {
-		r := poison.Record{Round: rapid.Int64Range(0, 2).Draw(t, "round"), Until: rapid.Int64Range(0, 3).Draw(t, "until"), Terms: rapid.IntRange(0, 2).Draw(t, "terms")}
+		r := poison.Record{Round: rapid.Int64Range(0, 2).Draw(t, "round"), Until: rapid.Int64Range(0, 3).Draw(t, "until"), Terms: rapid.IntRange(0, 2).Draw(t, "terms"), Apart: rapid.IntRange(0, 3).Draw(t, "apart")}
 		for i := range 12 {
 			if rapid.Bool().Draw(t, "ended") && len(r.Ended) < 8 {
 				r.Ended = append(r.Ended, fmt.Sprintf("t%02d", i))
