internal/edge, platform: log and count the limits that targets name

What callers saw: nothing; a target in need got three times the requests that it asked for.

Change: the field is decoded at the boundary. No choice depends on it yet.

Evidence: TestParseLimit; the metric pages are compared with the golden file.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -17,6 +17,7 @@
 	statusNotFound        = 404
 	statusRequestTimeout  = 408
 	statusContentTooLarge = 413
+	statusMisdirected     = 421
 	statusHeadTooLarge    = 431
 	statusBadGateway      = 502
 	statusUnavailable     = 503
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -285,6 +285,9 @@
 		x.recordNotices(a, head)
 		id := head.Get(x.e.Dialect.RequestID)
 		if bytes.Equal(id, x.id) {
+			if head.Status != statusMisdirected {
+				x.recordLimit(a, head)
+			}
 			return head, nil
 		}
 		x.e.Meter.WrongResponse()
@@ -305,7 +308,7 @@
 	if load, ok := d.ParseLoad(head.Get(d.Load)); ok {
 		x.e.fleet.reportLoad(x.service, a, load)
 	}
-	if head.Get(d.NotRun) != nil || head.Status == 421 {
+	if head.Get(d.NotRun) != nil || head.Status == statusMisdirected {
 		_, err := body.ReadAll(nil, maxResponseBody)
 		return notRun{sent: true, status: head.Status, err: err}, body
 	}
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -36,6 +36,9 @@
 	NotRun string
 	// Leaving is in the responses of a target that leaves, with the value "1".
 	Leaving string
+	// Limit is the number of requests a second, a decimal number, that a target in need
+	// takes from all instances together. A response without it names no limit.
+	Limit string
 	// Load is the load that the target reports; see ParseLoad.
 	Load string
 	// Priority ranks requests at a target; 0 is the most urgent.
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -358,6 +358,9 @@
 	x.targets = append(x.targets, a.target.ID)
 	x.pickRequest.Exclude = append(x.pickRequest.Exclude, a.target.name)
 	stopLog := x.logIfSlow(a)
+	if a.limited {
+		x.e.Meter.LimitedAttempt(x.service)
+	}
 	a.events = x.events
 	result := x.attempt(a)
 	stopLog()
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -25,6 +25,10 @@
 	// open last rose from 0. Both are guarded by fleet.mu.
 	busySince time.Time
 	open      int
+	// limit is the limit that the target names, in requests a second, or 0 for none.
+	// limitedSince is when it last changed. Both are guarded by fleet.mu.
+	limit        float64
+	limitedSince time.Time
 }
 
 // suspectAfter is how long a target with open requests may send nothing on any connection.
@@ -174,6 +178,8 @@
 	// number of this instance's requests at the target, including this one.
 	listAge time.Duration
 	open    int
+	// limited is set if the target named a limit before the attempt.
+	limited bool
 	// events is the number of events that the caller had when the attempt began.
 	events int64
 }
@@ -202,7 +208,7 @@
 	target.open++
 	return &attempt{
 		target: target, routed: g.picker.Begin(now, t.Name, req), began: now,
-		listAge: now.Sub(f.listConfirmed), open: target.open,
+		listAge: now.Sub(f.listConfirmed), open: target.open, limited: target.limit > 0,
 	}, nil
 }
 
--- a/internal/edge/notice.go
+++ b/internal/edge/notice.go
@@ -13,6 +13,8 @@
 const (
 	noticeLeaving = "leaving"
 	noticeRest    = "rest"
+	noticeLimit   = "limit"
+	noticeNoLimit = "no-limit"
 )
 
 // leavingValue is the value of Dialect.Leaving in the responses of a target that leaves.
@@ -37,6 +39,73 @@
 	}
 }
 
+// recordLimit records the limit that a response names, or that it names none. It is called
+// for each response to this request by the target that it was sent to.
+func (x *exchange) recordLimit(a *attempt, head *http1.Head) {
+	field := head.Get(x.e.Dialect.Limit)
+	rate, valid := parseLimit(field)
+	if !valid {
+		if x.e.Logger != nil {
+			x.e.Logger.Warn("target names a limit that is no number of requests a second; ignoring it", "request-id", string(x.id), "target", a.target.ID, "limit", string(field[:min(maxLoggedField, len(field))]))
+		}
+		return
+	}
+	switch x.e.fleet.limit(a, rate) {
+	case limitNamed:
+		x.e.Meter.Notice(x.service, noticeLimit)
+		x.logNotice("target names a limit of requests a second, for all instances together", a, "limit", rate)
+	case limitEnded:
+		x.e.Meter.Notice(x.service, noticeNoLimit)
+		x.logNotice("target names no limit any more", a)
+	case limitKnown:
+	}
+}
+
+// maxLoggedField bounds the part of a header field in a log line, in bytes.
+const maxLoggedField = 40
+
+// parseLimit returns the requests a second of a Limit field, or 0 if there is no field.
+func parseLimit(field []byte) (rate float64, valid bool) {
+	if field == nil {
+		return 0, true
+	}
+	rate, err := strconv.ParseFloat(string(bytes.TrimSpace(field)), 64)
+	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return 0, false
+	}
+	return max(rate, minLimit), true
+}
+
+// minLimit is the lowest limit in requests a second. A lower one counts as this, so that a
+// request finds out now and then whether it still holds.
+const minLimit = 0.01
+
+// limitNews is what a response says about a target's limit, compared with what is known.
+type limitNews int
+
+const (
+	limitKnown limitNews = iota
+	limitNamed
+	limitEnded
+)
+
+// limit records the limit that the target of an attempt names; 0 stands for none. A response
+// to a request that was sent before the present limit was named doesn't end or raise it.
+func (f *fleet) limit(a *attempt, rate float64) limitNews {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := a.target
+	known := t.limit
+	if rate == known || (known > 0 && (rate == 0 || rate > known) && !a.began.After(t.limitedSince)) {
+		return limitKnown
+	}
+	t.limit, t.limitedSince = rate, time.Now()
+	if rate == 0 {
+		return limitEnded
+	}
+	return limitNamed
+}
+
 func (x *exchange) logNotice(msg string, a *attempt, more ...any) {
 	if x.e.Logger == nil {
 		return
--- a/internal/edge/notice_test.go
+++ b/internal/edge/notice_test.go
@@ -178,3 +178,20 @@
 		}
 	}
 }
+
+// TestParseLimit: limits are decimal numbers; anything else is ignored.
+func TestParseLimit(t *testing.T) {
+	for field, want := range map[string]float64{"1": 1, " 1.1 ": 1.1, "250": 250, "0": minLimit, "0.001": minLimit} {
+		if got, ok := parseLimit([]byte(field)); !ok || got != want {
+			t.Errorf("%q: got %v, valid %v; want %v", field, got, ok, want)
+		}
+	}
+	for _, field := range []string{"", "x", "-1", "NaN", "Inf", "1,5", "1 2"} {
+		if got, ok := parseLimit([]byte(field)); ok {
+			t.Errorf("%q: got %v, want it ignored", field, got)
+		}
+	}
+	if got, ok := parseLimit(nil); !ok || got != 0 {
+		t.Errorf("no field: got %v, valid %v; want no limit", got, ok)
+	}
+}
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -30,7 +30,7 @@
 var testDialect = Dialect{
 	RequestID: "Request-Id", Deadline: "Deadline", Key: "Key", Organisation: "Organisation",
 	Tokens: "Tokens", Prefix: "Prefix", LastEvent: "Last-Event", Signature: "Signature",
-	Expect: "Expect-Target", NotRun: "Not-Run", Leaving: "Leaving", Load: "Load", Priority: "Rank",
+	Expect: "Expect-Target", NotRun: "Not-Run", Leaving: "Leaving", Limit: "Limit", Load: "Load", Priority: "Rank",
 	Internal: []string{"Internal"},
 	ParseTokens: func(field []byte) (Tokens, error) {
 		var tk Tokens
--- a/internal/emul/dialect.go
+++ b/internal/emul/dialect.go
@@ -14,7 +14,7 @@
 var dialect = edge.Dialect{
 	RequestID: "Request-Id", Deadline: "Time-Left-Ms", Key: "Key", Organisation: "Organisation",
 	Tokens: "Tokens", Prefix: "Prefix", LastEvent: "Last-Event-Id", Signature: "Signature",
-	Expect: "Expect-Target", NotRun: "Not-Run", Leaving: "Leaving", Load: "Load", Priority: "Priority",
+	Expect: "Expect-Target", NotRun: "Not-Run", Leaving: "Leaving", Limit: "Limit", Load: "Load", Priority: "Priority",
 	ParseTokens: func(field []byte) (edge.Tokens, error) {
 		a, b, err := pair(field, ',')
 		return edge.Tokens{Prompt: a, Output: b}, err
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -54,10 +54,10 @@
 type Meter struct {
 	handler http.Handler
 
-	requests, attempts, retries, notices metric.Int64Counter
-	wrongResponses, connections          metric.Int64Counter
-	ended, quarantines, refusals         metric.Int64Counter
-	requestTime, firstByte, reserveTime  metric.Float64Histogram
+	requests, attempts, retries, notices  metric.Int64Counter
+	wrongResponses, connections           metric.Int64Counter
+	ended, quarantines, refusals, limited metric.Int64Counter
+	requestTime, firstByte, reserveTime   metric.Float64Histogram
 }
 
 // New returns a meter. The meter calls read for each scrape.
@@ -122,7 +122,8 @@
 	m.add(m.retries, attribute.String("service", service), attribute.Bool("allowed", allowed))
 }
 
-// Notice counts a notice by which a target withdrew from work: "leaving" or "rest".
+// Notice counts a notice of a target: "leaving", "rest", "limit" for a limit that it named
+// or changed, and "no-limit" for the end of one.
 func (m *Meter) Notice(service, kind string) {
 	m.add(m.notices, attribute.String("service", service), attribute.String("kind", kind))
 }
@@ -147,6 +148,11 @@
 	m.add(m.refusals, attribute.String("service", service))
 }
 
+// LimitedAttempt counts an attempt at a target that names a limit.
+func (m *Meter) LimitedAttempt(service string) {
+	m.add(m.limited, attribute.String("service", service))
+}
+
 // WrongResponse counts a response, on a connection to a target, that belongs to no
 // request in progress.
 func (m *Meter) WrongResponse() { m.add(m.wrongResponses) }
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -49,6 +49,7 @@
 	m.TargetEnded("s")
 	m.Quarantine("s", "begun")
 	m.QuarantineRefusal("s")
+	m.LimitedAttempt("s")
 	m.WrongResponse()
 	m.Connection()
 	return m
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -39,10 +39,11 @@
 	reserveTimeMetric    = definition{"beryl.reserve", histogram, seconds, "", "Time that a request waited for its tokens. It rises: the store is slow"}
 	attemptsMetric       = definition{"beryl.attempts", counter, "", "service, outcome", "Attempts at targets: `answered`, `failed` (by the target's own status), `not-run` (proved), `may-have-run`"}
 	retriesMetric        = definition{"beryl.repeats", counter, "", "service, allowed", "Attempts after the first. `allowed` is `false`: the budget of repeats is used up"}
-	noticesMetric        = definition{"beryl.target.notices", counter, "", "service, kind", "Notices of targets about themselves: `leaving`, `rest`"}
+	noticesMetric        = definition{"beryl.target.notices", counter, "", "service, kind", "Notices of targets about themselves: `leaving`, `rest`, `limit` (a limit of requests a second was named or changed), `no-limit` (it ended)"}
 	endedMetric          = definition{"beryl.targets.ended", counter, "", "service", "Targets that ended when they began to answer a prompt. It rises by many: a part of prompts may crash them; see the lines of the layer `quarantine`"}
 	quarantinesMetric    = definition{"beryl.quarantine.changes", counter, "", "service, change", "Quarantines of prompt parts that have `begun`, were `cleared` by an answer, another instance or an operator, or `expired`. `cleared`: a sound part was held for a while"}
 	refusalsMetric       = definition{"beryl.quarantine.refusals", counter, "", "service", "Requests refused with 503 because a part of their prompt is in quarantine"}
+	limitedMetric        = definition{"beryl.limited.attempts", counter, "", "service", "Attempts at targets that name a limit of requests a second. Its rate, summed over all instances, is to stay below the sum of the limits"}
 	suspectedMetric      = definition{"beryl.parts.suspected", gauge, "", "service", "Prompt parts that targets ended on, not in quarantine. Requests with them are served"}
 	quarantinedMetric    = definition{"beryl.parts.quarantined", gauge, "", "service", "Prompt parts in quarantine. Requests with them are refused; `beryl edge parts` names them"}
 	wrongResponsesMetric = definition{"beryl.foreign.answers", counter, "", "", "Answers that belong to no request: some target sends too many"}
@@ -60,7 +61,7 @@
 
 	definitions = []definition{
 		requestsMetric, requestTimeMetric, firstByteMetric, reserveTimeMetric, attemptsMetric, retriesMetric, noticesMetric, wrongResponsesMetric, connectionsMetric, openMetric,
-		endedMetric, quarantinesMetric, refusalsMetric, suspectedMetric, quarantinedMetric,
+		endedMetric, quarantinesMetric, refusalsMetric, limitedMetric, suspectedMetric, quarantinedMetric,
 		targetsMetric, leavingMetric, restingMetric, freeMetric, reservedMetric, versionMetric, ageMetric, epochMetric, logDroppedMetric,
 	}
 )
@@ -88,6 +89,7 @@
 	m.wrongResponses, m.connections = newCounter(wrongResponsesMetric), newCounter(connectionsMetric)
 	m.notices = newCounter(noticesMetric)
 	m.ended, m.quarantines, m.refusals = newCounter(endedMetric), newCounter(quarantinesMetric), newCounter(refusalsMetric)
+	m.limited = newCounter(limitedMetric)
 	m.requestTime, m.firstByte, m.reserveTime = newHistogram(requestTimeMetric), newHistogram(firstByteMetric), newHistogram(reserveTimeMetric)
 	open, targets, free, reserved := newGauge(openMetric), newGauge(targetsMetric), newGauge(freeMetric), newGauge(reservedMetric)
 	leaving, resting := newGauge(leavingMetric), newGauge(restingMetric)
