internal/emul, internal/stand/modeld: targets that name a limit of requests a second

What callers saw: nothing yet; a target in need got three times the requests that it asked for from all instances together.

Change: a stand-in of a target can name a limit in its responses. The emulator's audit counts the requests that such a target gets in any four seconds from instances that had been told half a second before. It knows the instance of each request in progress.

--- a/internal/emul/fleet.go
+++ b/internal/emul/fleet.go
@@ -51,8 +51,10 @@
 	ctx  context.Context
 	stop context.CancelFunc
 	wg   sync.WaitGroup
-	// crashes collects what crashing requests did.
+	// senders, crashes and limits collect what the audit needs to know of requests.
+	senders senders
 	crashes crashes
+	limits  limits
 }
 
 // start starts the store, the targets and the instances, and waits until they are
--- a/internal/emul/load.go
+++ b/internal/emul/load.go
@@ -129,13 +129,15 @@
 	}
 	req.Host = "model.example"
 	req.GetBody = nil // The HTTP client must not repeat the request by itself.
-	req.Header.Set(dialect.RequestID, fmt.Sprintf("%s.%d", a.id, attempt))
+	id := fmt.Sprintf("%s.%d", a.id, attempt)
+	c.f.senders.add(id, a.instance)
+	defer c.f.senders.remove(id)
+	req.Header.Set(dialect.RequestID, id)
 	req.Header.Set(dialect.Key, a.org.Name)
 	req.Header.Set(dialect.Deadline, strconv.FormatInt(time.Until(end).Milliseconds(), 10))
 	req.Header.Set(dialect.Tokens, fmt.Sprintf("%d,%d", a.prompt, a.output))
 	switch {
 	case a.kind.Crashes:
-		c.f.crashes.sending(fmt.Sprintf("%s.%d", a.id, attempt), a.instance)
 		req.Header.Set(dialect.Prefix, fmt.Sprintf("%d:%d,%s", a.prefix, a.kind.Shared, crashPart))
 	case a.kind.Shared > 0:
 		req.Header.Set(dialect.Prefix, fmt.Sprintf("%d:%d", a.prefix, a.kind.Shared))
--- a/internal/emul/replica.go
+++ b/internal/emul/replica.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/beryllanding/beryllanding/internal/stand/modeld"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
@@ -56,7 +55,14 @@
 		e.ID = fmt.Sprintf("target-%d-%d", r.index, n)
 	}
 	server := &http.Server{Handler: e, ErrorLog: r.f.logger.StandardLog()}
-	e.Crash, e.Reached = func() { r.crash(server) }, r.f.crashes.reached
+	e.Crash = func() { r.crash(server) }
+	e.Arrived = func(id string, crashes bool, limit float64) {
+		from := r.f.senders.of(id)
+		if crashes {
+			r.f.crashes.reached(from)
+		}
+		r.f.limits.arrived(e.ID, from, limit)
+	}
 	go func() { _ = server.Serve(l) }() // Serve returns when the server is closed.
 	r.runs, r.server = append(r.runs, e), server
 	return r.f.put("targets", e.ID, roster.Target{ID: e.ID, Service: service, Address: r.addr, DataCentre: "here", Born: int64(len(r.runs))})
@@ -111,61 +117,3 @@
 		_ = r.server.Close() // No requests are in progress.
 	}
 }
-
-// crashBound is the number of crashes after which crashing requests must stop within
-// Scenario.Settle, and crashSlack the number of those that may still come later.
-const (
-	crashBound = 5
-	crashSlack = 3
-)
-
-// crashes collects the crashes of targets, and when they got crashing requests from
-// instances that reach the store.
-type crashes struct {
-	mu sync.Mutex
-	// senders holds the instance that each crashing request was sent to, by request id.
-	senders map[string]*instance
-	ended   []time.Time
-	sent    []time.Time
-}
-
-func (c *crashes) targetEnded() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.ended = append(c.ended, time.Now())
-}
-
-// sending records that a caller sends a crashing request to an instance.
-func (c *crashes) sending(id string, to *instance) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.senders == nil {
-		c.senders = make(map[string]*instance)
-	}
-	c.senders[id] = to
-}
-
-// reached records that a crashing request has reached a target.
-func (c *crashes) reached(id string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if sender := c.senders[id]; sender != nil && sender.inTouch() {
-		c.sent = append(c.sent, time.Now())
-	}
-}
-
-// late returns the number of targets that crashed, and of the crashing requests that
-// reached a target later than settle after the crash number crashBound.
-func (c *crashes) late(settle time.Duration) (ended, late int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.ended) < crashBound {
-		return len(c.ended), 0
-	}
-	for _, at := range c.sent {
-		if at.After(c.ended[crashBound-1].Add(settle)) {
-			late++
-		}
-	}
-	return len(c.ended), late
-}
--- a/internal/emul/report.go
+++ b/internal/emul/report.go
@@ -170,6 +170,9 @@
 			t.violation(fmt.Sprintf("request %s ran %d times", id, n))
 		}
 	}
+	for _, broken := range f.limits.broken(f.s.Settle) {
+		t.violation(broken)
+	}
 	slices.Sort(t.r.Violations)
 }
 
--- a/internal/emul/scenario.go
+++ b/internal/emul/scenario.go
@@ -132,6 +132,7 @@
 	slowMultiple  = 5                      // factor on a target's latencies
 	rewriteDelay  = time.Second            // time until operators and targets write again after a restore
 	restWish      = 2 * time.Second        // rest that a target asks for
+	defaultLimit  = 1                      // limit that a target names, in requests per second
 )
 
 // Defaults of a fleet whose targets crash.
@@ -223,6 +224,8 @@
 		t.Target = &modeld.Switches{Leaving: true}
 	case "rest":
 		t.Target = &modeld.Switches{Rest: restWish}
+	case "limit":
+		t.Target = &modeld.Switches{Limit: p.number("limit", defaultLimit)}
 	case "slow":
 		t.Target = &modeld.Switches{Slow: slowMultiple}
 	case "instance-cut":
@@ -230,7 +233,7 @@
 	case "instance-stop":
 		t.Stop = true
 	default:
-		p.fault(fmt.Sprintf("what = %q: expected store-down, store-restored, store-slow, store-forgetful, silent, reject, fault, break, foreign, leave, rest, slow, instance-cut or instance-stop", what))
+		p.fault(fmt.Sprintf("what = %q: expected store-down, store-restored, store-slow, store-forgetful, silent, reject, fault, break, foreign, leave, rest, limit, slow, instance-cut or instance-stop", what))
 	}
 	return t
 }
--- a/internal/stand/modeld/modeld.go
+++ b/internal/stand/modeld/modeld.go
@@ -35,6 +35,9 @@
 	Leaving bool `json:"leaving"`
 	// Rest refuses requests as Reject does, and asks for a rest of this duration.
 	Rest time.Duration `json:"rest"`
+	// Limit is the number of requests a second that all responses name as the replica's
+	// limit; 0 names none. The replica takes any number of requests.
+	Limit float64 `json:"limit"`
 	// Slow multiplies all latencies; 0 stands for 1.
 	Slow float64 `json:"slow"`
 }
@@ -54,10 +57,12 @@
 	EventTokens int64
 	// CrashPart, if it is not empty, is a part of a prompt that crashes the replica when it
 	// begins to answer. Crash then ends the replica's process, and may be called again
-	// until it has ended. Reached is called with the id of each such request as it arrives.
+	// until it has ended.
 	CrashPart string
 	Crash     func()
-	Reached   func(id string)
+	// Arrived, if it is not nil, is called for each request as it arrives, with its id,
+	// whether it crashes the replica, and the limit that its response names.
+	Arrived func(id string, crashes bool, limit float64)
 
 	Switches toggle.Box[Switches]
 
@@ -124,6 +129,16 @@
 	if q.switches.Leaving {
 		w.Header().Set(d.Leaving, "1")
 	}
+	if q.switches.Limit > 0 {
+		w.Header().Set(d.Limit, strconv.FormatFloat(q.switches.Limit, 'f', -1, 64))
+	}
+	if field := r.Header.Get(d.Prefix); field != "" {
+		prefix := d.ParsePrefix([]byte(field))
+		q.prefix, q.shared, q.parts = prefix.Key, prefix.Shared, prefix.Parts
+	}
+	if e.Arrived != nil {
+		e.Arrived(q.id, q.crashes(), q.switches.Limit)
+	}
 	if q.switches.Silent {
 		<-r.Context().Done()
 		return
@@ -135,13 +150,6 @@
 	if tokens, err := d.ParseTokens([]byte(r.Header.Get(d.Tokens))); err == nil {
 		q.tokens = tokens
 	}
-	if field := r.Header.Get(d.Prefix); field != "" {
-		prefix := d.ParsePrefix([]byte(field))
-		q.prefix, q.shared, q.parts = prefix.Key, prefix.Shared, prefix.Parts
-	}
-	if q.crashes() {
-		e.Reached(q.id)
-	}
 	q.after, _ = strconv.ParseInt(r.Header.Get(d.LastEvent), 10, 64) // An absent field gives 0: all events.
 	if rest := q.switches.Rest; rest > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
