pkg/route, pkg/limit, internal/edge: instances share the limit that a target names

What callers saw: nothing yet.

Cause: nothing read the field. A limit kept by each instance alone would be the same fault in another form: what a target asks of the fleet was taken as asked of one sender, and no instance knew how many others there are.

Change: limits and instances are records on the board. L + 2 instances, the same ones in everybody's reckoning, share a limit of L, each with a least time between two requests and a random start; the others keep a tenth for finding its end. Targets at their limit are passed over; if there is no other one, callers get 503 at once with the time of the next free place. A response without the field, to a later request, ends the limit for all.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -19,6 +19,8 @@
 	// each failure.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = time.Second
+	// flushPoll is the interval at which Flush checks for remaining writes.
+	flushPoll = 5 * time.Millisecond
 	// readInterval is the time between two reads. A burst of records thus takes few reads.
 	readInterval = 50 * time.Millisecond
 )
@@ -72,6 +74,15 @@
 	delete(b.pending, key)
 }
 
+// Flush waits until all writes that were due at the call are made, or the context ends.
+func (b *Board) Flush(ctx context.Context) {
+	for now := time.Now(); pause.For(ctx, flushPoll); {
+		if batch, _ := b.due(now); len(batch) == 0 {
+			return
+		}
+	}
+}
+
 // wakeChan returns the channel wake. b.mu must be held.
 func (b *Board) wakeChan() chan struct{} {
 	if b.wake == nil {
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -265,8 +265,8 @@
 		x.reject(reason)
 		return
 	}
-	if _, ok := x.e.fleet.firstReturn(x.service); ok {
-		x.reject(route.ErrResting.Error())
+	if _, why := x.e.fleet.firstReturn(x.service); why != nil {
+		x.reject(why.Error())
 		return
 	}
 	var reservation alloc.Reservation
@@ -396,7 +396,7 @@
 		return
 	}
 	least := busyRetry
-	if wait, ok := x.e.fleet.firstReturn(x.service); ok {
+	if wait, why := x.e.fleet.firstReturn(x.service); why != nil {
 		least = max(least, wait)
 	}
 	x.respondError(statusUnavailable, x.jitter(least, retryJitter*busyRetry), reason)
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -25,10 +25,6 @@
 	// open last rose from 0. Both are guarded by fleet.mu.
 	busySince time.Time
 	open      int
-	// limit is the limit that the target names, in requests a second, or 0 for none.
-	// limitedSince is when it last changed. Both are guarded by fleet.mu.
-	limit        float64
-	limitedSince time.Time
 }
 
 // suspectAfter is how long a target with open requests may send nothing on any connection.
@@ -70,6 +66,7 @@
 	listConfirmed time.Time
 	groups        map[string]*group
 	rnd           *rand.Rand
+	limits        limits
 }
 
 func newFleet(dataCentre string, retries Retries) *fleet {
@@ -92,6 +89,9 @@
 			retries: route.RetryWindow{Length: f.retries.Window, Share: f.retries.Share, Burst: f.retries.Burst / burstInstances},
 			byName:  make(map[string]*target),
 		}
+		if f.limits.read {
+			g.picker.Instances(time.Now(), f.rnd, f.limits.self, f.limits.members.Names())
+		}
 		f.groups[service] = g
 	}
 	return g
@@ -118,6 +118,7 @@
 	}
 	for service, g := range f.groups {
 		a, r, d := g.update(byService[service])
+		f.applyLimits(g)
 		added, removed, draining = added+a, removed+r, draining+d
 	}
 	return added, removed, draining
@@ -208,7 +209,7 @@
 	target.open++
 	return &attempt{
 		target: target, routed: g.picker.Begin(now, t.Name, req), began: now,
-		listAge: now.Sub(f.listConfirmed), open: target.open, limited: target.limit > 0,
+		listAge: now.Sub(f.listConfirmed), open: target.open, limited: f.limits.known[t.Name].Rate > 0,
 	}, nil
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -133,9 +133,7 @@
 		Dialect: opts.Dialect, Budgets: budgets, Logger: opts.Logger.WithPrefix("requests"), Meter: &meter.Meter{},
 		fleet: newFleet(opts.DataCentre, opts.Retries), loaded: make(chan struct{}), started: time.Now(),
 	}
-	quarantine := &n.engine.quarantine
-	n.board = &board.Board{Store: opts.Store, Partition: opts.Board, OnChange: quarantine.apply, OnReachability: n.logStoreState(opts.Board.Topic, nil)}
-	quarantine.board, quarantine.logger, quarantine.read = n.board, opts.Logger.WithPrefix("quarantine"), make(chan struct{})
+	n.setUpBoard()
 	n.server = &Server{Engine: n.engine, Logger: opts.Logger.WithPrefix("callers")}
 	n.tables = &keyed.Follower{
 		Store: opts.Store, Partition: opts.Tables, Wait: tablesWait, OnChange: n.applyTables,
@@ -196,7 +194,7 @@
 	// need it.
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){n.tables.Run, n.targets.Run, n.engine.Budgets.Run, n.board.Run, n.engine.quarantine.run, n.watchClock} {
+	for _, run := range []func(context.Context){n.tables.Run, n.targets.Run, n.engine.Budgets.Run, n.runBoard, n.watchClock} {
 		wg.Go(func() { run(work) })
 	}
 	served := make(chan error, 1)
@@ -232,8 +230,10 @@
 		time.Sleep(stopPoll)
 	}
 	_ = l.Close() // No further connections are accepted.
+	n.engine.fleet.depart()
 	ctx, cancel := context.WithTimeout(context.Background(), tokenReturnTime/2)
 	defer cancel()
+	defer n.board.Flush(ctx)
 	if err := n.engine.Budgets.Stop(ctx); err != nil {
 		n.logger("budgets").Warn("tokens could not be returned and stay granted to this instance", "err", err)
 	}
@@ -283,11 +283,11 @@
 
 // state returns the current values of the gauges.
 func (n *Node) state() meter.State {
-	leaving, resting := n.engine.fleet.withdrawn()
+	leaving, resting, limited := n.engine.fleet.withdrawn()
 	suspected, quarantined := n.engine.quarantine.counts()
 	s := meter.State{
 		Suspected: suspected, Quarantined: quarantined,
-		Targets: n.engine.fleet.targetCounts(), Leaving: leaving, Resting: resting,
+		Targets: n.engine.fleet.targetCounts(), Leaving: leaving, Resting: resting, Limited: limited,
 		TableAge: n.engine.age(), LogEpoch: int64(n.engine.Budgets.LogEpoch()), Open: n.server.Busy(),
 	}
 	if t := n.engine.view.Load(); t != nil {
--- a/internal/edge/notice.go
+++ b/internal/edge/notice.go
@@ -50,14 +50,13 @@
 		}
 		return
 	}
-	switch x.e.fleet.limit(a, rate) {
-	case limitNamed:
+	switch news := x.e.fleet.limit(a, rate); {
+	case news && rate > 0:
 		x.e.Meter.Notice(x.service, noticeLimit)
 		x.logNotice("target names a limit of requests a second, for all instances together", a, "limit", rate)
-	case limitEnded:
+	case news:
 		x.e.Meter.Notice(x.service, noticeNoLimit)
 		x.logNotice("target names no limit any more", a)
-	case limitKnown:
 	}
 }
 
@@ -80,32 +79,6 @@
 // request finds out now and then whether it still holds.
 const minLimit = 0.01
 
-// limitNews is what a response says about a target's limit, compared with what is known.
-type limitNews int
-
-const (
-	limitKnown limitNews = iota
-	limitNamed
-	limitEnded
-)
-
-// limit records the limit that the target of an attempt names; 0 stands for none. A response
-// to a request that was sent before the present limit was named doesn't end or raise it.
-func (f *fleet) limit(a *attempt, rate float64) limitNews {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	t := a.target
-	known := t.limit
-	if rate == known || (known > 0 && (rate == 0 || rate > known) && !a.began.After(t.limitedSince)) {
-		return limitKnown
-	}
-	t.limit, t.limitedSince = rate, time.Now()
-	if rate == 0 {
-		return limitEnded
-	}
-	return limitNamed
-}
-
 func (x *exchange) logNotice(msg string, a *attempt, more ...any) {
 	if x.e.Logger == nil {
 		return
@@ -148,24 +121,26 @@
 	return f.group(service).picker.Rest(time.Now(), a.target.name, wish)
 }
 
-// firstReturn returns the time until the first target of a service ends its rest. ok is
-// false unless all targets of the service that may take work rest.
-func (f *fleet) firstReturn(service string) (wait time.Duration, ok bool) {
+// firstReturn returns the time until the first target of a service takes work again. why is
+// nil unless all targets of the service that may take work rest or are at their limit.
+func (f *fleet) firstReturn(service string) (wait time.Duration, why error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	end, ok := f.group(service).picker.AllRest(now)
-	return end.Sub(now), ok
+	end, why := f.group(service).picker.AllRest(now)
+	return end.Sub(now), why
 }
 
-// withdrawn returns the number of targets that leave and of those that rest, by service.
-func (f *fleet) withdrawn() (leaving, resting map[string]int) {
+// withdrawn returns the number of targets that leave, of those that rest, and of those that
+// name a limit, by service.
+func (f *fleet) withdrawn() (leaving, resting, limited map[string]int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	leaving, resting = make(map[string]int, len(f.groups)), make(map[string]int, len(f.groups))
+	leaving, resting, limited = make(map[string]int, len(f.groups)), make(map[string]int, len(f.groups)), make(map[string]int, len(f.groups))
 	for service, g := range f.groups {
 		leaving[service], resting[service] = g.picker.Withdrawn(now)
+		limited[service] = g.picker.Limited()
 	}
-	return leaving, resting
+	return leaving, resting, limited
 }
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -17,7 +17,6 @@
 	"github.com/beryllanding/beryllanding/internal/meter"
 	"github.com/beryllanding/beryllanding/pkg/http1"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
-	"github.com/beryllanding/beryllanding/pkg/pause"
 	"github.com/beryllanding/beryllanding/pkg/poison"
 )
 
@@ -30,8 +29,6 @@
 	endCheckDelay = 20 * time.Millisecond
 	// endCheckTimeout bounds the check.
 	endCheckTimeout = 400 * time.Millisecond
-	// expireInterval is the interval at which quarantines are checked for their end.
-	expireInterval = 5 * time.Second
 	// maxSharedKey bounds the key of a shared record, in bytes. A part with a longer one is
 	// tracked by this instance alone.
 	maxSharedKey = 240
@@ -191,6 +188,9 @@
 	now := time.Now()
 	shared := make(map[poison.Part]bool)
 	for _, e := range c.Entries {
+		if !poison.IsKey(e.Key) {
+			continue
+		}
 		part, err := poison.ParseKey(e.Key)
 		var record poison.Record
 		if err == nil && e.Value != nil {
@@ -239,13 +239,6 @@
 	}
 }
 
-// run ends quarantines and forgets old records until the context ends.
-func (q *quarantine) run(ctx context.Context) {
-	for pause.For(ctx, expireInterval) {
-		q.expire(time.Now())
-	}
-}
-
 func (q *quarantine) expire(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -29,6 +29,8 @@
 	// numbers of those among them that get no requests because they said that they
 	// leave, or asked for a rest.
 	Targets, Leaving, Resting map[string]int
+	// Limited is the number of targets that name a limit of requests a second, by service.
+	Limited map[string]int
 	// Suspected and Quarantined are the numbers of prompt parts that are suspected to
 	// crash targets, and of those in quarantine, by service.
 	Suspected, Quarantined map[string]int
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -52,6 +52,7 @@
 	targetsMetric        = definition{"beryl.targets", gauge, "", "service", "Targets in use"}
 	leavingMetric        = definition{"beryl.targets.leaving", gauge, "", "service", "Targets in the list that get no new requests because they said that they leave. As many as `beryl_targets`: callers get 503"}
 	restingMetric        = definition{"beryl.targets.resting", gauge, "", "service", "Targets in the list that get no requests because they asked for a rest. As many as `beryl_targets`: callers get 503 with the time of the first return"}
+	targetsLimitedMetric = definition{"beryl.targets.limited", gauge, "", "service", "Targets in the list that name a limit of requests a second for all instances together. As many as `beryl_targets`: callers get 503 beyond the limits"}
 	freeMetric           = definition{"beryl.budget.free", gauge, "", "budget", "Tokens that this instance may use. 0 for long: the budget is spent or the store away"}
 	reservedMetric       = definition{"beryl.budget.reserved", gauge, "", "budget", "Tokens of requests in progress, at their most"}
 	versionMetric        = definition{"beryl.table.version", gauge, "", "", "Version of the configuration in force"}
@@ -62,7 +63,7 @@
 	definitions = []definition{
 		requestsMetric, requestTimeMetric, firstByteMetric, reserveTimeMetric, attemptsMetric, retriesMetric, noticesMetric, wrongResponsesMetric, connectionsMetric, openMetric,
 		endedMetric, quarantinesMetric, refusalsMetric, limitedMetric, suspectedMetric, quarantinedMetric,
-		targetsMetric, leavingMetric, restingMetric, freeMetric, reservedMetric, versionMetric, ageMetric, epochMetric, logDroppedMetric,
+		targetsMetric, leavingMetric, restingMetric, targetsLimitedMetric, freeMetric, reservedMetric, versionMetric, ageMetric, epochMetric, logDroppedMetric,
 	}
 )
 
@@ -92,7 +93,7 @@
 	m.limited = newCounter(limitedMetric)
 	m.requestTime, m.firstByte, m.reserveTime = newHistogram(requestTimeMetric), newHistogram(firstByteMetric), newHistogram(reserveTimeMetric)
 	open, targets, free, reserved := newGauge(openMetric), newGauge(targetsMetric), newGauge(freeMetric), newGauge(reservedMetric)
-	leaving, resting := newGauge(leavingMetric), newGauge(restingMetric)
+	leaving, resting, limited := newGauge(leavingMetric), newGauge(restingMetric), newGauge(targetsLimitedMetric)
 	suspected, quarantined := newGauge(suspectedMetric), newGauge(quarantinedMetric)
 	version, age, epoch := newGauge(versionMetric), newGauge(ageMetric), newGauge(epochMetric)
 	dropped, err := meter.Int64ObservableCounter(logDroppedMetric.Name, metric.WithDescription(logDroppedMetric.Text))
@@ -105,7 +106,7 @@
 			o.ObserveFloat64(reserved, float64(b.Reserved), label)
 		}
 		for gauge, byService := range map[metric.Float64Observable]map[string]int{
-			targets: s.Targets, leaving: s.Leaving, resting: s.Resting, suspected: s.Suspected, quarantined: s.Quarantined,
+			targets: s.Targets, leaving: s.Leaving, resting: s.Resting, limited: s.Limited, suspected: s.Suspected, quarantined: s.Quarantined,
 		} {
 			for service, n := range byService {
 				o.ObserveFloat64(gauge, float64(n), metric.WithAttributes(attribute.String("service", service)))
@@ -117,7 +118,7 @@
 		o.ObserveFloat64(epoch, float64(s.LogEpoch))
 		o.ObserveInt64(dropped, s.LogDropped)
 		return nil
-	}, open, targets, leaving, resting, suspected, quarantined, free, reserved, version, age, epoch, dropped)
+	}, open, targets, leaving, resting, limited, suspected, quarantined, free, reserved, version, age, epoch, dropped)
 	return errors.Join(append(errs, err)...)
 }
 
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -32,6 +32,9 @@
 	return keyPrefix + url.PathEscape(p.Service) + "/" + url.PathEscape(p.ID)
 }
 
+// IsKey reports whether a key is that of a part's record, valid or not.
+func IsKey(key string) bool { return strings.HasPrefix(key, keyPrefix) }
+
 // ParseKey returns the part that a key names. The error is ErrRecord.
 func ParseKey(key string) (Part, error) {
 	rest, ok := strings.CutPrefix(key, keyPrefix)
--- a/pkg/route/cost.go
+++ b/pkg/route/cost.go
@@ -221,6 +221,9 @@
 	if t == nil {
 		return a
 	}
+	if t.notice != nil {
+		t.notice.limit.take(now)
+	}
 	a.prefillTokens = float64(req.Prompt.Own)
 	if !p.recent.has(req.Prefix, t, now) {
 		a.prefillTokens += float64(req.Prompt.Shared)
--- a/pkg/route/notice.go
+++ b/pkg/route/notice.go
@@ -13,6 +13,7 @@
 	// leaving is set once the target said that it leaves.
 	leaving bool
 	rest    rest
+	limit   rateLimit
 	at      time.Time
 }
 
@@ -61,10 +62,10 @@
 	return true
 }
 
-// withdrawn reports whether the target's own notice forbids a new attempt now: it leaves
-// or rests.
+// withdrawn reports whether the target's own notice forbids a new attempt now: it leaves,
+// rests, or is at the limit that it named.
 func (t *target) withdrawn(now time.Time) bool {
-	return t.notice != nil && (t.notice.leaving || t.notice.rest.active(now))
+	return t.notice != nil && (t.notice.leaving || t.notice.rest.active(now) || t.notice.limit.blocks(now))
 }
 
 // Withdrawn counts the listed targets that leave and those that rest, by their own
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Pick returns the target for the request. The errors are ErrNoTarget, ErrSaturated and
-// ErrResting. The caller records the attempt with AttemptStarted or Begin.
+// Pick returns the target for the request. The errors are ErrNoTarget, ErrSaturated,
+// ErrResting and ErrLimited. The caller records the attempt with AttemptStarted or Begin.
 func (p *Picker) Pick(now time.Time, rnd *rand.Rand, req Request) (Target, error) {
 	p.init()
 	if t := p.probe(now, req); t != nil {
@@ -17,8 +17,8 @@
 		if available > 0 {
 			return Target{}, ErrSaturated
 		}
-		if _, resting := p.AllRest(now); resting {
-			return Target{}, ErrResting
+		if _, why := p.AllRest(now); why != nil {
+			return Target{}, why
 		}
 		return Target{}, ErrNoTarget
 	}
--- a/pkg/route/picker.go
+++ b/pkg/route/picker.go
@@ -22,6 +22,11 @@
 	// notices holds what targets announced about themselves, including targets that
 	// are not listed now.
 	notices map[noticeKey]*notice
+	// self is the hash of this instance's name, and instances are those of the other
+	// instances. They are valid once instancesKnown is set.
+	self           uint64
+	instances      []uint64
+	instancesKnown bool
 	// local and remote are scratch space for the candidates during a Pick.
 	local, remote []*target
 }
--- a/pkg/route/rest.go
+++ b/pkg/route/rest.go
@@ -75,22 +75,27 @@
 	return n.rest.until, news
 }
 
-// AllRest returns when the first of the resting targets ends its rest. ok is false unless
-// at least one target rests and no target takes work now.
-func (p *Picker) AllRest(now time.Time) (end time.Time, ok bool) {
+// AllRest returns when the first of the targets that rest, or are at the limit that they
+// named, takes work again. why is ErrResting or ErrLimited for that target. It is nil unless
+// there is such a target and no target takes work now.
+func (p *Picker) AllRest(now time.Time) (end time.Time, why error) {
 	if len(p.notices) == 0 {
-		return time.Time{}, false
+		return time.Time{}, nil
 	}
 	for _, t := range p.targets {
 		if t.takesWork(now) {
-			return time.Time{}, false
+			return time.Time{}, nil
 		}
 		if t.draining(now) || t.notice.leaving {
 			continue
 		}
-		if !ok || t.notice.rest.until.Before(end) {
-			end, ok = t.notice.rest.until, true
+		free, reason := t.notice.rest.until, ErrResting
+		if limit := &t.notice.limit; limit.blocks(now) && limit.freeAt(now).After(free) {
+			free, reason = limit.freeAt(now), ErrLimited
+		}
+		if why == nil || free.Before(end) {
+			end, why = free, reason
 		}
 	}
-	return end, ok
+	return end, why
 }
