pkg/http1: a bound for interim responses and trailers

What callers saw: a target that sent interim responses (1xx) or trailers without end held their request until its deadline, and then they got 504.

Cause: the sizes of a head, a chunk line and a body were bounded, but not the number of interim heads and of trailers. Each of them is small, so no limit was reached.

Change: more than 16 interim responses, or more than 64 trailers, are a malformed message. The attempt ends and its connection is closed; a repeatable request goes on elsewhere.

--- a/pkg/http1/body.go
+++ b/pkg/http1/body.go
@@ -8,9 +8,13 @@
 	"strconv"
 )
 
-// maxChunkLine is the maximum length in bytes of the line before a chunk, with
-// CRLF. It holds a size and a short extension.
-const maxChunkLine = 256
+const (
+	// maxChunkLine is the maximum length in bytes of the line before a chunk, with
+	// CRLF. It holds a size and a short extension.
+	maxChunkLine = 256
+	// maxTrailers is the maximum number of lines after the last chunk.
+	maxTrailers = 64
+)
 
 // Body reads the body of a message whose head was read from the same reader. Read
 // returns io.EOF only if the framing shows that the body is complete. With
@@ -123,7 +127,7 @@
 	if n > 0 {
 		return nil
 	}
-	for {
+	for range maxTrailers + 1 {
 		line, err := b.readLine()
 		if err != nil {
 			return err
@@ -133,6 +137,7 @@
 			return nil
 		}
 	}
+	return fmt.Errorf("%w: more than %d trailers", ErrMalformed, maxTrailers)
 }
 
 // readLine reads a line of at most maxChunkLine bytes and returns it without its
--- a/pkg/http1/http1.go
+++ b/pkg/http1/http1.go
@@ -127,11 +127,14 @@
 	return h.frameRequest()
 }
 
+// maxInterim is the maximum number of interim responses before the final one.
+const maxInterim = 16
+
 // ReadResponse reads the head of a response, of at most limit bytes. It skips
-// interim responses (1xx). method is the method of the request. The errors are
+// up to maxInterim interim responses (1xx). method is the method of the request. The errors are
 // those of ReadRequest.
 func (h *Head) ReadResponse(r *bufio.Reader, limit int, method []byte) error {
-	for {
+	for range maxInterim + 1 {
 		line, err := h.readLines(r, limit)
 		if err != nil {
 			return err
@@ -145,10 +148,10 @@
 		}
 		h.Status = status
 		if status >= 200 {
-			break
+			return h.frameResponse(method)
 		}
 	}
-	return h.frameResponse(method)
+	return fmt.Errorf("%w: more than %d interim responses", ErrMalformed, maxInterim)
 }
 
 // readLines reads the lines of a head up to the empty one. It returns the first
--- a/pkg/http1/http1_test.go
+++ b/pkg/http1/http1_test.go
@@ -207,3 +207,22 @@
 		}
 	})
 }
+
+// TestEndlessParts: interim responses and trailers without end are rejected after a fixed
+// number; a few of them are skipped.
+func TestEndlessParts(t *testing.T) {
+	const final = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	for n, want := range map[int]error{0: nil, 16: nil, 17: http1.ErrMalformed, 5000: http1.ErrMalformed} {
+		var head http1.Head
+		r := bufio.NewReader(strings.NewReader(strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", n) + final))
+		if err := head.ReadResponse(r, 1<<10, []byte("GET")); !errors.Is(err, want) {
+			t.Errorf("%d interim responses: got error %v, want %v", n, err, want)
+		}
+	}
+	for n, want := range map[int]error{0: nil, 64: nil, 65: http1.ErrMalformed, 5000: http1.ErrMalformed} {
+		r := bufio.NewReader(strings.NewReader("0\r\n" + strings.Repeat("A: b\r\n", n) + "\r\n"))
+		if _, err := http1.NewBody(r, &http1.Head{Framing: http1.FramingChunked}).ReadAll(nil, 1<<10); !errors.Is(err, want) {
+			t.Errorf("%d trailers: got error %v, want %v", n, err, want)
+		}
+	}
+}
