internal/edge: the buffers of large responses share a bounded amount of memory

What callers would have seen: a target that sends bodies without end could take the memory of an instance, whose process is then killed with all requests in progress.

Cause: each response had a bound of its own (16 MB, an event 1 MB), but not all together. Refusals and responses to other requests were buffered up to that bound only to be dropped.

What is not forwarded is discarded as it is read.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -18,6 +18,9 @@
 	maxResponseHead = 64 << 10
 	// maxResponseBody bounds the body of a buffered response, in bytes.
 	maxResponseBody = 16 << 20
+	// maxRefusalBody bounds what is read of the body of a refusal, in bytes. The connection
+	// is closed after a longer one.
+	maxRefusalBody = 64 << 10
 	// maxWrongResponses bounds the number of responses read to find the one to this
 	// request. Late responses to earlier requests are skipped.
 	maxWrongResponses = 4
@@ -294,7 +297,7 @@
 		if id == nil || head.Framing == http1.FramingClose {
 			break
 		}
-		if _, err := http1.NewBody(conn.Reader, head).ReadAll(nil, maxResponseBody); err != nil {
+		if err := http1.NewBody(conn.Reader, head).Discard(maxResponseBody); err != nil {
 			return nil, err
 		}
 	}
@@ -309,7 +312,7 @@
 		x.e.fleet.reportLoad(x.service, a, load)
 	}
 	if head.Get(d.NotRun) != nil || head.Status == statusMisdirected {
-		_, err := body.ReadAll(nil, maxResponseBody)
+		err := body.Discard(maxRefusalBody)
 		return notRun{sent: true, status: head.Status, err: err}, body
 	}
 	switch head.Status {
@@ -333,7 +336,7 @@
 
 // bufferResponse reads the whole response before it forwards any of it.
 func (x *exchange) bufferResponse(head *http1.Head, body *http1.Body) attemptResult {
-	data, err := body.ReadAll(nil, maxResponseBody)
+	data, err := x.readBody(body)
 	if err != nil {
 		return uncertain{err: err, forwarded: x.w.started}
 	}
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -55,6 +55,7 @@
 
 	fleet      *fleet
 	quarantine quarantine
+	buffers    buffers
 	// loaded is closed once the configuration and the targets were read for the first
 	// time.
 	loaded chan struct{}
@@ -113,12 +114,14 @@
 	lastEvent int64
 	// mayHaveStarted is set once a target may have started to execute the request.
 	mayHaveStarted bool
-	targets        []string
-	firstByte      time.Duration
-	reserveTime    time.Duration
-	status         int
-	outcome        string
-	reason         string
+	// reserved is the memory for large buffers that the request has reserved, in bytes.
+	reserved    int64
+	targets     []string
+	firstByte   time.Duration
+	reserveTime time.Duration
+	status      int
+	outcome     string
+	reason      string
 }
 
 // Serve processes one request and writes the response to w. The context must be
@@ -128,6 +131,7 @@
 	e.lastRequest.Store(int64(time.Since(e.started)))
 	x.id = head.Get(e.Dialect.RequestID)
 	x.containedServe()
+	x.releaseBuffers()
 	x.recordRequest()
 }
 
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -28,7 +28,13 @@
 	first, answered := true, false
 	for {
 		if cap(pending)-len(pending) < streamReadBytes/2 {
-			grown := make([]byte, len(pending), 2*cap(pending)+streamReadBytes)
+			size := 2*cap(pending) + streamReadBytes
+			if size > freeBuffer {
+				if err := x.reserveBuffer(int64(size - cap(pending))); err != nil {
+					return uncertain{err: err, forwarded: x.w.started}
+				}
+			}
+			grown := make([]byte, len(pending), size)
 			copy(grown, pending)
 			pending = grown
 		}
--- a/pkg/http1/body.go
+++ b/pkg/http1/body.go
@@ -192,6 +192,22 @@
 	return buf, nil
 }
 
+// Discard reads the rest of the body without keeping it. It fails with ErrBodyTooLarge if
+// the rest is longer than limit bytes, and with the errors of Read.
+func (b *Body) Discard(limit int64) error {
+	var buf [4096]byte
+	for read := int64(0); !b.done; {
+		n, err := b.Read(buf[:])
+		if err != nil && !errors.Is(err, io.EOF) {
+			return err
+		}
+		if read += int64(n); read > limit {
+			return fmt.Errorf("%w: the limit is %d bytes", ErrBodyTooLarge, limit)
+		}
+	}
+	return nil
+}
+
 // AppendChunk appends data as one chunk. data must not be empty: an empty chunk
 // ends the body.
 func AppendChunk(dst, data []byte) []byte {
--- a/pkg/http1/http1_test.go
+++ b/pkg/http1/http1_test.go
@@ -226,3 +226,22 @@
 		}
 	}
 }
+
+// TestDiscard: a body is read to its end without being kept, up to a limit.
+func TestDiscard(t *testing.T) {
+	for limit, want := range map[int64]error{10: nil, 9: http1.ErrBodyTooLarge} {
+		for name, c := range map[string]struct {
+			head http1.Head
+			text string
+		}{
+			"length": {http1.Head{Framing: http1.FramingLength, Length: 10}, "0123456789rest"},
+			"chunks": {http1.Head{Framing: http1.FramingChunked}, "a\r\n0123456789\r\n0\r\n\r\nrest"},
+			"close":  {http1.Head{Framing: http1.FramingClose}, "0123456789"},
+		} {
+			b := http1.NewBody(bufio.NewReader(strings.NewReader(c.text)), &c.head)
+			if err := b.Discard(limit); !errors.Is(err, want) || (want == nil && !b.Complete()) {
+				t.Errorf("%s, limit %d: got error %v, complete %v; want error %v", name, limit, err, b.Complete(), want)
+			}
+		}
+	}
+}
