internal/edge: the burst of retries is divided among the instances that there are

What callers would have seen: with 68 instances, up to 340 retries beyond the share of the requests where 176 are allowed to all together; with 390, 1,950. That is load on targets that already fail.

An amount that holds for the fleet was divided by a constant (32), which the number of instances has outgrown.

Change: it is divided by one and a quarter times the number of instances that the board lists, and by 32 at least, so small fleets keep what they had.

Evidence: TestRetriesOfManyInstances failed at 68 and 390 instances before.

--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -49,10 +49,20 @@
 	Burst float64
 }
 
-// burstInstances is the number of instances among which Retries.Burst is divided. The
-// actual number is not known for certain, so this constant exceeds the number in any
-// deployment.
-const burstInstances = 32
+const (
+	// minBurstInstances is the least number of instances among which Retries.Burst is
+	// divided. It applies until the instances are known, and leaves room for those that
+	// restart in small fleets.
+	minBurstInstances = 32
+	// burstMargin is the factor by which the known number of instances is exceeded, for
+	// those that have just started and those that restart within a window.
+	burstMargin = 1.25
+)
+
+// burst returns this instance's part of Retries.Burst. f.mu must be held.
+func (f *fleet) burst() float64 {
+	return f.retries.Burst / max(minBurstInstances, burstMargin*float64(len(f.limits.members.Names())))
+}
 
 // fleet holds the targets of all services. It is safe for concurrent use.
 type fleet struct {
@@ -86,7 +96,7 @@
 		g = &group{
 			name:    service,
 			picker:  route.Picker{DataCentre: f.dataCentre, Policy: route.Policy{Cost: true}},
-			retries: route.RetryWindow{Length: f.retries.Window, Share: f.retries.Share, Burst: f.retries.Burst / burstInstances},
+			retries: route.RetryWindow{Length: f.retries.Window, Share: f.retries.Share, Burst: f.burst()},
 			byName:  make(map[string]*target),
 		}
 		if f.limits.read {
--- a/internal/edge/limit.go
+++ b/internal/edge/limit.go
@@ -185,7 +185,8 @@
 	}
 }
 
-// shareLimits divides the limits among the known instances. f.mu must be held.
+// shareLimits divides the limits, and the retries that are allowed to all instances together,
+// among the known instances. f.mu must be held.
 func (f *fleet) shareLimits(now time.Time) {
 	if !f.limits.read {
 		return
@@ -193,6 +194,7 @@
 	names := f.limits.members.Names()
 	for _, g := range f.groups {
 		g.picker.Instances(now, f.rnd, f.limits.self, names)
+		g.retries.Burst = f.burst()
 	}
 }
 
--- a/internal/edge/limit_test.go
+++ b/internal/edge/limit_test.go
@@ -147,3 +147,28 @@
 		t.Error("the late response ended the limit")
 	}
 }
+
+// TestRetriesOfManyInstances: the retries that many instances make without any requests of
+// their own stay within the number that is allowed to all of them together.
+func TestRetriesOfManyInstances(t *testing.T) {
+	const burst = 176
+	for _, n := range []int{4, 32, 68, 390} {
+		var names []keyed.Entry
+		for i := range n {
+			names = append(names, keyed.Entry{Key: limit.MemberKey(fmt.Sprint("i", i)), Value: memberValue})
+		}
+		retries := 0
+		for i := range n {
+			f := newFleet("here", Retries{Window: 10 * time.Second, Share: 0.2, Burst: burst})
+			f.limits.self = fmt.Sprint("i", i)
+			f.join()
+			f.applyShared(keyed.Change{Entries: names, Full: true})
+			for f.takeRetry("s") {
+				retries++
+			}
+		}
+		if retries > burst {
+			t.Errorf("%d instances made %d retries, want at most %d", n, retries, burst)
+		}
+	}
+}
