--- a/internal/emul/crash_test.go
+++ b/internal/emul/crash_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/beryllanding/beryllanding/internal/emul"
+	"github.com/beryllanding/beryllanding/internal/stand/keyd"
 )
 
 // TestPartThatCrashesTargets guards against a fleet that sends requests with a part of a
@@ -24,6 +25,9 @@
 		{name: "instances that start again", instances: 4, targets: 8, faults: []emul.Fault{
 			{At: 2 * time.Second, For: time.Second, Stop: true, Count: 2},
 		}},
+		{name: "late and lost news", instances: 4, targets: 8, faults: []emul.Fault{
+			{At: 0, For: time.Minute, Store: &keyd.Switches{Delay: 100 * time.Millisecond, Lost: 0.3, Late: time.Second}},
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
