--- a/internal/emul/limit_test.go
+++ b/internal/emul/limit_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/beryllanding/beryllanding/internal/emul"
+	"github.com/beryllanding/beryllanding/internal/stand/keyd"
 	"github.com/beryllanding/beryllanding/internal/stand/modeld"
 )
 
@@ -23,6 +24,7 @@
 		{"many small instances", 32, []emul.Fault{limit(1, 2)}},
 		{"a higher limit", 32, []emul.Fault{limit(3, 2)}},
 		{"an instance that is cut off at first", 4, []emul.Fault{limit(1, 2), {At: 0, For: 3 * time.Second, Cut: true, Count: 1}}},
+		{"late and lost news", 4, []emul.Fault{limit(1, 2), {At: 0, For: time.Minute, Store: &keyd.Switches{Delay: 100 * time.Millisecond, Lost: 0.3, Late: time.Second}}}},
 		{"instances that start again", 4, []emul.Fault{limit(1, 2), {At: 2 * time.Second, For: time.Second, Stop: true, Count: 2}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
