cmd/beryl, internal/audit: beryl edge targets shows the limits that targets named

What operators saw: limits in the logs and metrics of the instances only.

Change: the list of targets has a column with the limit that instances have shared for the run. The name of a run is now built in one place, pkg/roster.

--- a/cmd/beryl/edge.go
+++ b/cmd/beryl/edge.go
@@ -58,7 +58,7 @@
 			},
 			{
 				Name:     "targets",
-				Short:    "List the targets, with the entries that cannot be used and why",
+				Short:    "List the targets, with the limits that they named, and why entries cannot be used",
 				Examples: []cmds.Example{{Line: "beryl edge targets --boot settings.toml", Does: "the targets that an instance reads from the store now"}},
 				New:      func() cmds.Runner { return new(edgeTargets) },
 			},
@@ -196,7 +196,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, edgeTimeout)
 	defer cancel()
-	list, err := audit.Targets(ctx, store, platform.TargetsPartition, platform.Records{})
+	list, err := audit.Targets(ctx, store, platform.TargetsPartition, platform.BoardPartition, platform.Records{})
 	if err != nil {
 		return err
 	}
@@ -204,7 +204,7 @@
 }
 
 func writeTargets(w io.Writer, list []audit.Target) {
-	_, _ = fmt.Fprintln(w, "SERVICE\tTARGET\tADDRESS\tDATA CENTRE\tSTATE")
+	_, _ = fmt.Fprintln(w, "SERVICE\tTARGET\tADDRESS\tDATA CENTRE\tLIMIT\tSTATE")
 	for _, t := range list {
 		state := "in use"
 		switch {
@@ -213,7 +213,11 @@
 		case t.Draining:
 			state = "draining"
 		}
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", t.Service, t.ID, t.Address, t.DataCentre, state)
+		rate := "-"
+		if t.Limit > 0 {
+			rate = fmt.Sprintf("%v/s", t.Limit)
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", t.Service, t.ID, t.Address, t.DataCentre, rate, state)
 	}
 }
 
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"github.com/beryllanding/beryllanding/pkg/keyed"
+	"github.com/beryllanding/beryllanding/pkg/limit"
 	"github.com/beryllanding/beryllanding/pkg/roster"
 	"github.com/beryllanding/beryllanding/pkg/table"
 )
@@ -28,14 +29,22 @@
 type Target struct {
 	roster.Target
 	Offset keyed.Offset
+	// Limit is the number of requests a second that the target named as its limit for all
+	// instances together; 0 if it named none.
+	Limit float64 `json:",omitempty"`
 	// Fault is the reason why the entry cannot be used. It is empty if the entry
 	// can be used.
 	Fault string `json:",omitempty"`
 }
 
-// Targets returns the list of targets, ordered by service and ID. It includes the
-// entries that cannot be used.
-func Targets(ctx context.Context, s keyed.Store, p keyed.Partition, d Decoder) ([]Target, error) {
+// Targets returns the list of targets, ordered by service and ID, with the limits that
+// instances have shared in the partition limits. It includes the entries that cannot be
+// used.
+func Targets(ctx context.Context, s keyed.Store, p, limits keyed.Partition, d Decoder) ([]Target, error) {
+	known, err := readLimits(ctx, s, limits)
+	if err != nil {
+		return nil, err
+	}
 	page, err := keyed.Snapshot(ctx, s, p)
 	if err != nil {
 		return nil, fmt.Errorf("read the list of targets: %w", err)
@@ -48,6 +57,8 @@
 		t := Target{Offset: e.Offset}
 		if t.Target, err = d.Target(e); err != nil {
 			t.Target, t.Fault = roster.Target{ID: e.Key}, err.Error()
+		} else {
+			t.Limit = known[t.Run()]
 		}
 		list = append(list, t)
 	}
@@ -57,6 +68,23 @@
 	return list, nil
 }
 
+// readLimits returns the limits that instances have shared, by run of the target. It skips
+// invalid records.
+func readLimits(ctx context.Context, s keyed.Store, p keyed.Partition) (map[string]float64, error) {
+	page, err := keyed.Snapshot(ctx, s, p)
+	if err != nil {
+		return nil, fmt.Errorf("read the limits of targets: %w", err)
+	}
+	known := make(map[string]float64)
+	for _, e := range page.Entries {
+		run, ok := limit.ParseKey(e.Key)
+		if r, err := limit.Decode(e.Value); ok && err == nil {
+			known[run] = r.Rate
+		}
+	}
+	return known, nil
+}
+
 // Table returns the current configuration, which is the one with the highest
 // version. It returns ErrNotFound if the store has no configuration.
 func Table(ctx context.Context, s keyed.Store, p keyed.Partition, d Decoder) (*table.Table, error) {
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -15,6 +15,7 @@
 	"github.com/beryllanding/beryllanding/pkg/acct"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
+	"github.com/beryllanding/beryllanding/pkg/limit"
 	"github.com/beryllanding/beryllanding/pkg/poison"
 )
 
@@ -129,12 +130,15 @@
 	put(t, store, "t", "z", `{"ID":"z","Service":"a","Draining":true}`)
 	put(t, store, "t", "y", `{"ID":"y","Service":"b"}`)
 	put(t, store, "t", "broken", `{`)
-	got, err := audit.Targets(t.Context(), store, keyed.Partition{Topic: "t"}, keyd.Records{})
+	put(t, store, "board", limit.Key("y/0"), `{"seq":1,"rate":1.5}`)
+	put(t, store, "board", limit.Key("z/0"), `{"seq":2,"rate":0}`)
+	put(t, store, "board", limit.Key("w/0"), `x`)
+	got, err := audit.Targets(t.Context(), store, keyed.Partition{Topic: "t"}, keyed.Partition{Topic: "board"}, keyd.Records{})
 	if err != nil || len(got) != 3 {
 		t.Fatalf("targets are %+v, error %v; want 3 targets", got, err)
 	}
-	if got[0].ID != "broken" || got[0].Fault == "" || got[1].ID != "z" || !got[1].Draining || got[2].ID != "y" || got[2].Fault != "" {
-		t.Errorf("targets are %+v, want broken with a fault, z draining, and y without a fault", got)
+	if got[0].ID != "broken" || got[0].Fault == "" || got[1].ID != "z" || !got[1].Draining || got[2].ID != "y" || got[2].Fault != "" || got[2].Limit != 1.5 || got[1].Limit != 0 {
+		t.Errorf("targets are %+v, want broken with a fault, z draining, and y without a fault and with a limit", got)
 	}
 }
 
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -138,8 +137,7 @@
 	next := make(map[string]*target, len(list))
 	entries := make([]route.Target, 0, len(list))
 	for _, t := range list {
-		// A target that restarted under the same id counts as a new target.
-		name := fmt.Sprintf("%s/%d", t.ID, t.Born)
+		name := t.Run()
 		old := g.byName[name]
 		if old == nil || !old.Same(t) {
 			old = &target{Target: t, name: name, pool: pool.Pool{Addr: t.Address}}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -4,6 +4,7 @@
 package roster
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -32,6 +33,10 @@
 	return t.ID == o.ID && t.Service == o.Service && t.Address == o.Address && t.Born == o.Born
 }
 
+// Run returns the name of this run of the target. A target that restarted under the same
+// id has another one.
+func (t Target) Run() string { return fmt.Sprintf("%s/%d", t.ID, t.Born) }
+
 // DefaultGrace is how long after the store's return a target whose entry expired during
 // the outage stays in use without an entry. Running targets restore their entries
 // within about 2 s. An instance may notice the store's return 0.5 s late. Even then,
