internal/edge: an answered prompt is recorded once for each attempt

A stream was recorded as answered at its second event and again at its end, with a lock each time. No change of behaviour; TestSuspicion and TestPartThatCrashesTargets pass.

--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -191,6 +191,8 @@
 	limited bool
 	// events is the number of events that the caller had when the attempt began.
 	events int64
+	// answered is set once the target has answered the prompt beyond its beginning.
+	answered bool
 }
 
 // pick chooses a target and records the start of an attempt at it.
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -239,6 +239,7 @@
 	}
 }
 
+// expire ends quarantines that are over, and forgets old records.
 func (q *quarantine) expire(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -294,10 +295,19 @@
 func (x *exchange) recordBeginning(a *attempt, result attemptResult) {
 	switch result := result.(type) {
 	case responded:
-		x.e.quarantine.answered(x.service, x.parts)
+		x.recordAnswered(a)
 	case uncertain:
 		if x.events-a.events <= beginEvents && isConnectionEnd(result.err) && !isCallerGone(result.err) {
 			x.e.quarantine.brokeOff(x.service, x.parts, a.target)
 		}
 	}
 }
+
+// recordAnswered tells the quarantine, once for each attempt, that the target answered the
+// prompt.
+func (x *exchange) recordAnswered(a *attempt) {
+	if !a.answered {
+		a.answered = true
+		x.e.quarantine.answered(x.service, x.parts)
+	}
+}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -25,7 +25,7 @@
 // only if the target's framing shows that the stream is complete.
 func (x *exchange) forwardStream(conn *pool.Conn, a *attempt, head *http1.Head, body *http1.Body) attemptResult {
 	pending := make([]byte, 0, streamReadBytes)
-	first, answered := true, false
+	first := true
 	for {
 		if cap(pending)-len(pending) < streamReadBytes/2 {
 			size := 2*cap(pending) + streamReadBytes
@@ -66,9 +66,8 @@
 				return uncertain{err: errors.Join(ErrCallerGone, werr), forwarded: true}
 			}
 			pending = append(pending[:0], pending[complete:]...)
-			if !answered && x.events-a.events > beginEvents {
-				answered = true
-				x.e.quarantine.answered(x.service, x.parts)
+			if x.events-a.events > beginEvents {
+				x.recordAnswered(a)
 			}
 		}
 		if err != nil {
