internal/edge: a stream without an event that only ends with its connection has broken off

What callers saw: if a target ended right after the head of a stream with neither a length nor chunks, they got a whole success without any event.

Cause: the end of the connection was taken as the end of the stream as long as no event was cut through, also before the first one.

Change: such an attempt counts as broken off: a resumable stream goes on elsewhere, others get 502. It is evidence for the quarantine like any other broken beginning.

Evidence: the new case of TestStreamEndsInsideAnEvent failed before (status 200, empty body); a new case of TestSuspicion.

--- a/internal/edge/endless_test.go
+++ b/internal/edge/endless_test.go
@@ -124,7 +124,8 @@
 		"with length": func(id string) string {
 			return fmt.Sprintf(head, id, fmt.Sprintf("Content-Length: %d\r\n", len(event(1)+rest))) + event(1) + rest
 		},
-		"in chunks": func(id string) string { return streamHead(id) + chunk(event(1)) + chunk(rest) + "0\r\n\r\n" },
+		"in chunks":                              func(id string) string { return streamHead(id) + chunk(event(1)) + chunk(rest) + "0\r\n\r\n" },
+		"without length, before its first event": func(id string) string { return fmt.Sprintf(head, id, "") },
 		"only a part of the first event": func(id string) string {
 			return fmt.Sprintf(head, id, "") + rest
 		},
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -149,7 +149,7 @@
 // isConnectionEnd reports whether an attempt failed because the target's connection ended.
 func isConnectionEnd(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, http1.ErrTruncated) ||
-		errors.Is(err, ErrPartialEvent) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+		errors.Is(err, ErrPartialEvent) || errors.Is(err, ErrEmptyStream) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // publish logs a change and shares its record after a delay. q.mu must be held.
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -83,6 +83,9 @@
 	}{
 		{"ends before the head", func(string) string { return "" }, true, 2},
 		{"ends after the head", streamHead, true, 2},
+		{"ends after a head without length", func(id string) string {
+			return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nSignature: s\r\n\r\n"
+		}, true, 2},
 		{"ends inside the first event", func(id string) string { return streamHead(id) + "40\r\nid: 1\ndata: x" }, true, 2},
 		{"ends after several events", func(id string) string { return streamHead(id) + chunk(event(1)) + chunk(event(2)) + chunk(event(3)) }, true, 0},
 		{"goes on", streamHead, false, 0},
--- a/internal/edge/retry.go
+++ b/internal/edge/retry.go
@@ -19,6 +19,8 @@
 	ErrNotRunUnproven = errors.New("response status implies that the request did not run, without proof")
 	// ErrPartialEvent reports a stream that ended inside an event.
 	ErrPartialEvent = errors.New("stream ended inside an event")
+	// ErrEmptyStream reports a stream without events whose end is not framed.
+	ErrEmptyStream = errors.New("stream ended with its connection, without an event")
 	// ErrCallerGone reports that the caller disconnected.
 	ErrCallerGone = errors.New("caller has disconnected")
 	// ErrInternal reports a panic in the code of the instance.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -59,7 +59,7 @@
 			complete = 0
 		}
 		if errors.Is(err, io.EOF) {
-			return x.endStream(head, pending, complete)
+			return x.endStream(a, head, pending, complete)
 		}
 		if complete > 0 {
 			if werr := x.forwardEvents(head, pending[:complete]); werr != nil {
@@ -92,8 +92,12 @@
 }
 
 // endStream forwards the rest of a stream whose framing is complete. rest[:complete]
-// consists of complete events.
-func (x *exchange) endStream(head *http1.Head, rest []byte, complete int) attemptResult {
+// consists of complete events. A stream without events that only ends with its connection
+// has been broken off: nothing else shows its end.
+func (x *exchange) endStream(a *attempt, head *http1.Head, rest []byte, complete int) attemptResult {
+	if head.Framing == http1.FramingClose && len(rest) == 0 && x.events == a.events {
+		return uncertain{err: ErrEmptyStream, forwarded: x.w.started}
+	}
 	if complete < len(rest) {
 		// The framing is complete but the last event is not: the target aborted.
 		if complete > 0 {
