internal/board, pkg/keyed: fewer reads of the board under records and outages

Change: a board with many records is read every 200 ms at the most instead of every 50, and the pause after failed reads grows to a second instead of 0.25 s. News may come 0.2 s later, and up to a second later after an outage.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -15,14 +15,14 @@
 const (
 	// maxBatch bounds the records of one call.
 	maxBatch = 256
-	// minBackoff and maxBackoff bound the pause after a failed write, which doubles with
-	// each failure.
+	// minBackoff and maxBackoff bound the pause after a failed call, which doubles with each
+	// failure. The news on a board are not worth more calls during an outage.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = time.Second
 	// flushPoll is the interval at which Flush checks for remaining writes.
 	flushPoll = 5 * time.Millisecond
 	// readInterval is the time between two reads. A burst of records thus takes few reads.
-	readInterval = 50 * time.Millisecond
+	readInterval = 200 * time.Millisecond
 )
 
 // Board is one partition. Its exported fields must be set before use.
@@ -94,7 +94,7 @@
 // Run follows the partition and makes the writes until the context ends.
 func (b *Board) Run(ctx context.Context) {
 	follower := &keyed.Follower{
-		Store: b.Store, Partition: b.Partition, ReadInterval: readInterval,
+		Store: b.Store, Partition: b.Partition, ReadInterval: readInterval, MaxBackoff: maxBackoff,
 		OnChange: b.OnChange, OnReachability: b.OnReachability,
 	}
 	var wg sync.WaitGroup
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -95,3 +96,47 @@
 		}
 	})
 }
+
+// countingStore counts the reads.
+type countingStore struct {
+	keyd.Store
+	reads atomic.Int64
+}
+
+// Read counts the call.
+func (s *countingStore) Read(ctx context.Context, p keyed.Partition, from keyed.Offset, wait time.Duration) (keyed.Page, error) {
+	s.reads.Add(1)
+	return s.Store.Read(ctx, p, from, wait)
+}
+
+// TestFewReads: an instance reads a quiet board every two seconds, one with many records every
+// 200 ms, and during an outage of the store, after the first second, every half second at the
+// most.
+func TestFewReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		store := &countingStore{}
+		r := start(ctx, store)
+		const length = 20 * time.Second
+		for name, c := range map[string]struct {
+			write bool
+			down  bool
+			most  int64
+		}{
+			"quiet": {most: 11}, "busy": {write: true, most: 101}, "outage": {down: true, most: 45},
+		} {
+			store.Switches.Set(keyd.Switches{Down: c.down})
+			before := store.reads.Load()
+			for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				if c.write {
+					r.Write(fmt.Sprint(time.Now()), []byte("x"), 0)
+				}
+			}
+			if reads := store.reads.Load() - before; reads > c.most {
+				t.Errorf("%s: %d reads in %v, want at most %d", name, reads, length, c.most)
+			}
+		}
+	})
+}
--- a/pkg/keyed/follow.go
+++ b/pkg/keyed/follow.go
@@ -1,6 +1,7 @@
 package keyed
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,12 +16,13 @@
 	// DefaultWait is how long a read waits for a change. It also bounds the time
 	// until a dead connection is detected.
 	DefaultWait = 2 * time.Second
-	// minBackoff and maxBackoff bound the pause after a failed call. The pause
-	// doubles with each failure. The maximum is short, because targets that were
-	// removed during an outage of the store stay in use until the store is reachable
-	// again.
+	// DefaultMaxBackoff is the longest pause after a failed call. It is short, because
+	// targets that were removed during an outage of the store stay in use until the
+	// store is reachable again.
+	DefaultMaxBackoff = 250 * time.Millisecond
+	// minBackoff is the pause after a first failed call. The pause doubles with each
+	// further failure.
 	minBackoff = 50 * time.Millisecond
-	maxBackoff = 250 * time.Millisecond
 )
 
 // Change is a set of changed records of a partition.
@@ -50,6 +52,8 @@
 	// accumulate during this time, since many small reads cost more than a few large
 	// ones.
 	ReadInterval time.Duration
+	// MaxBackoff is the longest pause after a failed call; 0 means DefaultMaxBackoff.
+	MaxBackoff time.Duration
 	// OnChange is called with each change, in order. A change may be empty.
 	OnChange func(Change)
 	// OnReachability, which may be nil, is called with the error when the store becomes
@@ -82,7 +86,7 @@
 		f.reportState(err)
 		wait := f.ReadInterval
 		if err != nil {
-			f.backoff = min(maxBackoff, max(minBackoff, 2*f.backoff))
+			f.backoff = min(cmp.Or(f.MaxBackoff, DefaultMaxBackoff), max(minBackoff, 2*f.backoff))
 			wait = f.backoff/2 + rand.N(f.backoff/2)
 		} else {
 			f.backoff = 0
