internal/board: one place that decides whether a record can be shared

A nil Board now shares nothing, and Write leaves out a key that the store would refuse, with all others of the call, each time. Members.Len replaces a sorted copy that was made for its length.

No change of behaviour.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -13,6 +13,8 @@
 )
 
 const (
+	// maxKey bounds the key of a record, in bytes.
+	maxKey = 240
 	// maxBatch bounds the records of one call.
 	maxBatch = 256
 	// minBackoff and maxBackoff bound the pause after a failed call, which doubles with each
@@ -25,7 +27,8 @@
 	readInterval = 200 * time.Millisecond
 )
 
-// Board is one partition. Its exported fields must be set before use.
+// Board is one partition. Its exported fields must be set before use. A nil Board shares
+// nothing: Write and Cancel have no effect.
 type Board struct {
 	Store     keyed.Store
 	Partition keyed.Partition
@@ -49,8 +52,12 @@
 
 // Write writes a record after a delay, and tries again until the store has accepted it. It
 // replaces a write of the same key that has not been made yet, and keeps the earlier of
-// the two times. A nil value deletes the key.
+// the two times. A nil value deletes the key. A record whose key is longer than 240 bytes is
+// not shared: the store would refuse it each time, with all others of its call.
 func (b *Board) Write(key string, value []byte, delay time.Duration) {
+	if b == nil || len(key) > maxKey {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := &write{value: value, due: time.Now().Add(delay)}
@@ -69,6 +76,9 @@
 
 // Cancel drops the write of a key, unless it was made already.
 func (b *Board) Cancel(key string) {
+	if b == nil {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.pending, key)
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -140,3 +141,23 @@
 		}
 	})
 }
+
+// TestLongKeyHoldsUpNothing: a record whose key is too long for the store isn't shared, and the
+// others are; a nil board shares nothing.
+func TestLongKeyHoldsUpNothing(t *testing.T) {
+	var none *board.Board
+	none.Write("k", nil, 0)
+	none.Cancel("k")
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		r := start(ctx, &keyd.Store{})
+		r.Write(strings.Repeat("k", 241), []byte("1"), 0)
+		r.Write(strings.Repeat("k", 240), []byte("1"), 0)
+		time.Sleep(time.Second)
+		if got := r.known(); len(got) != 1 || got[strings.Repeat("k", 240)] == "" {
+			t.Errorf("got %d records, want the one whose key has 240 bytes", len(got))
+		}
+	})
+}
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -60,7 +60,7 @@
 
 // burst returns this instance's part of Retries.Burst. f.mu must be held.
 func (f *fleet) burst() float64 {
-	return f.retries.Burst / max(minBurstInstances, burstMargin*float64(len(f.limits.members.Names())))
+	return f.retries.Burst / max(minBurstInstances, burstMargin*float64(f.limits.members.Len()))
 }
 
 // fleet holds the targets of all services. It is safe for concurrent use.
--- a/internal/edge/limit.go
+++ b/internal/edge/limit.go
@@ -64,7 +64,7 @@
 	if rate > 0 && known.Rate > 0 {
 		delay = changedDelay
 	}
-	f.limits.write(limit.Key(name), record.Encode(), delay)
+	f.limits.board.Write(limit.Key(name), record.Encode(), delay)
 	return true
 }
 
@@ -95,12 +95,6 @@
 	}
 }
 
-func (l *limits) write(key string, value []byte, delay time.Duration) {
-	if l.board != nil && len(key) <= maxSharedKey {
-		l.board.Write(key, value, delay)
-	}
-}
-
 // applyShared applies the limits and the instances that other instances have shared.
 func (f *fleet) applyShared(c keyed.Change) {
 	f.mu.Lock()
@@ -139,14 +133,14 @@
 		switch key := limit.MemberKey(instance); {
 		case shared[key]:
 		case instance == f.limits.self:
-			f.limits.write(key, memberValue, 0)
+			f.limits.board.Write(key, memberValue, 0)
 		default:
 			changed = f.limits.members.Gone(instance) || changed
 		}
 	}
 	for name, known := range f.limits.known {
 		if key := limit.Key(name); !shared[key] {
-			f.limits.write(key, known.Encode(), rand.N(repeatDelay))
+			f.limits.board.Write(key, known.Encode(), rand.N(repeatDelay))
 		}
 	}
 	return changed
@@ -168,23 +162,17 @@
 	known := f.limits.known[name]
 	switch merged := known.Merge(r); {
 	case merged != r:
-		f.limits.write(e.Key, merged.Encode(), rand.N(repeatDelay))
+		f.limits.board.Write(e.Key, merged.Encode(), rand.N(repeatDelay))
 	case merged == known.Record:
-		f.limits.cancel(e.Key)
+		f.limits.board.Cancel(e.Key)
 	default:
-		f.limits.cancel(e.Key)
+		f.limits.board.Cancel(e.Key)
 		if f.setLimit(now, name, merged) && f.limits.logger != nil {
 			f.limits.logger.Info("limit of a target is known from another instance", "target", name, "limit", merged.Rate, "seq", merged.Seq)
 		}
 	}
 }
 
-func (l *limits) cancel(key string) {
-	if l.board != nil {
-		l.board.Cancel(key)
-	}
-}
-
 // shareLimits divides the limits, and the retries that are allowed to all instances together,
 // among the known instances. f.mu must be held.
 func (f *fleet) shareLimits(now time.Time) {
@@ -210,14 +198,14 @@
 	if f.limits.members.See(now, f.limits.self) {
 		f.shareLimits(now)
 	}
-	f.limits.write(limit.MemberKey(f.limits.self), memberValue, 0)
+	f.limits.board.Write(limit.MemberKey(f.limits.self), memberValue, 0)
 }
 
 // depart makes it known that this instance ends.
 func (f *fleet) depart() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.limits.write(limit.MemberKey(f.limits.self), nil, 0)
+	f.limits.board.Write(limit.MemberKey(f.limits.self), nil, 0)
 }
 
 // expireLimits forgets instances that have been silent for long, and the limits of targets
@@ -228,7 +216,7 @@
 	gone := f.limits.members.Expire(now)
 	for _, instance := range gone {
 		if instance != f.limits.self {
-			f.limits.write(limit.MemberKey(instance), nil, rand.N(forgetDelay))
+			f.limits.board.Write(limit.MemberKey(instance), nil, rand.N(forgetDelay))
 		}
 	}
 	if len(gone) > 0 {
@@ -237,7 +225,7 @@
 	for name, known := range f.limits.known {
 		if now.Sub(known.since) > limitTTL && !f.listed(name) {
 			delete(f.limits.known, name)
-			f.limits.write(limit.Key(name), nil, rand.N(forgetDelay))
+			f.limits.board.Write(limit.Key(name), nil, rand.N(forgetDelay))
 		}
 	}
 }
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -29,9 +29,6 @@
 	endCheckDelay = 20 * time.Millisecond
 	// endCheckTimeout bounds the check.
 	endCheckTimeout = 400 * time.Millisecond
-	// maxSharedKey bounds the key of a shared record, in bytes. A part with a longer one is
-	// tracked by this instance alone.
-	maxSharedKey = 240
 	// urgentDelay, clearDelay, repeatDelay and forgetDelay are ranges of random delays of
 	// shared records that several instances may write at the same time. The first
 	// one makes the others' needless.
@@ -155,9 +152,7 @@
 // publish logs a change and shares its record after a delay. q.mu must be held.
 func (q *quarantine) publish(c poison.Change, delay time.Duration) {
 	q.note(c)
-	if key := c.Part.Key(); q.board != nil && len(key) <= maxSharedKey {
-		q.board.Write(key, c.Record.Encode(), delay)
-	}
+	q.board.Write(c.Part.Key(), c.Record.Encode(), delay)
 }
 
 // note logs and counts a change. q.mu must be held.
@@ -219,7 +214,7 @@
 func (q *quarantine) merge(now time.Time, part poison.Part, record poison.Record, e keyed.Entry) {
 	if e.Value == nil {
 		if q.tracker.Forget(now, part) {
-			q.cancel(e.Key)
+			q.board.Cancel(e.Key)
 			return
 		}
 	}
@@ -229,13 +224,7 @@
 		q.publish(c, rand.N(repeatDelay))
 	default:
 		q.note(c)
-		q.cancel(e.Key)
-	}
-}
-
-func (q *quarantine) cancel(key string) {
-	if q.board != nil {
-		q.board.Cancel(key)
+		q.board.Cancel(e.Key)
 	}
 }
 
@@ -249,9 +238,7 @@
 	}
 	q.suspected.Store(!q.tracker.Empty())
 	for _, p := range forgotten {
-		if key := p.Key(); q.board != nil && len(key) <= maxSharedKey {
-			q.board.Write(key, nil, rand.N(forgetDelay))
-		}
+		q.board.Write(p.Key(), nil, rand.N(forgetDelay))
 	}
 }
 
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -128,5 +128,8 @@
 	return gone
 }
 
+// Len returns the number of instances.
+func (m *Members) Len() int { return len(m.seen) }
+
 // Names returns the instances in order.
 func (m *Members) Names() []string { return slices.Sorted(maps.Keys(m.seen)) }
