--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -104,8 +104,10 @@
 	org      *table.Organisation
 	tokens   Tokens
 	// parts are the ids of the prompt's shared parts.
-	parts       []string
-	pickRequest route.Request
+	parts []string
+	// identityHash is the result of identity, or "" before its first call.
+	identityHash string
+	pickRequest  route.Request
 
 	retry retryState
 	// events is the number of stream events forwarded. lastEvent is the id of the last
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -44,6 +44,9 @@
 	if x.org != nil {
 		fields = append(fields, "organisation", x.org.Name)
 	}
+	if x.identityHash != "" {
+		fields = append(fields, "identity", x.identityHash)
+	}
 	if len(x.targets) > 0 {
 		fields = append(fields, "targets", x.targets, "first-ms", millis(x.firstByte))
 	}
@@ -98,6 +101,9 @@
 		"address", a.target.Address, "outcome", kind, "status", status,
 		"targets-age-ms", millis(a.listAge), "open-here", a.open, "took-ms", millis(time.Since(a.began)), "events", x.events, "err", err,
 	}
+	if kind == "may-have-run" {
+		fields = append(fields, "identity", x.identity())
+	}
 	if len(x.parts) > 0 {
 		fields = append(fields, "parts", x.loggedParts())
 	}
