--- a/internal/emul/fleet.go
+++ b/internal/emul/fleet.go
@@ -101,8 +101,12 @@
 		Limits:   table.Limits{HeadBytes: 16 << 10, BodyBytes: 1 << 20, HeadTimeout: 5 * time.Second, IdleTimeout: time.Minute},
 	}
 	for i, k := range f.s.Kinds {
+		repeat := table.Once
+		if k.Plain && k.Repeatable {
+			repeat = table.Idempotent
+		}
 		t.Routes = append(t.Routes, &table.Route{
-			Name: k.Name, Host: "model.example", Prefix: "/" + k.Name + "/", Stream: true, Resumable: k.Repeatable,
+			Name: k.Name, Host: "model.example", Prefix: "/" + k.Name + "/", Stream: !k.Plain, Resumable: !k.Plain && k.Repeatable, Repeat: repeat,
 			Timeout: k.Deadline, Goal: k.Goal, MaxTargets: k.Targets, Priority: i, Shares: []table.Share{{Service: service, Weight: 1}},
 		})
 	}
--- a/internal/emul/load.go
+++ b/internal/emul/load.go
@@ -37,6 +37,7 @@
 	prompt, output int64
 	prefix         int
 	id             string
+	body           string
 }
 
 // load sends requests as a Poisson process for the length of the scenario, and waits
@@ -83,7 +84,7 @@
 	for i := range s.Organisations {
 		shares += s.Organisations[i].Share
 	}
-	a.id = fmt.Sprintf("%s/%d", a.kind.Name, n)
+	a.id, a.body = fmt.Sprintf("%s/%d", a.kind.Name, n), fmt.Sprintf(`{"n":%d}`, n)
 	rest = rnd.Float64() * shares
 	for i := range s.Organisations {
 		a.org = &s.Organisations[i]
@@ -98,9 +99,20 @@
 	if a.kind.Crashes {
 		a.prefix = rnd.IntN(s.Kinds[0].Prefixes)
 	}
+	if a.kind.Deadly > 0 {
+		c.f.makeDeadly(&a, rnd.IntN(a.kind.Deadly))
+	}
 	return a
 }
 
+// makeDeadly makes the request the given one of the deadly requests of its kind.
+func (f *fleet) makeDeadly(a *request, which int) {
+	a.id += deadlyMark + strconv.Itoa(which)
+	a.body = fmt.Sprintf(`{"deadly":%d}`, which)
+	a.org = &f.s.Organisations[which%len(f.s.Organisations)]
+	a.prompt, a.output, a.prefix = max(a.kind.Prompt, a.kind.Shared), a.kind.Output, which%f.s.Kinds[0].Prefixes
+}
+
 // send sends the request. It retries a refused request after the time that the
 // response gives, if this is before the deadline and the kind allows another retry.
 func (c *caller) send(ctx context.Context, a request) {
@@ -123,7 +135,7 @@
 func (c *caller) sendOnce(ctx context.Context, a request, attempt int, began, end time.Time) (outcome string, after time.Duration) {
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.instance.options.Listen+"/"+a.kind.Name+"/", strings.NewReader("{}"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.instance.options.Listen+"/"+a.kind.Name+"/", strings.NewReader(a.body))
 	if err != nil {
 		return failed, 0
 	}
@@ -135,8 +147,11 @@
 	req.Header.Set(dialect.RequestID, id)
 	req.Header.Set(dialect.Key, a.org.Name)
 	req.Header.Set(dialect.Deadline, strconv.FormatInt(time.Until(end).Milliseconds(), 10))
-	req.Header.Set(dialect.Tokens, fmt.Sprintf("%d,%d", a.prompt, a.output))
+	if !a.kind.Plain {
+		req.Header.Set(dialect.Tokens, fmt.Sprintf("%d,%d", a.prompt, a.output))
+	}
 	switch {
+	case a.kind.Plain:
 	case a.kind.Crashes:
 		req.Header.Set(dialect.Prefix, fmt.Sprintf("%d:%d,%s", a.prefix, a.kind.Shared, crashPart))
 	case a.kind.Shared > 0:
@@ -149,7 +164,11 @@
 	defer func() { _ = resp.Body.Close() }()
 	switch resp.StatusCode {
 	case http.StatusOK:
-		first, err := c.read(resp.Body, a)
+		read := c.read
+		if a.kind.Plain {
+			read = c.readPlain
+		}
+		first, err := read(resp.Body, a)
 		if err != nil {
 			return failed, 0
 		}
@@ -196,3 +215,17 @@
 	}
 	return first, nil
 }
+
+// readPlain reads the response to a request without a prompt, which is the request's id,
+// and returns when it was complete.
+func (c *caller) readPlain(body io.Reader, a request) (end time.Time, err error) {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return time.Time{}, err
+	}
+	if !strings.HasPrefix(string(data), a.id+".") {
+		c.tally.violation(fmt.Sprintf("request %s: got the response %q", a.id, data))
+		return time.Time{}, errStream
+	}
+	return time.Now(), nil
+}
--- a/internal/emul/replica.go
+++ b/internal/emul/replica.go
@@ -25,6 +25,8 @@
 	// runs holds the engines of all runs; the last one is the present one.
 	runs   []*modeld.Engine
 	server *http.Server
+	// dark holds the servers of runs that went dark.
+	dark []*http.Server
 }
 
 func (f *fleet) startTargets() error {
@@ -49,17 +51,24 @@
 	s := &r.f.s
 	e := &modeld.Engine{
 		ID: fmt.Sprintf("target-%d", r.index), Dialect: dialect, Slots: s.Slots, Queue: s.Queue,
-		PromptRate: s.PromptRate, Step: s.Step, EventTokens: s.EventTokens, CrashPart: crashPart,
+		PromptRate: s.PromptRate, Step: s.Step, EventTokens: s.EventTokens,
 	}
 	if n := len(r.runs); n > 0 {
 		e.ID = fmt.Sprintf("target-%d-%d", r.index, n)
 	}
 	server := &http.Server{Handler: e, ErrorLog: r.f.logger.StandardLog()}
-	e.Crash = func() { r.crash(server) }
-	e.Arrived = func(id string, crashes bool, limit float64) {
+	e.CrashAfter = func(id string) (events int, crashes bool) {
+		cause, events := r.f.cause(id)
+		return events, cause != ""
+	}
+	e.Crash = func(id string) {
+		cause, _ := r.f.cause(id)
+		r.crash(server, cause)
+	}
+	e.Arrived = func(id string, limit float64) {
 		from := r.f.senders.of(id)
-		if crashes {
-			r.f.crashes.reached(from)
+		if cause, _ := r.f.cause(id); cause != "" {
+			r.f.crashes.reached(cause, from)
 		}
 		r.f.limits.arrived(e.ID, from, limit)
 	}
@@ -68,30 +77,40 @@
 	return r.f.put("targets", e.ID, roster.Target{ID: e.ID, Service: service, Address: r.addr, DataCentre: "here", Born: int64(len(r.runs))})
 }
 
-// crash ends the run of a server: its listener and all its connections are closed at once.
-// After Scenario.Restart the next run begins.
-func (r *replica) crash(server *http.Server) {
+// crash ends the run of a server: its listener and all its connections are closed at once,
+// or if Scenario.Dark is set, nothing more is sent on them. After Scenario.Restart the next
+// run begins.
+func (r *replica) crash(server *http.Server, cause string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.server != server {
 		return // The run has ended already.
 	}
 	r.server = nil
-	_ = server.Close() // It only fails for connections that are closed already.
-	r.f.crashes.targetEnded()
-	id := r.runs[len(r.runs)-1].ID
-	r.f.logger.Info("target crashed", "target", id)
+	last := r.runs[len(r.runs)-1]
+	if r.f.s.Dark {
+		last.Dark.Store(true)
+		r.dark = append(r.dark, server)
+	} else {
+		_ = server.Close() // It only fails for connections that are closed already.
+	}
+	r.f.crashes.targetEnded(cause)
+	r.f.logger.Info("target crashed", "target", last.ID, "cause", cause)
 	r.f.wg.Go(func() {
 		if !pause.For(r.f.ctx, r.f.s.Restart) {
 			return
 		}
-		r.f.store.Put(keyed.Partition{Topic: "targets"}, keyed.Entry{Key: id})
+		r.f.store.Put(keyed.Partition{Topic: "targets"}, keyed.Entry{Key: last.ID})
+		if r.f.s.Dark {
+			r.addr = "127.0.0.1:0"
+		}
 		l, err := net.Listen("tcp", r.addr)
 		if err == nil {
+			r.addr = l.Addr().String()
 			err = r.start(l)
 		}
 		if err != nil {
-			r.f.logger.Error("target did not start again", "target", id, "err", err)
+			r.f.logger.Error("target did not start again", "target", last.ID, "err", err)
 		}
 	})
 }
@@ -113,7 +132,9 @@
 func (r *replica) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.server != nil {
-		_ = r.server.Close() // No requests are in progress.
+	for _, server := range append(r.dark, r.server) {
+		if server != nil {
+			_ = server.Close() // No requests are in progress.
+		}
 	}
 }
--- a/internal/emul/report.go
+++ b/internal/emul/report.go
@@ -154,8 +154,9 @@
 		}
 	}
 	ended, late := f.crashes.late(f.s.Settle)
-	if t.r.Crashes = ended; late > crashSlack {
-		t.violation(fmt.Sprintf("%d crashing requests reached targets later than %v after the crash number %d", late, f.s.Settle, crashBound))
+	t.r.Crashes = ended
+	for _, broken := range late {
+		t.violation(broken)
 	}
 	for _, k := range f.s.Kinds {
 		runsOnce[k.Name] = !k.Repeatable
--- a/internal/emul/rules.go
+++ b/internal/emul/rules.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -34,50 +35,103 @@
 	return s.byID[id]
 }
 
-// crashBound is the number of crashes after which crashing requests must stop within
-// Scenario.Settle, and crashSlack the number of those that may still come later.
+// Causes of crashes have a bound on the crashes after which their requests must stop within
+// Scenario.Settle. crashSlack is the number of requests that may still come later.
 const (
-	crashBound = 5
-	crashSlack = 3
+	partCrashBound    = 5
+	requestCrashBound = 3
+	crashSlack        = 3
 )
 
-// crashes collects the crashes of targets, and when they got crashing requests from
-// instances that reach the store.
+// partCause is the cause of crashes by the part that Kind.Crashes means. deadlyMark begins,
+// in the id of a deadly request, the number of the request among those of its kind.
+const (
+	partCause  = "the crashing part"
+	deadlyMark = "#"
+)
+
+// cause returns what in a request crashes targets, or "" if nothing does, and after how many
+// events.
+func (f *fleet) cause(id string) (cause string, events int) {
+	kind, rest, _ := strings.Cut(id, "/")
+	for i := range f.s.Kinds {
+		k := &f.s.Kinds[i]
+		switch {
+		case k.Name != kind:
+		case k.Crashes:
+			return partCause, k.CrashEvents
+		case k.Deadly > 0:
+			_, which, _ := strings.Cut(rest, deadlyMark)
+			which, _, _ = strings.Cut(which, ".")
+			return fmt.Sprintf("request %s%s%s", kind, deadlyMark, which), k.CrashEvents
+		}
+	}
+	return "", 0
+}
+
+// crashes collects the crashes of targets by their cause, and when they got crashing
+// requests from instances that reach the store.
 type crashes struct {
-	mu    sync.Mutex
-	ended []time.Time
-	sent  []time.Time
+	mu      sync.Mutex
+	byCause map[string]*crashCause
+}
+
+// crashCause is what is known of one cause.
+type crashCause struct{ ended, sent []time.Time }
+
+// of returns the entry of a cause. c.mu must be held.
+func (c *crashes) of(cause string) *crashCause {
+	if c.byCause == nil {
+		c.byCause = make(map[string]*crashCause)
+	}
+	if c.byCause[cause] == nil {
+		c.byCause[cause] = &crashCause{}
+	}
+	return c.byCause[cause]
 }
 
-func (c *crashes) targetEnded() {
+func (c *crashes) targetEnded(cause string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ended = append(c.ended, time.Now())
+	e := c.of(cause)
+	e.ended = append(e.ended, time.Now())
 }
 
 // reached records that a crashing request of an instance has reached a target.
-func (c *crashes) reached(from *instance) {
+func (c *crashes) reached(cause string, from *instance) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if from != nil && from.inTouch() {
-		c.sent = append(c.sent, time.Now())
+		e := c.of(cause)
+		e.sent = append(e.sent, time.Now())
 	}
 }
 
-// late returns the number of targets that crashed, and of the crashing requests that
-// reached a target later than settle after the crash number crashBound.
-func (c *crashes) late(settle time.Duration) (ended, late int) {
+// late returns the number of targets that crashed, and describes each cause whose requests
+// reached targets too often later than settle after the crash that is its bound.
+func (c *crashes) late(settle time.Duration) (ended int, broken []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.ended) < crashBound {
-		return len(c.ended), 0
-	}
-	for _, at := range c.sent {
-		if at.After(c.ended[crashBound-1].Add(settle)) {
-			late++
+	for cause, e := range c.byCause {
+		ended += len(e.ended)
+		bound := requestCrashBound
+		if cause == partCause {
+			bound = partCrashBound
+		}
+		if len(e.ended) < bound {
+			continue
+		}
+		late := 0
+		for _, at := range e.sent {
+			if at.After(e.ended[bound-1].Add(settle)) {
+				late++
+			}
+		}
+		if late > crashSlack {
+			broken = append(broken, fmt.Sprintf("%s reached targets %d times later than %v after crash number %d; %d crashed in all", cause, late, settle, bound, len(e.ended)))
 		}
 	}
-	return len(c.ended), late
+	return ended, broken
 }
 
 const (
--- a/internal/emul/scenario.go
+++ b/internal/emul/scenario.go
@@ -46,8 +46,12 @@
 	EventTokens int64
 	// Restart is the time after which a target that crashed is back, under a new id.
 	Restart time.Duration
-	// Settle is the time after the fifth crash from which the instances must have stopped
-	// sending crashing requests to targets; see Kind.Crashes.
+	// Dark means that a target that crashes keeps its connections open and says nothing more.
+	// Its entry disappears after Restart, and the next run has another address.
+	Dark bool
+	// Settle is the time after the fifth crash by one part of prompts, or the third by one
+	// request, from which the instances must have stopped sending it to targets; see
+	// Kind.Crashes and Kind.Deadly.
 	Settle time.Duration
 
 	Kinds         []Kind
@@ -77,9 +81,17 @@
 	Targets int
 	// Retries is how often a caller retries a refused request.
 	Retries int
+	// Plain requests have no prompt. The response to one is a single body.
+	Plain bool
 	// Crashes means that the prompts have a part in common that crashes each target that
 	// begins to answer. Their other part is one of those of the first kind.
 	Crashes bool
+	// Deadly, if it is not 0, is the number of different requests of the kind. Each crashes
+	// every target that runs it, and is sent again and again, by one organisation, to any
+	// instance.
+	Deadly int
+	// CrashEvents is the number of events after which a crashing request ends its target.
+	CrashEvents int
 }
 
 // Organisation is an organisation with a prepaid budget.
@@ -120,6 +132,7 @@
 	maxTokens        = 1 << 30
 	maxPrefixes      = 1 << 20
 	maxAttempts      = 8
+	maxDeadly        = 1024
 )
 
 // Strength of the faults. Those of the store are within the range seen on the users'
@@ -173,6 +186,7 @@
 			s.EventTokens = p.whole("event-tokens", 1)
 			s.Restart = p.duration("restart", defaultRestart)
 			s.Settle = p.duration("settle", defaultSettle)
+			s.Dark = p.whole("dark", 0) != 0
 		case "kind":
 			s.Kinds = append(s.Kinds, Kind{
 				Name: name, Rate: p.number("rate", 0), Prompt: p.whole("prompt", 100), Output: p.whole("output", 20),
@@ -180,7 +194,8 @@
 				Goal: p.duration("aim", time.Second), Deadline: p.duration("deadline", 10*time.Second),
 				Credit: p.number("worth", 1), LateCredit: p.number("late-worth", 0.1),
 				Repeatable: p.whole("repeatable", 0) != 0, Targets: int(p.whole("targets", 1)), Retries: int(p.whole("returns", 0)),
-				Crashes: p.whole("crashes", 0) != 0,
+				Plain: p.whole("plain", 0) != 0, Crashes: p.whole("crashes", 0) != 0,
+				Deadly: int(p.whole("deadly", 0)), CrashEvents: int(p.whole("crash-events", 0)),
 			})
 		case "organisation":
 			s.Organisations = append(s.Organisations, Organisation{Name: name, Tokens: p.whole("tokens", 0), Share: p.number("share", 1)})
@@ -260,6 +275,8 @@
 		between(fmt.Sprintf("[kind %s] shared", k.Name), k.Shared, 0, k.Prompt)
 		between(fmt.Sprintf("[kind %s] prefixes", k.Name), int64(k.Prefixes), 1, maxPrefixes)
 		between(fmt.Sprintf("[kind %s] targets", k.Name), int64(k.Targets), 1, maxAttempts)
+		between(fmt.Sprintf("[kind %s] deadly", k.Name), int64(k.Deadly), 0, maxDeadly)
+		between(fmt.Sprintf("[kind %s] crash-events", k.Name), int64(k.CrashEvents), 0, maxTokens)
 	}
 	for _, o := range s.Organisations {
 		share += o.Share
--- a/internal/stand/modeld/modeld.go
+++ b/internal/stand/modeld/modeld.go
@@ -8,9 +8,9 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/beryllanding/beryllanding/internal/edge"
@@ -55,14 +55,16 @@
 	Step       time.Duration
 	// EventTokens is the number of tokens per event.
 	EventTokens int64
-	// CrashPart, if it is not empty, is a part of a prompt that crashes the replica when it
-	// begins to answer. Crash then ends the replica's process, and may be called again
-	// until it has ended.
-	CrashPart string
-	Crash     func()
-	// Arrived, if it is not nil, is called for each request as it arrives, with its id,
-	// whether it crashes the replica, and the limit that its response names.
-	Arrived func(id string, crashes bool, limit float64)
+	// CrashAfter, if it is not nil, returns whether the request with an id crashes the
+	// replica, and after how many events. Crash then ends the replica's process, and may be
+	// called again until it has ended.
+	CrashAfter func(id string) (events int, crashes bool)
+	Crash      func(id string)
+	// Dark, while it is set, keeps the replica from sending anything on any connection.
+	Dark atomic.Bool
+	// Arrived, if it is not nil, is called for each request as it arrives, with its id and
+	// the limit that its response names.
+	Arrived func(id string, limit float64)
 
 	Switches toggle.Box[Switches]
 
@@ -113,7 +115,6 @@
 	tokens edge.Tokens
 	prefix uint64
 	shared int64
-	parts  []string
 	// after is the number of the last event that the caller has.
 	after    int64
 	switches Switches
@@ -134,12 +135,12 @@
 	}
 	if field := r.Header.Get(d.Prefix); field != "" {
 		prefix := d.ParsePrefix([]byte(field))
-		q.prefix, q.shared, q.parts = prefix.Key, prefix.Shared, prefix.Parts
+		q.prefix, q.shared = prefix.Key, prefix.Shared
 	}
 	if e.Arrived != nil {
-		e.Arrived(q.id, q.crashes(), q.switches.Limit)
+		e.Arrived(q.id, q.switches.Limit)
 	}
-	if q.switches.Silent {
+	if q.switches.Silent || e.Dark.Load() {
 		<-r.Context().Done()
 		return
 	}
@@ -167,9 +168,25 @@
 	q.run()
 }
 
-// crashes reports whether the request crashes the replica.
-func (q *request) crashes() bool {
-	return q.e.CrashPart != "" && slices.Contains(q.parts, q.e.CrashPart)
+// crashAfter crashes the replica if the request does so after this number of events. It
+// returns false if the request is served no further.
+func (q *request) crashAfter(events int) bool {
+	if q.e.CrashAfter == nil {
+		return true
+	}
+	after, crashes := q.e.CrashAfter(q.id)
+	if !crashes || after != events {
+		return true
+	}
+	if events == 0 {
+		_ = http.NewResponseController(q.w).Flush() // The head may not reach the caller.
+	}
+	q.e.Crash(q.id)
+	if !q.e.Dark.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	<-q.r.Context().Done()
+	return false
 }
 
 // decline refuses the request, with the header field that proves it did not run.
@@ -229,15 +246,22 @@
 	e.mu.Unlock()
 	q.w.Header().Set(e.Dialect.Signature, e.ID)
 	q.w.Header().Set(e.Dialect.Load, load)
-	q.w.Header().Set("Content-Type", "text/event-stream")
-	if q.crashes() {
-		_ = http.NewResponseController(q.w).Flush() // The head may not reach the caller.
-		e.Crash()
-		panic(http.ErrAbortHandler)
+	if q.r.Header.Get(e.Dialect.Tokens) == "" {
+		q.plain()
+		return
 	}
+	q.w.Header().Set("Content-Type", "text/event-stream")
 	q.events()
 }
 
+// plain answers a request without a prompt with its id.
+func (q *request) plain() {
+	if !q.pause(q.e.Step) || !q.crashAfter(0) {
+		return
+	}
+	_, _ = io.WriteString(q.w, q.id) // If the caller has left, nothing is to be done.
+}
+
 // read simulates reading the prompt. A shared prefix that was read before takes no
 // time. It returns false if the caller has left.
 func (q *request) read() bool {
@@ -259,7 +283,14 @@
 	if q.switches.Slow > 0 {
 		d = time.Duration(float64(d) * q.switches.Slow)
 	}
-	return pause.For(q.r.Context(), d)
+	if !pause.For(q.r.Context(), d) {
+		return false
+	}
+	if q.e.Dark.Load() {
+		<-q.r.Context().Done()
+		return false
+	}
+	return true
 }
 
 // events streams the events after the last one that the caller has.
@@ -268,7 +299,7 @@
 	flusher := http.NewResponseController(q.w)
 	last := (q.tokens.Output + e.EventTokens - 1) / e.EventTokens
 	for n := q.after + 1; n <= last; n++ {
-		if !q.pause(e.Step) {
+		if !q.crashAfter(int(n-q.after-1)) || !q.pause(e.Step) {
 			return
 		}
 		if _, err := fmt.Fprintf(q.w, "id: %d\ndata: event %d\n\n", n, n); err != nil {
