pkg/poison, internal/edge: requests that crash targets are refused, with or without a prompt

Cause: blame was only ever put on the shared parts of a prompt. A request without a prompt had nothing that could be suspected, and one with a prompt only parts that sound requests clear. Class: the request is at fault, and what identifies it is not known to the mechanism of blame.

Now an end of a target is blamed on subjects: the request itself (caller, path, prompt, body), the parts of its prompt for this caller, and for all callers. The wider ones need different requests, and callers, as witnesses, so that no caller shuts out another's different request. It is still one record for each subject on the board and one tracker.

--- a/cmd/beryl/edge.go
+++ b/cmd/beryl/edge.go
@@ -12,7 +12,6 @@
 	"github.com/beryllanding/beryllanding/internal/audit"
 	"github.com/beryllanding/beryllanding/internal/cmds"
 	"github.com/beryllanding/beryllanding/pkg/acct"
-	"github.com/beryllanding/beryllanding/pkg/poison"
 	"github.com/beryllanding/beryllanding/pkg/table"
 	"github.com/beryllanding/beryllanding/platform"
 )
@@ -73,18 +72,21 @@
 			},
 			{
 				Name:  "parts",
-				Short: "List the parts of prompts that crash targets",
-				Long: `A part is suspected once targets ended when they began to answer a prompt with
-it, and it was not answered since. After several such targets it is in
-quarantine: all instances refuse requests with it until the time that is shown.`,
-				Examples: []cmds.Example{{Line: "beryl edge parts --boot settings.toml", Does: "suspected parts, and those in quarantine"}},
+				Short: "List the parts of prompts, and the requests, that crash targets",
+				Long: `A request, and the parts of its prompt, are suspected once a target ended under
+it and they were not answered since. After several such targets they are in
+quarantine: all instances refuse such requests until the time that is shown. A
+part is blamed for all callers (part) or for one (caller-part). A request is
+named by its identity, as in the log lines of the instances.`,
+				Examples: []cmds.Example{{Line: "beryl edge parts --boot settings.toml", Does: "suspected parts and requests, and those in quarantine"}},
 				New:      func() cmds.Runner { return new(edgeParts) },
 			},
 			{
 				Name:  "release",
-				Short: "End the quarantine of a part of prompts",
-				Long: `All instances that reach the store serve requests with the part again. If it
-still crashes targets, it gets into quarantine again.`,
+				Short: "End the quarantine of a part of prompts, or of a request",
+				Long: `All instances that reach the store serve requests with the part, for all
+callers, or the request with this identity, again. If it still crashes targets,
+it gets into quarantine again.`,
 				Examples: []cmds.Example{{Line: "beryl edge release chat 5c1e07a2 --boot settings.toml", Does: "release a part after the targets were repaired"}},
 				New:      func() cmds.Runner { return new(edgeRelease) },
 			},
@@ -277,24 +279,30 @@
 }
 
 func writeParts(w io.Writer, list []audit.Part) {
-	_, _ = fmt.Fprintln(w, "SERVICE\tPART\tSTATE\tUNTIL\tTERMS\tCLEARED\tENDED TARGETS")
+	_, _ = fmt.Fprintln(w, "SERVICE\tKIND\tORGANISATION\tPART\tSTATE\tUNTIL\tTERMS\tCLEARED\tENDED TARGETS")
 	for _, p := range list {
-		state, until := "suspected", "-"
+		state, until, kind, organisation := "suspected", "-", p.Kind, p.Organisation
+		if p.Inside {
+			kind += " inside"
+		}
+		if organisation == "" {
+			organisation = "-"
+		}
 		if p.Quarantined {
 			state = "quarantine"
 		}
 		if p.Until != nil {
 			until = p.Until.Format(time.DateTime)
 		}
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%s\n", p.Service, p.ID, state, until, p.Terms, p.Cleared, strings.Join(p.Ended, " "))
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", p.Service, kind, organisation, p.ID, state, until, p.Terms, p.Cleared, strings.Join(p.Ended, " "))
 	}
 }
 
 type edgeRelease struct {
 	bootFile
 	Args struct {
-		Service string `positional-arg-name:"SERVICE" description:"Service of the part"`
-		Part    string `positional-arg-name:"PART" description:"Id of the part"`
+		Service string `positional-arg-name:"SERVICE" description:"Service of the part or request"`
+		Part    string `positional-arg-name:"PART" description:"Id of the part, or identity of the request"`
 	} `positional-args:"yes" required:"yes"`
 }
 
@@ -306,11 +314,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, edgeTimeout)
 	defer cancel()
-	part := poison.Part{Service: c.Args.Service, ID: c.Args.Part}
-	if err := audit.ReleasePart(ctx, store, platform.BoardPartition, part); err != nil {
+	if err := audit.ReleasePart(ctx, store, platform.BoardPartition, c.Args.Service, c.Args.Part); err != nil {
 		return err
 	}
-	return app.Print(part, func(w io.Writer) {
-		_, _ = fmt.Fprintf(w, "part %s of service %s is released\n", part.ID, part.Service)
+	released := struct{ Service, ID string }{c.Args.Service, c.Args.Part}
+	return app.Print(released, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "part %s of service %s is released\n", released.ID, released.Service)
 	})
 }
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -62,9 +62,10 @@
 	// Shared is the number of prompt tokens in the shared parts that are not cached
 	// everywhere.
 	Shared int64
-	// Parts are the ids of the shared parts, in order. The part of the request itself is
-	// not among them.
+	// Parts are the ids of the shared parts, in order. Own is the id of the last part, which
+	// belongs to the request itself or to its session.
 	Parts []string
+	Own   string
 }
 
 // Tokens bounds the prompt and the output of a request, in tokens.
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -105,9 +105,12 @@
 	tokens   Tokens
 	// parts are the ids of the prompt's shared parts.
 	parts []string
-	// identityHash is the result of identity, or "" before its first call.
-	identityHash string
-	pickRequest  route.Request
+	// ownPart is the id of the last part, which belongs to the request or its session.
+	ownPart string
+	// nearHash and identityHash are the results of near and identity, or "" before their
+	// first call.
+	nearHash, identityHash string
+	pickRequest            route.Request
 
 	retry retryState
 	// events is the number of stream events forwarded. lastEvent is the id of the last
@@ -144,7 +147,7 @@
 	if len(x.id) == 0 || x.head.Count(e.Dialect.RequestID) != 1 {
 		return x.deny(statusBadRequest, 0, "a request carries one id")
 	}
-	e.awaitLoaded(x.ctx, x.head.Get(e.Dialect.Prefix) != nil)
+	e.awaitLoaded(x.ctx)
 	x.table, x.tableAge = e.view.Load(), e.age()
 	if x.table == nil {
 		return x.deny(statusUnavailable, startRetry, "no configuration is known yet")
@@ -167,13 +170,13 @@
 	return x.parseFields()
 }
 
-// awaitLoaded waits until the configuration, the targets and, for a request with parts of a
-// prompt, the shared records were read for the first time, up to startWait. Later than
-// startWait after the start, it doesn't wait for the shared records.
-func (e *Engine) awaitLoaded(ctx context.Context, parts bool) {
+// awaitLoaded waits until the configuration, the targets and the shared records were read for
+// the first time, up to startWait. Later than startWait after the start, it doesn't wait for
+// the shared records.
+func (e *Engine) awaitLoaded(ctx context.Context) {
 	select {
 	case <-e.loaded:
-		if !parts || time.Since(e.started) > startWait {
+		if time.Since(e.started) > startWait {
 			return
 		}
 	default:
@@ -184,9 +187,7 @@
 	case <-e.loaded:
 	case <-ctx.Done():
 	}
-	if parts {
-		e.quarantine.awaitRead(ctx)
-	}
+	e.quarantine.awaitRead(ctx)
 }
 
 // identify looks up the organisation of the request's key.
@@ -245,7 +246,7 @@
 	}
 	if field := x.head.Get(d.Prefix); field != nil {
 		prefix := d.ParsePrefix(field)
-		x.parts = prefix.Parts
+		x.parts, x.ownPart = prefix.Parts, prefix.Own
 		if x.tokens.Prompt > 0 {
 			shared := min(prefix.Shared, x.tokens.Prompt)
 			x.pickRequest.Prefix = prefix.Key
@@ -267,7 +268,7 @@
 
 // serve reserves tokens, makes the attempts and settles the reservation.
 func (x *exchange) serve() {
-	if reason, _ := x.checkParts(); reason != "" {
+	if reason, _ := x.checkQuarantine(false); reason != "" {
 		x.reject(reason)
 		return
 	}
@@ -347,7 +348,7 @@
 
 // makeAttempt makes one attempt and returns the action that follows.
 func (x *exchange) makeAttempt(act retryAction) action {
-	if reason, _ := x.checkParts(); reason != "" {
+	if reason, _ := x.checkQuarantine(true); reason != "" {
 		return x.retry.giveUp(reason)
 	}
 	if act.spendBudget && !x.e.fleet.takeRetry(x.service) {
@@ -370,7 +371,7 @@
 	a.events = x.events
 	result := x.attempt(a)
 	stopLog()
-	x.recordBeginning(a, result)
+	x.recordBlame(a, result)
 	x.e.fleet.done(x.service, a, result)
 	x.recordAttempt(a, result)
 	x.retry.forwarded = x.w.started
@@ -393,9 +394,9 @@
 
 // reject tells the caller that no target took the request, and when to return: not before
 // a target takes work again, if all of them rest, and not before the end of the quarantine,
-// if a part of the prompt is in one.
+// if the request is in one.
 func (x *exchange) reject(reason string) {
-	if _, left := x.checkParts(); left > 0 {
+	if _, left := x.checkQuarantine(false); left > 0 {
 		x.e.Meter.QuarantineRefusal(x.service)
 		// The caller's remaining time does not matter: an earlier return is in vain.
 		x.respondError(statusUnavailable, left, reason)
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -20,6 +20,9 @@
 	// lastHeard is when a byte was last received from the target, in ns since
 	// fleet.start.
 	lastHeard atomic.Int64
+	// leaving is set once the target said that it leaves. gone is set once it left the list
+	// without having said so.
+	leaving, gone atomic.Bool
 	// open is the number of this instance's requests at the target. busySince is when
 	// open last rose from 0. Both are guarded by fleet.mu.
 	busySince time.Time
@@ -76,6 +79,9 @@
 	groups        map[string]*group
 	rnd           *rand.Rand
 	limits        limits
+	// onGone, if it is not nil, is called for each run of a target that left the list
+	// without having said that it leaves.
+	onGone func(*target)
 }
 
 func newFleet(dataCentre string, retries Retries) *fleet {
@@ -116,6 +122,12 @@
 // update replaces the targets. It returns how many were added, were removed and began
 // to drain.
 func (f *fleet) update(list []roster.Target) (added, removed, draining int) {
+	var gone []*target
+	defer func() {
+		for _, t := range gone {
+			f.onGone(t)
+		}
+	}()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	byService := make(map[string][]roster.Target)
@@ -128,12 +140,20 @@
 	for service, g := range f.groups {
 		a, r, d := g.update(byService[service])
 		f.applyLimits(g)
-		added, removed, draining = added+a, removed+r, draining+d
+		added, removed, draining = added+a, removed+len(r), draining+d
+		for _, t := range r {
+			if f.onGone != nil && !t.Draining && !t.leaving.Load() {
+				t.gone.Store(true)
+				gone = append(gone, t)
+			}
+		}
 	}
 	return added, removed, draining
 }
 
-func (g *group) update(list []roster.Target) (added, removed, draining int) {
+// update replaces the targets of the group. It returns how many were added and began to
+// drain, and those that were removed.
+func (g *group) update(list []roster.Target) (added int, removed []*target, draining int) {
 	next := make(map[string]*target, len(list))
 	entries := make([]route.Target, 0, len(list))
 	for _, t := range list {
@@ -155,7 +175,7 @@
 	for name, old := range g.byName {
 		if next[name] != old {
 			old.pool.Close()
-			removed++
+			removed = append(removed, old)
 		}
 	}
 	g.byName = next
--- a/internal/edge/identity.go
+++ b/internal/edge/identity.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash/fnv"
+	"strconv"
 )
 
 // identityBytes is the length of a request's identity before its encoding.
@@ -29,7 +31,20 @@
 			_, _ = h.Write(length[:]) // A hash returns no errors.
 			_, _ = h.Write(part)
 		}
-		x.identityHash = hex.EncodeToString(h.Sum(nil)[:identityBytes])
+		x.identityHash = x.near() + "-" + hex.EncodeToString(h.Sum(nil)[:identityBytes])
 	}
 	return x.identityHash
 }
+
+// near returns a short hash of caller and path, with which the identity begins.
+func (x *exchange) near() string {
+	if x.nearHash == "" {
+		h := fnv.New32a()
+		if x.org != nil {
+			_, _ = h.Write([]byte(x.org.Name)) // A hash returns no errors.
+		}
+		_, _ = h.Write(x.head.Path)
+		x.nearHash = strconv.FormatUint(uint64(h.Sum32()), 16)
+	}
+	return x.nearHash
+}
--- a/internal/edge/limit.go
+++ b/internal/edge/limit.go
@@ -239,3 +239,10 @@
 	}
 	return false
 }
+
+// otherInstances returns the names of the other instances that are known.
+func (f *fleet) otherInstances() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.limits.members.Names()
+}
--- a/internal/edge/notice.go
+++ b/internal/edge/notice.go
@@ -107,6 +107,7 @@
 	f.mu.Lock()
 	news := f.group(service).picker.Leave(time.Now(), a.target.name)
 	f.mu.Unlock()
+	a.target.leaving.Store(true)
 	if news {
 		a.target.pool.CloseIdle()
 	}
--- a/internal/edge/shared.go
+++ b/internal/edge/shared.go
@@ -21,10 +21,12 @@
 		Store: n.opts.Store, Partition: n.opts.Board,
 		OnChange: func(c keyed.Change) {
 			f.applyShared(c)
+			q.setInstances(n.opts.Instance, f.otherInstances())
 			q.apply(c)
 		},
 		OnReachability: n.logStoreState(n.opts.Board.Topic, nil),
 	}
+	f.onGone = q.targetEnded
 	q.board, q.logger, q.read = n.board, n.logger("quarantine"), make(chan struct{})
 	f.limits.board, f.limits.logger, f.limits.self = n.board, n.logger("targets"), n.opts.Instance
 }
--- a/internal/emul/deadly_test.go
+++ b/internal/emul/deadly_test.go
@@ -51,6 +51,9 @@
 		}},
 		{name: "targets that go dark", kind: repeated, instances: 4, targets: 24, change: func(s *emul.Scenario) {
 			s.Dark, s.Restart = true, 2*time.Second
+			for i := range s.Kinds {
+				s.Kinds[i].Deadline = 10 * time.Second
+			}
 			s.Kinds[len(s.Kinds)-1].Rate, s.Kinds[len(s.Kinds)-1].Goal = 1, 300*time.Millisecond
 			s.Length, s.Settle = 16*time.Second, 5*time.Second
 		}},
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -31,8 +31,8 @@
 	Targets, Leaving, Resting map[string]int
 	// Limited is the number of targets that name a limit of requests a second, by service.
 	Limited map[string]int
-	// Suspected and Quarantined are the numbers of prompt parts that are suspected to
-	// crash targets, and of those in quarantine, by service.
+	// Suspected and Quarantined are the numbers of prompt parts and requests that are suspected
+	// to crash targets, and of those in quarantine, by service.
 	Suspected, Quarantined map[string]int
 	// TableVersion is the version of the active configuration. TableAge is the time
 	// since the store last confirmed that it is the newest.
@@ -130,14 +130,14 @@
 	m.add(m.notices, attribute.String("service", service), attribute.String("kind", kind))
 }
 
-// TargetEnded counts a target that ended when it began to answer a prompt.
+// TargetEnded counts a target that ended under requests.
 func (m *Meter) TargetEnded(service string) {
 	if m != nil {
 		m.add(m.ended, attribute.String("service", service))
 	}
 }
 
-// Quarantine counts a change of a prompt part's quarantine: "begun", "cleared" or
+// Quarantine counts a change of a quarantine: "begun", "cleared" or
 // "expired".
 func (m *Meter) Quarantine(service, change string) {
 	if m != nil {
@@ -145,7 +145,7 @@
 	}
 }
 
-// QuarantineRefusal counts a request that was refused for a part in quarantine.
+// QuarantineRefusal counts a request that was refused because of a quarantine.
 func (m *Meter) QuarantineRefusal(service string) {
 	m.add(m.refusals, attribute.String("service", service))
 }
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -40,12 +40,12 @@
 	attemptsMetric       = definition{"beryl.attempts", counter, "", "service, outcome", "Attempts at targets: `answered`, `failed` (by the target's own status), `not-run` (proved), `may-have-run`"}
 	retriesMetric        = definition{"beryl.repeats", counter, "", "service, allowed", "Attempts after the first. `allowed` is `false`: the budget of repeats is used up"}
 	noticesMetric        = definition{"beryl.target.notices", counter, "", "service, kind", "Notices of targets about themselves: `leaving`, `rest`, `limit` (a limit of requests a second was named or changed), `no-limit` (it ended)"}
-	endedMetric          = definition{"beryl.targets.ended", counter, "", "service", "Targets that ended when they began to answer a prompt. It rises by many: a part of prompts may crash them; see the lines of the layer `quarantine`"}
-	quarantinesMetric    = definition{"beryl.quarantine.changes", counter, "", "service, change", "Quarantines of prompt parts that have `begun`, were `cleared` by an answer, another instance or an operator, or `expired`. `cleared`: a sound part was held for a while"}
-	refusalsMetric       = definition{"beryl.quarantine.refusals", counter, "", "service", "Requests refused with 503 because a part of their prompt is in quarantine"}
+	endedMetric          = definition{"beryl.targets.ended", counter, "", "service", "Targets that ended under requests of this instance. It rises by many: a request or a part of prompts may crash them; see the lines of the layer `quarantine`"}
+	quarantinesMetric    = definition{"beryl.quarantine.changes", counter, "", "service, change", "Quarantines of prompt parts and requests that have `begun`, were `cleared` by an answer, another instance or an operator, or `expired`. `cleared`: a sound one was held for a while"}
+	refusalsMetric       = definition{"beryl.quarantine.refusals", counter, "", "service", "Requests refused with 503 because they, or a part of their prompt, are in quarantine"}
 	limitedMetric        = definition{"beryl.limited.attempts", counter, "", "service", "Attempts at targets that name a limit of requests a second. Its rate, summed over all instances, is to stay below the sum of the limits"}
-	suspectedMetric      = definition{"beryl.parts.suspected", gauge, "", "service", "Prompt parts that targets ended on, not in quarantine. Requests with them are served"}
-	quarantinedMetric    = definition{"beryl.parts.quarantined", gauge, "", "service", "Prompt parts in quarantine. Requests with them are refused; `beryl edge parts` names them"}
+	suspectedMetric      = definition{"beryl.parts.suspected", gauge, "", "service", "Prompt parts and requests that targets ended on, not in quarantine. They are served"}
+	quarantinedMetric    = definition{"beryl.parts.quarantined", gauge, "", "service", "Prompt parts and requests in quarantine. They are refused; `beryl edge parts` names them"}
 	wrongResponsesMetric = definition{"beryl.foreign.answers", counter, "", "", "Answers that belong to no request: some target sends too many"}
 	connectionsMetric    = definition{"beryl.connections", counter, "", "", "Connections accepted from callers"}
 	openMetric           = definition{"beryl.open.requests", gauge, "", "", "Requests in progress"}
--- a/pkg/poison/tracker.go
+++ b/pkg/poison/tracker.go
@@ -3,123 +3,178 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
 const (
 	// minEnded is the number of runs that must have ended, one after the other and without
-	// an answer in between, before a part gets into quarantine.
-	minEnded = 3
-	// minGap is the time between two ends that count apart. Targets that end together, for
-	// example with their rack, say nothing about a prompt.
+	// an answer in between, before a subject gets into quarantine. minEndedInside is that
+	// for ends inside answers, of a Part or a CallerPart.
+	minEnded       = 3
+	minEndedInside = 6
+	// minGap is the time between two ends that count apart, unless the later one came under
+	// a request that was sent after the earlier one. Targets that end together, for example
+	// with their rack, say nothing about a request.
 	minGap = 100 * time.Millisecond
+	// minDarkGap is minGap for a part, if the end of the target is known only because it left
+	// the list, some heartbeats later. A data centre that is cut off has many such targets.
+	minDarkGap = 2 * time.Second
 	// answerMemory is how long an answer at least speaks for a part: no suspicion begins.
 	answerMemory = 5 * time.Second
 	// maxAnswered bounds the parts that are known to be answered, for each answerMemory.
 	maxAnswered = 4096
-	// maxSuspects bounds the suspected parts. Beyond it, the one that was changed least
-	// recently and is not in quarantine is forgotten.
-	maxSuspects = 1024
+	// maxSuspects bounds the suspects. Beyond it, one that is not in quarantine is
+	// forgotten: one with the fewest ends, and among these the one that was changed least
+	// recently.
+	maxSuspects = 4096
 	// maxPartID bounds the id of a part, in bytes. Longer ones are not tracked.
 	maxPartID = 64
-	// firstTerm is the length of the first quarantine. It doubles with each further one of
-	// the same round, up to maxTerm.
-	firstTerm = 10 * time.Minute
-	maxTerm   = 24 * time.Hour
+	// firstTerm is the length of the first quarantine, and firstExactTerm that of an Exact.
+	// It grows by termGrowth with each further one of the same round, up to maxTerm.
+	firstTerm      = 10 * time.Minute
+	firstExactTerm = 30 * time.Second
+	termGrowth     = 8
+	maxTerm        = 24 * time.Hour
 	// untilStep is the step of the ends of quarantines. Instances that begin one at nearly
 	// the same time agree on its end, and need not exchange it.
 	untilStep = 10 * time.Second
 	// forgetAfter is how long a record without a quarantine is kept after its last change.
+	// One that had a quarantine is kept for maxTerm.
 	forgetAfter = 10 * time.Minute
 )
 
-// Tracker holds the records of all suspected parts. The zero value has none. Its methods
-// take the present time, with a monotonic reading. It is not safe for concurrent use.
+// Tracker holds the records of all suspects. The zero value has none. Its methods take the
+// present time, with a monotonic reading. It is not safe for concurrent use.
 type Tracker struct {
-	suspects map[Part]*suspect
+	// Self is the name of this instance, and Instances are those of the others, which take
+	// turns with it after a quarantine.
+	Self      string
+	Instances []string
+
+	suspects map[Subject]*suspect
+	// near counts the suspects of type Exact by the Near of their requests.
+	near map[string]int
 	// answered and answeredBefore are the parts that were answered since rotated, and in
 	// the answerMemory before.
 	answered, answeredBefore map[Part]struct{}
 	rotated                  time.Time
 }
 
-// suspect is a part with a record.
+// suspect is a subject with a record.
 type suspect struct {
 	Record
-	// lastEnd is when the last end that counts became known.
+	// needs is what the subject's quarantine needs, and firstTerm how long the first one is.
+	needs     proof
+	firstTerm time.Duration
+	// lastEnd is when the last end that counts happened, or became known if another
+	// instance saw it.
 	lastEnd time.Time
 	// changed is when the record last changed.
 	changed time.Time
-	// held is set while the part is known to be in quarantine.
+	// held is set while the subject is known to be in quarantine.
 	held bool
+	// probed is the number of the last turn in which a request was let through, from 1; see
+	// probe.
+	probed int
 }
 
-// Event is what a change means for requests with a part.
+// Event is what a change means for requests with a subject.
 type Event int
 
 // The events of changes.
 const (
-	// None means that requests with the part are served or refused as before.
+	// None means that such requests are served or refused as before.
 	None Event = iota
 	// Quarantined means that they are refused from now on.
 	Quarantined
-	// Cleared means that they are served again, since the part was answered.
+	// Cleared means that they are served again, since one was answered.
 	Cleared
-	// Expired means that they are served again, since the quarantine is over.
+	// Expired means that they are tried again, since the quarantine is over.
 	Expired
 )
 
 // Change is a changed record.
 type Change struct {
-	Part   Part
-	Record Record
-	Event  Event
+	Subject Subject
+	Record  Record
+	Event   Event
+}
+
+// End is the end of a target under a request.
+type End struct {
+	// Run names the run of the target.
+	Run string
+	// Sent is when the request was sent to the target, and At when its answer broke off.
+	Sent, At time.Time
+	// Inside is set if the answer had begun.
+	Inside bool
+	// Dark is set if the target's end is known only because it left the list.
+	Dark bool
 }
 
-// Ended records that a run of a target ended when it began to answer prompts with these
-// parts. It returns the changed records.
-func (t *Tracker) Ended(now time.Time, service string, parts []string, run string) []Change {
+// Ended records that a target ended under a request. It returns the changed records.
+func (t *Tracker) Ended(now time.Time, end End, r Request) []Change {
 	t.rotate(now)
-	run = run[:min(maxRun, len(run))]
+	run := end.Run[:min(maxRun, len(end.Run))]
 	var changes []Change
-	for _, id := range parts {
-		p := Part{service, id}
-		if id == "" || len(id) > maxPartID || t.wasAnswered(p) {
+	for _, a := range r.subjects(end.Inside) {
+		if t.wasAnswered(a.Subject) {
+			continue
+		}
+		s := t.suspect(a.Subject)
+		if s == nil {
 			continue
 		}
-		s := t.suspect(p)
-		if s == nil || slices.Contains(s.Ended, run) {
+		known := s.Record
+		add := Record{Round: s.Round, Ended: []string{run}}
+		if a.witness != "" {
+			add.Witnesses = []string{a.witness}
+		}
+		s.Record = s.Merge(add)
+		event := None
+		switch {
+		case !slices.Contains(known.Ended, run):
+			event = s.countEnd(now, end)
+		case s.Equal(known):
 			continue
+		default:
+			s.changed = now
+			event = s.decide(now, false)
 		}
-		s.Record = s.Merge(Record{Round: s.Round, Ended: []string{run}})
-		event := s.countEnd(now)
-		changes = append(changes, Change{p, s.Record, event})
+		changes = append(changes, Change{a.Subject, s.Record, event})
 	}
 	return changes
 }
 
-// countEnd counts an end, unless another one became known less than minGap before.
-func (s *suspect) countEnd(now time.Time) Event {
+// countEnd counts an end, unless it came together with the one before.
+func (s *suspect) countEnd(now time.Time, end End) Event {
 	s.changed = now
-	if s.Apart == 0 || now.Sub(s.lastEnd) >= minGap {
+	apart := end.At.Sub(s.lastEnd) >= minGap || end.Sent.After(s.lastEnd)
+	at := end.At
+	if end.Dark && s.needs.requests > 0 {
+		apart, at = now.Sub(s.lastEnd) >= minDarkGap, now
+	}
+	if s.Apart == 0 || apart {
 		s.Apart++
-		s.lastEnd = now
+		s.lastEnd = at
 	}
 	// After a quarantine, one more end is enough.
 	return s.decide(now, s.Terms > 0)
 }
 
-// decide begins the first quarantine of the round if enough ends are known, or another one
-// if again is set.
+// decide begins the first quarantine of the round if enough is known, or another one if
+// again is set.
 func (s *suspect) decide(now time.Time, again bool) Event {
-	first := s.Terms == 0 && s.Apart >= minEnded && len(s.Ended) >= minEnded
+	first := s.Terms == 0 && s.meets(s.needs)
 	if !s.Quarantined(now) && (first || again) {
-		term := maxTerm
-		if s.Terms < 16 { // Larger shifts could overflow.
-			term = min(maxTerm, firstTerm<<s.Terms)
+		term := s.firstTerm
+		for i := 0; i < s.Terms && term < maxTerm; i++ {
+			term *= termGrowth
 		}
-		s.Until = now.Add(term).Truncate(untilStep).Add(untilStep).UnixMilli()
+		s.Until = now.Add(min(term, maxTerm)).Truncate(untilStep).Add(untilStep).UnixMilli()
 		s.Terms++
+		s.probed = 0
 	}
 	return s.observe(now, Cleared)
 }
@@ -138,25 +193,32 @@
 	return end
 }
 
-// Answered records that a target answered a prompt with these parts beyond its beginning.
-// It returns the changed records.
-func (t *Tracker) Answered(now time.Time, service string, parts []string) []Change {
+// Answered records that a target answered a request: whole, or beyond the beginning of its
+// answer. It returns the changed records.
+func (t *Tracker) Answered(now time.Time, r Request, whole bool) []Change {
 	t.rotate(now)
 	var changes []Change
-	for _, id := range parts {
-		if id == "" || len(id) > maxPartID {
-			continue
+	acquit := func(subject Subject) {
+		if s := t.suspects[subject]; s != nil && len(s.Ended) > 0 {
+			s.replace(now, s.Cleared())
+			changes = append(changes, Change{subject, s.Record, s.observe(now, Cleared)})
 		}
-		p := Part{service, id}
-		if len(t.answered) < maxAnswered {
-			t.answered[p] = struct{}{}
+	}
+	for _, inside := range []bool{false, true} {
+		if inside && !whole {
+			break
 		}
-		s := t.suspects[p]
-		if s == nil || len(s.Ended) == 0 {
-			continue
+		for _, id := range r.parts(inside) {
+			p := Part{r.Service, id, inside}
+			if len(t.answered) < maxAnswered {
+				t.answered[p] = struct{}{}
+			}
+			acquit(p)
+			acquit(CallerPart{r.Service, r.Caller, id, inside})
 		}
-		s.replace(now, s.Cleared())
-		changes = append(changes, Change{p, s.Record, s.observe(now, Cleared)})
+	}
+	if whole && t.near[r.Near] > 0 {
+		acquit(Exact{r.Service, r.Identity()})
 	}
 	return changes
 }
@@ -168,15 +230,15 @@
 
 // Merge adds the record of another instance. stale is set if the known record says more,
 // and is to be shared again.
-func (t *Tracker) Merge(now time.Time, p Part, r Record) (c Change, stale bool) {
+func (t *Tracker) Merge(now time.Time, subject Subject, r Record) (c Change, stale bool) {
 	r.Until = min(r.Until, now.Add(maxTerm+untilStep).UnixMilli())
-	s := t.suspect(p)
+	s := t.suspect(subject)
 	if s == nil {
-		return Change{Part: p, Record: r}, false
+		return Change{Subject: subject, Record: r}, false
 	}
 	known := s.Record
 	merged := known.Merge(r)
-	c = Change{Part: p}
+	c = Change{Subject: subject}
 	switch {
 	case merged.Round != known.Round || s.changed.IsZero():
 		s.replace(now, merged)
@@ -188,118 +250,189 @@
 			s.lastEnd = now
 			c.Event = s.decide(now, false)
 		case len(merged.Ended) > len(known.Ended):
-			c.Event = s.countEnd(now)
+			c.Event = s.countEnd(now, End{At: now})
 		default:
-			c.Event = s.observe(now, Cleared)
+			c.Event = s.decide(now, false)
 		}
 	}
 	c.Record = s.Record
 	return c, !s.Equal(r)
 }
 
-// Forget drops the record of a part, which another instance found to be out of date. It
-// returns false, and keeps the record, if the part is in quarantine.
-func (t *Tracker) Forget(now time.Time, p Part) bool {
-	s := t.suspects[p]
+// Forget drops the record of a subject, which another instance found to be out of date. It
+// returns false, and keeps the record, if the subject is in quarantine.
+func (t *Tracker) Forget(now time.Time, subject Subject) bool {
+	s := t.suspects[subject]
 	if s == nil {
 		return true
 	}
 	if s.Quarantined(now) {
 		return false
 	}
-	delete(t.suspects, p)
+	t.remove(subject)
 	return true
 }
 
-// Expire returns the quarantines that have ended, and forgets records without a quarantine
-// that have not changed for forgetAfter. It returns their parts as forgotten.
-func (t *Tracker) Expire(now time.Time) (changes []Change, forgotten []Part) {
-	for p, s := range t.suspects {
+// Expire returns the quarantines that have ended, and forgets records that have not changed
+// for long. It returns their subjects as forgotten.
+func (t *Tracker) Expire(now time.Time) (changes []Change, forgotten []Subject) {
+	for subject, s := range t.suspects {
 		if e := s.observe(now, Expired); e != None {
 			s.changed = now
-			changes = append(changes, Change{p, s.Record, e})
+			changes = append(changes, Change{subject, s.Record, e})
 		}
-		if !s.held && now.Sub(s.changed) > forgetAfter {
-			delete(t.suspects, p)
-			forgotten = append(forgotten, p)
+		keep := forgetAfter
+		if s.Terms > 0 {
+			keep = maxTerm
+		}
+		if !s.held && now.Sub(s.changed) > keep {
+			t.remove(subject)
+			forgotten = append(forgotten, subject)
 		}
 	}
 	return changes, forgotten
 }
 
-// Check returns the first of the parts that is in quarantine, and the end of that.
-func (t *Tracker) Check(now time.Time, service string, parts []string) (part string, until time.Time, held bool) {
-	for _, id := range parts {
-		if s := t.suspects[Part{service, id}]; s != nil && s.Quarantined(now) {
-			return id, time.UnixMilli(s.Until), true
+// Check returns the first subject of the request that is in quarantine, or on trial after
+// one, and the time until the request may be sent. If begin is set and none is, the request
+// counts as sent.
+func (t *Tracker) Check(now time.Time, r Request, begin bool) (subject Subject, wait time.Duration, held bool) {
+	var trials []Subject
+	for subject := range t.suspected(r) {
+		s := t.suspects[subject]
+		if s == nil || s.Terms == 0 || len(s.Ended) == 0 {
+			continue
+		}
+		if s.Quarantined(now) {
+			return subject, time.UnixMilli(s.Until).Sub(now), true
+		}
+		if wait, ok := t.probe(now, subject, s, false); !ok {
+			return subject, wait, true
+		}
+		trials = append(trials, subject)
+	}
+	if begin {
+		for _, subject := range trials {
+			t.probe(now, subject, t.suspects[subject], true)
+		}
+	}
+	return nil, 0, false
+}
+
+// suspected yields the subjects of a request that may have a record.
+func (t *Tracker) suspected(r Request) func(yield func(Subject) bool) {
+	return func(yield func(Subject) bool) {
+		if len(t.suspects) == 0 {
+			return
+		}
+		if t.near[r.Near] > 0 && !yield(Exact{r.Service, r.Identity()}) {
+			return
+		}
+		for _, inside := range []bool{false, true} {
+			for _, id := range r.parts(inside) {
+				if !yield(Part{r.Service, id, inside}) || !yield(CallerPart{r.Service, r.Caller, id, inside}) {
+					return
+				}
+			}
 		}
 	}
-	return "", time.Time{}, false
 }
 
-// Empty reports whether no part has a record.
+// Empty reports whether no subject has a record.
 func (t *Tracker) Empty() bool { return len(t.suspects) == 0 }
 
-// Changes returns all records that say anything, ordered by their parts.
+// Changes returns all records that say anything, ordered by their keys.
 func (t *Tracker) Changes() []Change {
 	var all []Change
-	for p, s := range t.suspects {
+	for subject, s := range t.suspects {
 		if s.Round > 0 || len(s.Ended) > 0 {
-			all = append(all, Change{Part: p, Record: s.Record})
+			all = append(all, Change{Subject: subject, Record: s.Record})
 		}
 	}
-	slices.SortFunc(all, func(a, b Change) int {
-		return cmp.Or(cmp.Compare(a.Part.Service, b.Part.Service), cmp.Compare(a.Part.ID, b.Part.ID))
-	})
+	slices.SortFunc(all, func(a, b Change) int { return cmp.Compare(a.Subject.Key(), b.Subject.Key()) })
 	return all
 }
 
-// Count returns the number of suspected parts and of those in quarantine, by service.
+// Count returns the number of suspects and of those in quarantine, by service.
 func (t *Tracker) Count(now time.Time) (suspected, quarantined map[string]int) {
 	suspected, quarantined = make(map[string]int), make(map[string]int)
-	for p, s := range t.suspects {
+	for subject, s := range t.suspects {
 		switch {
 		case s.Quarantined(now):
-			quarantined[p.Service]++
+			quarantined[Service(subject)]++
 		case len(s.Ended) > 0:
-			suspected[p.Service]++
+			suspected[Service(subject)]++
 		}
 	}
 	return suspected, quarantined
 }
 
-// suspect returns the suspect of a part, which it creates if needed. It returns nil if all
-// places are taken by parts in quarantine.
-func (t *Tracker) suspect(p Part) *suspect {
-	if s := t.suspects[p]; s != nil {
+// suspect returns the suspect of a subject, which it creates if needed. It returns nil if
+// all places are taken by subjects in quarantine.
+func (t *Tracker) suspect(subject Subject) *suspect {
+	if s := t.suspects[subject]; s != nil {
 		return s
 	}
 	if t.suspects == nil {
-		t.suspects = make(map[Part]*suspect)
+		t.suspects, t.near = make(map[Subject]*suspect), make(map[string]int)
 	}
 	if len(t.suspects) >= maxSuspects && !t.evict() {
 		return nil
 	}
-	s := &suspect{}
-	t.suspects[p] = s
+	s := &suspect{needs: needs(subject), firstTerm: firstTerm}
+	if e, ok := subject.(Exact); ok {
+		s.firstTerm = firstExactTerm
+		t.near[e.near()]++
+	}
+	t.suspects[subject] = s
 	return s
 }
 
-// evict forgets the part that was changed least recently and is not in quarantine.
+// near returns the Near of the requests that an Exact stands for.
+func (e Exact) near() string {
+	near, _, _ := strings.Cut(e.ID, "-")
+	return near
+}
+
+// remove drops a suspect.
+func (t *Tracker) remove(subject Subject) {
+	delete(t.suspects, subject)
+	if e, ok := subject.(Exact); ok {
+		if t.near[e.near()]--; t.near[e.near()] <= 0 {
+			delete(t.near, e.near())
+		}
+	}
+}
+
+// evict forgets the suspect that says least, and is neither in quarantine nor on trial.
 func (t *Tracker) evict() bool {
-	var oldest *suspect
-	var part Part
-	for p, s := range t.suspects {
-		if !s.held && (oldest == nil || s.changed.Before(oldest.changed)) {
-			oldest, part = s, p
+	var least *suspect
+	var subject Subject
+	for other, s := range t.suspects {
+		if s.Terms > 0 && len(s.Ended) > 0 {
+			continue
 		}
+		if least == nil || cmp.Or(cmp.Compare(s.Apart, least.Apart), s.changed.Compare(least.changed)) < 0 {
+			least, subject = s, other
+		}
+	}
+	if least != nil {
+		t.remove(subject)
 	}
-	delete(t.suspects, part)
-	return oldest != nil
+	return least != nil
 }
 
-// wasAnswered reports whether the part was answered in the last answerMemory.
-func (t *Tracker) wasAnswered(p Part) bool {
+// wasAnswered reports whether a part was answered in the last answerMemory, to any caller.
+func (t *Tracker) wasAnswered(subject Subject) bool {
+	var p Part
+	switch s := subject.(type) {
+	case Part:
+		p = s
+	case CallerPart:
+		p = Part{s.Service, s.ID, s.Inside}
+	default:
+		return false
+	}
 	_, now := t.answered[p]
 	_, before := t.answeredBefore[p]
 	return now || before
