internal/edge: lines name the versions of targets and the stream that a request takes up

The version of a target is kept with its entry, attempt ended has version, and request ended has versions, in the order of their events, and resumes.

--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -28,6 +28,9 @@
 	// LastEvent is the id of the last event that the caller received. A stream resumes
 	// after that event.
 	LastEvent string
+	// Resumes is the RequestID of the try that brought the first event of the stream that the
+	// request takes up after LastEvent.
+	Resumes string
 	// Signature marks a response as produced by the target itself.
 	Signature string
 	// Expect is the id of the target that a request is meant for.
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -113,6 +113,11 @@
 	pickRequest            route.Request
 
 	retry retryState
+	// resumes is the id of the try that brought the first event of the stream that the
+	// request takes up, or "" if it takes up none.
+	resumes string
+	// versions are the versions of targets, in the order of their events in the response.
+	versions []string
 	// events is the number of stream events forwarded. lastEvent is the id of the last
 	// one, or -1 if there is none.
 	events    int64
@@ -258,6 +263,7 @@
 			x.lastEvent = n
 		}
 	}
+	x.resumes = string(x.head.Get(d.Resumes))
 	x.retry = retryState{
 		repeatable: x.route.MayRepeat(),
 		resumable:  x.route.Stream && x.route.Resumable,
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -56,6 +56,12 @@
 	if len(x.parts) > 0 {
 		fields = append(fields, "parts", x.loggedParts())
 	}
+	if x.resumes != "" {
+		fields = append(fields, "resumes", x.resumes)
+	}
+	if len(x.versions) > 0 {
+		fields = append(fields, "versions", x.versions)
+	}
 	if x.reserveTime > 0 {
 		fields = append(fields, "reserve-ms", millis(x.reserveTime))
 	}
@@ -97,7 +103,7 @@
 		return
 	}
 	fields := []any{
-		"request-id", string(x.id), "target", a.target.ID,
+		"request-id", string(x.id), "target", a.target.ID, "version", a.target.Version,
 		"address", a.target.Address, "outcome", kind, "status", status,
 		"targets-age-ms", millis(a.listAge), "open-here", a.open, "took-ms", millis(time.Since(a.began)), "events", x.events, "err", err,
 	}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -62,7 +62,7 @@
 			return x.endStream(a, head, pending, complete)
 		}
 		if complete > 0 {
-			if werr := x.forwardEvents(head, pending[:complete]); werr != nil {
+			if werr := x.forwardEvents(a, head, pending[:complete]); werr != nil {
 				return uncertain{err: errors.Join(ErrCallerGone, werr), forwarded: true}
 			}
 			pending = append(pending[:0], pending[complete:]...)
@@ -101,29 +101,42 @@
 	if complete < len(rest) {
 		// The framing is complete but the last event is not: the target aborted.
 		if complete > 0 {
-			if err := x.forwardEvents(head, rest[:complete]); err != nil {
+			if err := x.forwardEvents(a, head, rest[:complete]); err != nil {
 				return uncertain{err: errors.Join(ErrCallerGone, err), forwarded: true}
 			}
 		}
 		return uncertain{err: ErrPartialEvent, forwarded: x.w.started}
 	}
 	x.startStream(head)
-	if err := x.w.finishChunked(x.dropForwarded(rest)); err != nil {
+	known := x.events
+	rest = x.dropForwarded(rest)
+	if x.events > known {
+		x.recordVersion(a)
+	}
+	if err := x.w.finishChunked(rest); err != nil {
 		return uncertain{err: errors.Join(ErrCallerGone, err), forwarded: true}
 	}
 	return responded{status: head.Status}
 }
 
 // forwardEvents forwards complete events.
-func (x *exchange) forwardEvents(head *http1.Head, events []byte) error {
+func (x *exchange) forwardEvents(a *attempt, head *http1.Head, events []byte) error {
 	events = x.dropForwarded(events)
 	if len(events) == 0 {
 		return nil
 	}
 	x.startStream(head)
+	x.recordVersion(a)
 	return x.w.writeChunk(events)
 }
 
+// recordVersion records that events of the attempt's target are forwarded.
+func (x *exchange) recordVersion(a *attempt) {
+	if n := len(x.versions); n == 0 || x.versions[n-1] != a.target.Version {
+		x.versions = append(x.versions, a.target.Version)
+	}
+}
+
 // startStream buffers the header of the response if none was sent. A stream that
 // resumes at another target keeps the header of the first response.
 func (x *exchange) startStream(head *http1.Head) {
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -29,7 +29,7 @@
 // depend on the platform's names.
 var testDialect = Dialect{
 	RequestID: "Request-Id", Deadline: "Deadline", Key: "Key", Organisation: "Organisation",
-	Tokens: "Tokens", Prefix: "Prefix", LastEvent: "Last-Event", Signature: "Signature",
+	Tokens: "Tokens", Prefix: "Prefix", LastEvent: "Last-Event", Resumes: "Resumes", Signature: "Signature",
 	Expect: "Expect-Target", NotRun: "Not-Run", Leaving: "Leaving", Limit: "Limit", Load: "Load", Priority: "Rank",
 	Internal: []string{"Internal"},
 	ParseTokens: func(field []byte) (Tokens, error) {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -18,6 +18,8 @@
 	Service    string
 	Address    string
 	DataCentre string
+	// Version is the version of the target's software. It may be empty.
+	Version string
 	// Draining is set if the target takes no new work.
 	Draining bool
 	// Born is the start time of the target in Unix milliseconds. It distinguishes runs
