--- a/internal/emul/dialect.go
+++ b/internal/emul/dialect.go
@@ -13,7 +13,7 @@
 // the users' platform.
 var dialect = edge.Dialect{
 	RequestID: "Request-Id", Deadline: "Time-Left-Ms", Key: "Key", Organisation: "Organisation",
-	Tokens: "Tokens", Prefix: "Prefix", LastEvent: "Last-Event-Id", Signature: "Signature",
+	Tokens: "Tokens", Prefix: "Prefix", LastEvent: "Last-Event-Id", Resumes: "Resumes", Signature: "Signature",
 	Expect: "Expect-Target", NotRun: "Not-Run", Leaving: "Leaving", Limit: "Limit", Load: "Load", Priority: "Priority",
 	ParseTokens: func(field []byte) (edge.Tokens, error) {
 		a, b, err := pair(field, ',')
--- a/internal/emul/load.go
+++ b/internal/emul/load.go
@@ -38,6 +38,11 @@
 	prefix         int
 	id             string
 	body           string
+	// begun is the id of the try that brought the first event, got the number of events
+	// that the caller has, and version that of the target that made them.
+	begun   string
+	got     int64
+	version string
 }
 
 // load sends requests as a Poisson process for the length of the scenario, and waits
@@ -118,9 +123,21 @@
 func (c *caller) send(ctx context.Context, a request) {
 	began := time.Now()
 	end := began.Add(a.kind.Deadline)
+	takenUp, returned := 0, 0
 	for attempt := 0; ; attempt++ {
-		outcome, after := c.sendOnce(ctx, a, attempt, began, end)
-		again := outcome == refused && after > 0 && attempt < a.kind.Retries && time.Now().Add(after).Before(end)
+		outcome, after := c.sendOnce(ctx, &a, attempt, began, end)
+		if outcome == failed && a.got > 0 && takenUp < a.kind.TakeUps && time.Now().Before(end) {
+			takenUp++
+			a.instance = c.f.instances[rand.IntN(len(c.f.instances))]
+			c.tally.takeUp()
+			c.tally.attempt(true)
+			continue
+		}
+		if takenUp > 0 && outcome != failed && outcome != refused {
+			c.tally.wentOn()
+		}
+		again := outcome == refused && after > 0 && returned < a.kind.Retries && time.Now().Add(after).Before(end)
+		returned++
 		c.tally.attempt(again)
 		if !again {
 			c.tally.end(a, outcome)
@@ -132,7 +149,7 @@
 
 // sendOnce makes one attempt at the request. If the request was refused, after is
 // the time until it may be retried, or 0 if it may not be retried.
-func (c *caller) sendOnce(ctx context.Context, a request, attempt int, began, end time.Time) (outcome string, after time.Duration) {
+func (c *caller) sendOnce(ctx context.Context, a *request, attempt int, began, end time.Time) (outcome string, after time.Duration) {
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.instance.options.Listen+"/"+a.kind.Name+"/", strings.NewReader(a.body))
@@ -147,6 +164,10 @@
 	req.Header.Set(dialect.RequestID, id)
 	req.Header.Set(dialect.Key, a.org.Name)
 	req.Header.Set(dialect.Deadline, strconv.FormatInt(time.Until(end).Milliseconds(), 10))
+	if a.got > 0 {
+		req.Header.Set(dialect.LastEvent, strconv.FormatInt(a.got, 10))
+		req.Header.Set(dialect.Resumes, a.begun)
+	}
 	if !a.kind.Plain {
 		req.Header.Set(dialect.Tokens, fmt.Sprintf("%d,%d", a.prompt, a.output))
 	}
@@ -168,7 +189,7 @@
 		if a.kind.Plain {
 			read = c.readPlain
 		}
-		first, err := read(resp.Body, a)
+		first, err := read(resp.Body, a, id)
 		if err != nil {
 			return failed, 0
 		}
@@ -188,22 +209,31 @@
 
 // read reads the events of a stream and returns the time of the first one. The event
 // ids must count from 1 up to the number that the output needs, without a gap.
-func (c *caller) read(body io.Reader, a request) (first time.Time, err error) {
-	next, per := int64(1), c.f.s.EventTokens
+func (c *caller) read(body io.Reader, a *request, id string) (first time.Time, err error) {
+	next, per := a.got+1, c.f.s.EventTokens
 	defer func() { c.tally.used(a.org.Name, a.prompt+min(a.output, (next-1)*per)) }()
 	lines := bufio.NewScanner(body)
 	for lines.Scan() {
-		id, ok := strings.CutPrefix(lines.Text(), "id: ")
+		version, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if ok && a.begun == "" {
+			a.begun, a.version = id, version
+		}
+		if ok && version != a.version {
+			c.tally.violation(fmt.Sprintf("request %s: got event %d of version %s after one of version %s", a.id, a.got, version, a.version))
+			return first, errStream
+		}
+		number, ok := strings.CutPrefix(lines.Text(), "id: ")
 		if !ok {
 			continue
 		}
-		if next == 1 {
+		if first.IsZero() {
 			first = time.Now()
 		}
-		if id != strconv.FormatInt(next, 10) {
-			c.tally.violation(fmt.Sprintf("request %s: got event %s, want event %d", a.id, id, next))
+		if number != strconv.FormatInt(next, 10) {
+			c.tally.violation(fmt.Sprintf("request %s: got event %s, want event %d", a.id, number, next))
 			return first, errStream
 		}
+		a.got = next
 		next++
 	}
 	if err := lines.Err(); err != nil {
@@ -218,7 +248,7 @@
 
 // readPlain reads the response to a request without a prompt, which is the request's id,
 // and returns when it was complete.
-func (c *caller) readPlain(body io.Reader, a request) (end time.Time, err error) {
+func (c *caller) readPlain(body io.Reader, a *request, _ string) (end time.Time, err error) {
 	data, err := io.ReadAll(body)
 	if err != nil {
 		return time.Time{}, err
--- a/internal/emul/replica.go
+++ b/internal/emul/replica.go
@@ -52,6 +52,7 @@
 	e := &modeld.Engine{
 		ID: fmt.Sprintf("target-%d", r.index), Dialect: dialect, Slots: s.Slots, Queue: s.Queue,
 		PromptRate: s.PromptRate, Step: s.Step, EventTokens: s.EventTokens,
+		Version: fmt.Sprintf("v%d", r.index%max(1, s.Versions)),
 	}
 	if n := len(r.runs); n > 0 {
 		e.ID = fmt.Sprintf("target-%d-%d", r.index, n)
@@ -74,7 +75,7 @@
 	}
 	go func() { _ = server.Serve(l) }() // Serve returns when the server is closed.
 	r.runs, r.server = append(r.runs, e), server
-	return r.f.put("targets", e.ID, roster.Target{ID: e.ID, Service: service, Address: r.addr, DataCentre: "here", Born: int64(len(r.runs))})
+	return r.f.put("targets", e.ID, roster.Target{ID: e.ID, Service: service, Address: r.addr, DataCentre: "here", Version: e.Version, Born: int64(len(r.runs))})
 }
 
 // crash ends the run of a server: its listener and all its connections are closed at once,
--- a/internal/emul/report.go
+++ b/internal/emul/report.go
@@ -44,6 +44,10 @@
 	// attempts that the caller retried.
 	Attempts int `json:"attempts"`
 	Returned int `json:"returned"`
+	// TakenUp counts the tries that take up a stream that broke off, and WentOn the streams
+	// that were completed so.
+	TakenUp int `json:"taken-up"`
+	WentOn  int `json:"went-on"`
 	// Crashes is the number of targets that crashing requests ended.
 	Crashes int `json:"crashes"`
 	// Violations describes each broken rule, with the request or organisation.
@@ -66,6 +70,20 @@
 	}
 }
 
+// takeUp counts a try that takes up a stream.
+func (t *tally) takeUp() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.r.TakenUp++
+}
+
+// wentOn counts a stream that was taken up and completed.
+func (t *tally) wentOn() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.r.WentOn++
+}
+
 // used counts the tokens of a request whose response began.
 func (t *tally) used(org string, n int64) {
 	t.mu.Lock()
@@ -188,6 +206,9 @@
 	if r.Crashes > 0 {
 		_, _ = fmt.Fprintf(w, "%d crashes of targets\n", r.Crashes)
 	}
+	if r.TakenUp > 0 {
+		_, _ = fmt.Fprintf(w, "%d tries to take up a stream, %d streams completed so\n", r.TakenUp, r.WentOn)
+	}
 	for _, b := range r.Violations {
 		_, _ = fmt.Fprintln(w, "BROKEN:", b)
 	}
--- a/internal/emul/scenario.go
+++ b/internal/emul/scenario.go
@@ -44,6 +44,9 @@
 	Step time.Duration
 	// EventTokens is the number of tokens in an event.
 	EventTokens int64
+	// Versions is the number of software versions among the replicas. What two of them write
+	// doesn't fit together.
+	Versions int
 	// Restart is the time after which a target that crashed is back, under a new id.
 	Restart time.Duration
 	// Dark means that a target that crashes keeps its connections open and says nothing more.
@@ -81,6 +84,8 @@
 	Targets int
 	// Retries is how often a caller retries a refused request.
 	Retries int
+	// TakeUps is how often a caller takes up a stream that broke off, at any instance.
+	TakeUps int
 	// Plain requests have no prompt. The response to one is a single body.
 	Plain bool
 	// Crashes means that the prompts have a part in common that crashes each target that
@@ -187,13 +192,14 @@
 			s.Restart = p.duration("restart", defaultRestart)
 			s.Settle = p.duration("settle", defaultSettle)
 			s.Dark = p.whole("dark", 0) != 0
+			s.Versions = int(p.whole("versions", 1))
 		case "kind":
 			s.Kinds = append(s.Kinds, Kind{
 				Name: name, Rate: p.number("rate", 0), Prompt: p.whole("prompt", 100), Output: p.whole("output", 20),
 				Shared: p.whole("shared", 0), Prefixes: int(p.whole("prefixes", 1)),
 				Goal: p.duration("aim", time.Second), Deadline: p.duration("deadline", 10*time.Second),
 				Credit: p.number("worth", 1), LateCredit: p.number("late-worth", 0.1),
-				Repeatable: p.whole("repeatable", 0) != 0, Targets: int(p.whole("targets", 1)), Retries: int(p.whole("returns", 0)),
+				Repeatable: p.whole("repeatable", 0) != 0, Targets: int(p.whole("targets", 1)), Retries: int(p.whole("returns", 0)), TakeUps: int(p.whole("take-ups", 0)),
 				Plain: p.whole("plain", 0) != 0, Crashes: p.whole("crashes", 0) != 0,
 				Deadly: int(p.whole("deadly", 0)), CrashEvents: int(p.whole("crash-events", 0)),
 			})
@@ -262,6 +268,7 @@
 	}
 	between("[fleet] instances", int64(s.Instances), 1, maxInstances)
 	between("[fleet] targets", int64(s.Targets), 1, maxTargets)
+	between("[fleet] versions", int64(s.Versions), 1, maxTargets)
 	between("[fleet] length in ms", s.Length.Milliseconds(), 1, maxLength.Milliseconds())
 	between("[fleet] event-tokens", s.EventTokens, 1, maxTokens)
 	between("[fleet] prompt-rate", int64(s.PromptRate), 1, maxTokens)
--- a/internal/stand/modeld/modeld.go
+++ b/internal/stand/modeld/modeld.go
@@ -55,6 +55,8 @@
 	Step       time.Duration
 	// EventTokens is the number of tokens per event.
 	EventTokens int64
+	// Version is the version of the replica's software. Each event names it.
+	Version string
 	// CrashAfter, if it is not nil, returns whether the request with an id crashes the
 	// replica, and after how many events. Crash then ends the replica's process, and may be
 	// called again until it has ended.
@@ -302,7 +304,7 @@
 		if !q.crashAfter(int(n-q.after-1)) || !q.pause(e.Step) {
 			return
 		}
-		if _, err := fmt.Fprintf(q.w, "id: %d\ndata: event %d\n\n", n, n); err != nil {
+		if _, err := fmt.Fprintf(q.w, "id: %d\ndata: %s\n\n", n, e.Version); err != nil {
 			return
 		}
 		if err := flusher.Flush(); err != nil {
