pkg/origin, internal/edge: a stream goes on only at the software version that began it

Cause: the version in a target's entry was checked and dropped. A stream that broke off went on at any target of the service, in one answer (the record shows it) and when its caller took it up, as no instance kept where a stream began. Class: state that a request depends on is known to the instance that served it only, or to none.

Now the first event binds a stream to service and version, within the answer and for callers that name the try in Resumes. An instance tells two others ahead, chosen by the stream's id among 32 keepers, while a service has more than one version; where a stream is taken up, three are asked. What isn't known is never guessed: 503 at once, not run.

TestStreamCallerResumes names the stream that it takes up now, and its origin is known: without both such a request is refused by design.

--- a/cmd/beryl/edge.go
+++ b/cmd/beryl/edge.go
@@ -206,7 +206,7 @@
 }
 
 func writeTargets(w io.Writer, list []audit.Target) {
-	_, _ = fmt.Fprintln(w, "SERVICE\tTARGET\tADDRESS\tDATA CENTRE\tLIMIT\tSTATE")
+	_, _ = fmt.Fprintln(w, "SERVICE\tTARGET\tVERSION\tADDRESS\tDATA CENTRE\tLIMIT\tSTATE")
 	for _, t := range list {
 		state := "in use"
 		switch {
@@ -219,7 +219,7 @@
 		if t.Limit > 0 {
 			rate = fmt.Sprintf("%v/s", t.Limit)
 		}
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", t.Service, t.ID, t.Address, t.DataCentre, rate, state)
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", t.Service, t.ID, t.Version, t.Address, t.DataCentre, rate, state)
 	}
 }
 
--- a/cmd/beryl/edge_test.go
+++ b/cmd/beryl/edge_test.go
@@ -27,7 +27,7 @@
 		Leases: []audit.Lease{{Holder: "edge-1~ab", Machine: "10.0.0.1", Held: ledger.Tokens(38_000), Pledged: 5000, PerSecond: 900, Unconfirmed: true}},
 	}}, true)
 	writeTargets(w, []audit.Target{
-		{Target: roster.Target{ID: "i-1", Service: "chat", Address: "10.0.0.9:80", DataCentre: "z", Draining: true}, Limit: 1.5},
+		{Target: roster.Target{ID: "i-1", Service: "chat", Address: "10.0.0.9:80", DataCentre: "z", Version: "v1.2", Draining: true}, Limit: 1.5},
 		{Target: roster.Target{ID: "i-2"}, Fault: "no service"},
 	})
 	writeTable(w, &table.Table{
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -127,6 +127,7 @@
 		})
 	}
 	added, removed, draining := n.engine.fleet.update(n.list.Targets())
+	n.engine.origins.see(n.engine.fleet.versions())
 	if added+removed+draining > 0 {
 		n.logger("targets").Info("targets changed", "added", added, "removed", removed,
 			"draining", draining, "in-use", n.engine.fleet.targetCount())
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -13,6 +13,7 @@
 	"github.com/beryllanding/beryllanding/internal/alloc"
 	"github.com/beryllanding/beryllanding/internal/meter"
 	"github.com/beryllanding/beryllanding/pkg/http1"
+	"github.com/beryllanding/beryllanding/pkg/origin"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 	"github.com/beryllanding/beryllanding/pkg/route"
 	"github.com/beryllanding/beryllanding/pkg/table"
@@ -55,6 +56,7 @@
 
 	fleet      *fleet
 	quarantine quarantine
+	origins    origins
 	buffers    buffers
 	// loaded is closed once the configuration and the targets were read for the first
 	// time.
@@ -116,6 +118,11 @@
 	// resumes is the id of the try that brought the first event of the stream that the
 	// request takes up, or "" if it takes up none.
 	resumes string
+	// streamID is the id of the try that brought the stream's first event, origin where the
+	// stream began, and originNoted when that was last noted.
+	streamID    string
+	origin      origin.Origin
+	originNoted time.Time
 	// versions are the versions of targets, in the order of their events in the response.
 	versions []string
 	// events is the number of stream events forwarded. lastEvent is the id of the last
@@ -171,8 +178,11 @@
 		return false
 	}
 	x.service = x.route.Choose(rand.Float64())
+	if !x.parseFields() || !x.bindVersion() {
+		return false
+	}
 	e.fleet.countRequest(x.service)
-	return x.parseFields()
+	return true
 }
 
 // awaitLoaded waits until the configuration, the targets and the shared records were read for
@@ -378,6 +388,7 @@
 	result := x.attempt(a)
 	stopLog()
 	x.recordBlame(a, result)
+	x.renoteOrigin()
 	x.e.fleet.done(x.service, a, result)
 	x.recordAttempt(a, result)
 	x.retry.forwarded = x.w.started
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -169,7 +169,7 @@
 		old.Draining = t.Draining
 		next[name] = old
 		entries = append(entries, route.Target{
-			Name: name, DataCentre: t.DataCentre, Address: t.Address, Draining: t.Draining,
+			Name: name, DataCentre: t.DataCentre, Version: t.Version, Address: t.Address, Draining: t.Draining,
 		})
 	}
 	for name, old := range g.byName {
--- a/internal/edge/limit.go
+++ b/internal/edge/limit.go
@@ -1,7 +1,11 @@
 package edge
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -9,6 +13,7 @@
 	"github.com/beryllanding/beryllanding/internal/board"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
 	"github.com/beryllanding/beryllanding/pkg/limit"
+	"github.com/beryllanding/beryllanding/pkg/origin"
 )
 
 const (
@@ -33,6 +38,10 @@
 	self    string
 	known   map[string]knownLimit
 	members limit.Members
+	// address is that at which this instance can be asked, and peers are those of the others
+	// by their names.
+	address string
+	peers   map[string]string
 	// read is set once the other instances were read. Before, this instance can't know its
 	// part of a limit.
 	read bool
@@ -112,9 +121,11 @@
 		switch {
 		case !ok || instance == f.limits.self:
 		case e.Value == nil:
+			delete(f.limits.peers, instance)
 			changed = f.limits.members.Gone(instance) || changed
 		default:
 			changed = f.limits.members.See(now, instance) || changed
+			f.setPeer(instance, string(e.Value))
 		}
 	}
 	if c.Full {
@@ -133,8 +144,9 @@
 		switch key := limit.MemberKey(instance); {
 		case shared[key]:
 		case instance == f.limits.self:
-			f.limits.board.Write(key, memberValue, 0)
+			f.limits.board.Write(key, f.memberValue(), 0)
 		default:
+			delete(f.limits.peers, instance)
 			changed = f.limits.members.Gone(instance) || changed
 		}
 	}
@@ -186,8 +198,46 @@
 	}
 }
 
-// memberValue is the value of an instance's record.
-var memberValue = []byte("1")
+// noAddress is the value of the record of an instance that can't be asked.
+const noAddress = "1"
+
+// memberValue returns the value of this instance's record: its address.
+func (f *fleet) memberValue() []byte {
+	return []byte(cmp.Or(f.limits.address, noAddress))
+}
+
+// setPeer sets the address of another instance from its record. f.mu must be held.
+func (f *fleet) setPeer(instance, address string) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		delete(f.limits.peers, instance)
+		return
+	}
+	if f.limits.peers == nil {
+		f.limits.peers = make(map[string]string)
+	}
+	f.limits.peers[instance] = address
+}
+
+// peerAddresses returns the addresses of the other instances by their names.
+func (f *fleet) peerAddresses() map[string]string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.limits.peers)
+}
+
+// versions returns the services and versions of the targets in use.
+func (f *fleet) versions() (list []origin.Origin) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for service, g := range f.groups {
+		for _, t := range g.byName {
+			if o := (origin.Origin{Service: service, Version: t.Version}); !slices.Contains(list, o) {
+				list = append(list, o)
+			}
+		}
+	}
+	return list
+}
 
 // join makes this instance known to the others. It is called at the start and then at each
 // limit.RefreshInterval.
@@ -198,7 +248,7 @@
 	if f.limits.members.See(now, f.limits.self) {
 		f.shareLimits(now)
 	}
-	f.limits.board.Write(limit.MemberKey(f.limits.self), memberValue, 0)
+	f.limits.board.Write(limit.MemberKey(f.limits.self), f.memberValue(), 0)
 }
 
 // depart makes it known that this instance ends.
@@ -215,6 +265,7 @@
 	defer f.mu.Unlock()
 	gone := f.limits.members.Expire(now)
 	for _, instance := range gone {
+		delete(f.limits.peers, instance)
 		if instance != f.limits.self {
 			f.limits.board.Write(limit.MemberKey(instance), nil, rand.N(forgetDelay))
 		}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -133,6 +133,7 @@
 		Dialect: opts.Dialect, Budgets: budgets, Logger: opts.Logger.WithPrefix("requests"), Meter: &meter.Meter{},
 		fleet: newFleet(opts.DataCentre, opts.Retries), loaded: make(chan struct{}), started: time.Now(),
 	}
+	n.engine.origins.dial = n.peers.Client
 	n.setUpBoard()
 	n.server = &Server{Engine: n.engine, Logger: opts.Logger.WithPrefix("callers")}
 	n.tables = &keyed.Follower{
@@ -175,7 +176,7 @@
 	if err != nil {
 		return err
 	}
-	n.engine.Meter, n.engine.quarantine.meter = m, m
+	n.engine.Meter, n.engine.quarantine.meter, n.engine.origins.meter = m, m, m
 	l, err := net.Listen("tcp", n.opts.Listen)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
--- /dev/null
+++ b/internal/edge/origins.go
@@ -0,0 +1,349 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/beryllanding/beryllanding/internal/meter"
+	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/origin"
+	"github.com/beryllanding/beryllanding/pkg/pause"
+)
+
+const (
+	// toldKeepers is the number of instances that are told where a stream began.
+	toldKeepers = 2
+	// askedKeepers is the number of instances that are asked at the same time. One of the
+	// first may be the instance that forwarded the stream, which tells others in its place.
+	askedKeepers = toldKeepers + 1
+	// askRounds bounds how often further instances are asked while none has answered.
+	askRounds = 3
+	// tellInterval is the time in which origins are collected before they are told.
+	tellInterval = 100 * time.Millisecond
+	// tellTimeout and askTimeout bound a call to a peer.
+	tellTimeout = 300 * time.Millisecond
+	askTimeout  = 150 * time.Millisecond
+	// peerPause is the time in which a peer that did not answer is passed over.
+	peerPause = 2 * time.Second
+	// maxPending bounds the origins that wait to be told to one peer.
+	maxPending = 4096
+	// maxTellTries bounds the peers that are tried for each telling of an origin.
+	maxTellTries = 3
+	// renoteInterval is the time after which the origin of a stream that breaks off is noted
+	// again, since it may be forgotten soon.
+	renoteInterval = 20 * time.Second
+)
+
+// errUnknownOrigin reports a stream of which nobody knows at which version it began.
+var errUnknownOrigin = errors.New("it is not known which version began the stream")
+
+// origins knows at which software version streams began. The zero value knows what it is
+// told. It is safe for concurrent use.
+type origins struct {
+	// dial returns the client of a peer by its address, or nil. It may be nil.
+	dial  func(addr string) wire.PeerClient
+	meter *meter.Meter
+
+	mu       sync.Mutex
+	memory   origin.Memory
+	versions origin.Versions
+	// peers are the addresses of the other instances, by name, and names their names.
+	peers map[string]string
+	names []string
+	// pending are the origins to be told, by address.
+	pending map[string][]toldOrigin
+	// silent is when a peer last did not answer, by address.
+	silent map[string]time.Time
+	wake   chan struct{}
+}
+
+// toldOrigin is an origin to be told to a peer. tries is the number of peers that did not take
+// it.
+type toldOrigin struct {
+	id string
+	origin.Origin
+	tries int
+}
+
+// setPeers sets the addresses of the other instances.
+func (o *origins) setPeers(peers map[string]string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.peers, o.names = peers, o.names[:0]
+	for name := range peers {
+		o.names = append(o.names, name)
+	}
+	slices.Sort(o.names)
+}
+
+// see records the versions of the listed targets. Once a service has several versions, others
+// are told of the streams that began before.
+func (o *origins) see(listed []origin.Origin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, service := range o.versions.See(time.Now(), listed) {
+		for id, known := range o.memory.Of(service) {
+			o.enqueue(toldOrigin{id: id, Origin: known})
+		}
+	}
+}
+
+// note records where a stream began. Unless its service has one version only, others are
+// told.
+func (o *origins) note(id string, at origin.Origin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	if !o.memory.Note(now, id, at) {
+		return
+	}
+	if _, single := o.versions.Single(now, at.Service); !single {
+		o.enqueue(toldOrigin{id: id, Origin: at})
+	}
+}
+
+// keep records origins that another instance tells.
+func (o *origins) keep(told []*wire.StreamOrigin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	for _, s := range told {
+		o.memory.Note(now, s.GetId(), origin.Origin{Service: s.GetService(), Version: s.GetVersion()})
+	}
+}
+
+// find returns where a stream of a service began, as far as this instance knows.
+func (o *origins) find(id, service string) (at origin.Origin, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	if at, ok = o.memory.Find(now, id); ok {
+		return at, true
+	}
+	version, ok := o.versions.Single(now, service)
+	return origin.Origin{Service: service, Version: version}, ok
+}
+
+// keepers returns the addresses of the instances that keep the origin of a stream, without
+// those that did not answer lately. o.mu must be held.
+func (o *origins) keepers(id string) []string {
+	var addresses []string
+	for _, name := range origin.Keepers(id, o.names) {
+		if addr := o.peers[name]; time.Since(o.silent[addr]) > peerPause {
+			addresses = append(addresses, addr)
+		}
+	}
+	return addresses
+}
+
+// enqueue queues an origin for the keepers of its stream. o.mu must be held.
+func (o *origins) enqueue(t toldOrigin) {
+	keepers := o.keepers(t.id)
+	if t.tries == 0 {
+		keepers = keepers[:min(toldKeepers, len(keepers))]
+	} else {
+		// The first ones were told or are silent; the next one takes the place of one.
+		keepers = keepers[min(toldKeepers-1, len(keepers)):min(toldKeepers, len(keepers))]
+	}
+	if o.pending == nil {
+		o.pending = make(map[string][]toldOrigin)
+	}
+	for _, addr := range keepers {
+		if len(o.pending[addr]) < maxPending {
+			o.pending[addr] = append(o.pending[addr], t)
+		}
+	}
+	select {
+	case o.wakeChan() <- struct{}{}:
+	default:
+	}
+}
+
+// wakeChan returns the channel wake. o.mu must be held.
+func (o *origins) wakeChan() chan struct{} {
+	if o.wake == nil {
+		o.wake = make(chan struct{}, 1)
+	}
+	return o.wake
+}
+
+// run tells other instances of origins until the context ends.
+func (o *origins) run(ctx context.Context) {
+	o.mu.Lock()
+	wake := o.wakeChan()
+	o.mu.Unlock()
+	for {
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			return
+		}
+		if !pause.For(ctx, tellInterval) {
+			return
+		}
+		o.mu.Lock()
+		pending := o.pending
+		o.pending = nil
+		o.mu.Unlock()
+		for addr, told := range pending {
+			go o.tell(ctx, addr, told)
+		}
+	}
+}
+
+// tell tells a peer of origins. If it does not answer, the next keeper of each is told.
+func (o *origins) tell(ctx context.Context, addr string, told []toldOrigin) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	req := &wire.RememberRequest{}
+	for _, t := range told {
+		req.Origins = append(req.Origins, &wire.StreamOrigin{Id: t.id, Service: t.Service, Version: t.Version})
+	}
+	err := errUnknownOrigin
+	if client := o.client(addr); client != nil {
+		_, err = client.Remember(ctx, req)
+	}
+	o.meter.OriginsTold(len(told), err == nil)
+	if err == nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.markSilent(addr)
+	for _, t := range told {
+		if t.tries++; t.tries < maxTellTries {
+			o.enqueue(t)
+		}
+	}
+}
+
+func (o *origins) client(addr string) wire.PeerClient {
+	if o.dial == nil || addr == "" {
+		return nil
+	}
+	return o.dial(addr)
+}
+
+// markSilent records that a peer did not answer. o.mu must be held.
+func (o *origins) markSilent(addr string) {
+	if o.silent == nil || len(o.silent) > len(o.peers) {
+		o.silent = make(map[string]time.Time) // Peers that are gone are forgotten too.
+	}
+	o.silent[addr] = time.Now()
+}
+
+// ask returns where a stream of a service began, from this instance or from those that keep
+// it.
+func (o *origins) ask(ctx context.Context, id, service string) (at origin.Origin, ok bool) {
+	if at, ok = o.find(id, service); ok {
+		o.meter.OriginAsked(service, "here")
+		return at, true
+	}
+	o.mu.Lock()
+	keepers := o.keepers(id)
+	o.mu.Unlock()
+	answered := 0
+	for round := 0; round < askRounds && answered < askedKeepers && len(keepers) > 0 && ctx.Err() == nil; round++ {
+		n := min(askedKeepers-answered, len(keepers))
+		found, answers := o.askAll(ctx, keepers[:n], id, service)
+		if found != nil {
+			o.meter.OriginAsked(service, "peer")
+			return *found, true
+		}
+		answered += answers
+		keepers = keepers[n:]
+	}
+	o.meter.OriginAsked(service, "unknown")
+	return origin.Origin{}, false
+}
+
+// askAll asks peers at the same time. It returns the first origin found, or nil once all have
+// answered or failed, and the number of those that answered.
+func (o *origins) askAll(ctx context.Context, addresses []string, id, service string) (found *origin.Origin, answered int) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	type answer struct {
+		addr  string
+		reply *wire.FindOriginReply
+		err   error
+	}
+	answers := make(chan answer, len(addresses))
+	for _, addr := range addresses {
+		go func() {
+			a := answer{addr: addr, err: errUnknownOrigin}
+			if client := o.client(addr); client != nil {
+				a.reply, a.err = client.FindOrigin(ctx, &wire.FindOriginRequest{Id: id, Service: service})
+			}
+			answers <- a
+		}()
+	}
+	for range addresses {
+		a := <-answers
+		if a.err != nil {
+			o.mu.Lock()
+			o.markSilent(a.addr)
+			o.mu.Unlock()
+			continue
+		}
+		answered++
+		if s := a.reply.GetOrigin(); s != nil {
+			return &origin.Origin{Service: s.GetService(), Version: s.GetVersion()}, answered
+		}
+	}
+	return nil, answered
+}
+
+// bindVersion binds a request that takes up a stream to the service and version that began
+// it. If that can't be known, or the route leads elsewhere now, it rejects the request and
+// returns false.
+func (x *exchange) bindVersion() bool {
+	if !x.route.Stream || (x.resumes == "" && x.lastEvent <= 0) {
+		return true
+	}
+	x.streamID = x.streamName(x.resumes)
+	at, ok := x.e.origins.ask(x.ctx, x.streamID, x.service)
+	if !ok {
+		x.reject(errUnknownOrigin.Error())
+		return false
+	}
+	if at.Service != x.service {
+		if !x.route.LeadsTo(at.Service) {
+			x.reject("the route does not lead to the service that began the stream any more")
+			return false
+		}
+		x.service = at.Service
+	}
+	x.pickRequest.Version = at.Version
+	return true
+}
+
+// streamName returns the name under which the origin of a stream is kept. Callers choose the
+// ids of their requests, so the name contains the organisation.
+func (x *exchange) streamName(id string) string {
+	if x.org == nil {
+		return "/" + id
+	}
+	return x.org.Name + "/" + id
+}
+
+// noteOrigin records where the stream of the response began, when its first event is
+// forwarded, and binds further attempts to that version.
+func (x *exchange) noteOrigin(a *attempt) {
+	if x.streamID == "" {
+		x.streamID = x.streamName(string(x.id))
+	}
+	x.origin = origin.Origin{Service: x.service, Version: a.target.Version}
+	x.pickRequest.Version = a.target.Version
+	x.renoteOrigin()
+}
+
+// renoteOrigin records the stream's origin, unless it was recorded lately.
+func (x *exchange) renoteOrigin() {
+	if x.streamID != "" && x.events > 0 && time.Since(x.originNoted) > renoteInterval {
+		x.originNoted = time.Now()
+		x.e.origins.note(x.streamID, x.origin)
+	}
+}
--- a/internal/edge/peer.go
+++ b/internal/edge/peer.go
@@ -43,6 +43,7 @@
 	wire.UnimplementedPeerServer
 
 	budgets *alloc.Service
+	origins *origins
 }
 
 // Transfer transfers tokens to a peer.
@@ -61,6 +62,21 @@
 	return reply, nil
 }
 
+// Remember keeps where streams of another instance began.
+func (p *peerServer) Remember(_ context.Context, req *wire.RememberRequest) (*wire.RememberReply, error) {
+	p.origins.keep(req.GetOrigins())
+	return &wire.RememberReply{}, nil
+}
+
+// FindOrigin returns where a stream began, as far as this instance knows.
+func (p *peerServer) FindOrigin(_ context.Context, req *wire.FindOriginRequest) (*wire.FindOriginReply, error) {
+	reply := &wire.FindOriginReply{}
+	if at, ok := p.origins.find(req.GetId(), req.GetService()); ok {
+		reply.Origin = &wire.StreamOrigin{Id: req.GetId(), Service: at.Service, Version: at.Version}
+	}
+	return reply, nil
+}
+
 // servePeers serves other instances until the returned function is called. If
 // Options.PeerListen is empty, it does nothing.
 func (n *Node) servePeers() (stop func(), err error) {
@@ -75,7 +91,7 @@
 		grpc.KeepaliveEnforcementPolicy(wire.KeepalivePolicy),
 		grpc.ReadBufferSize(peerBufferBytes), grpc.WriteBufferSize(peerBufferBytes),
 	)
-	wire.RegisterPeerServer(server, &peerServer{budgets: n.engine.Budgets})
+	wire.RegisterPeerServer(server, &peerServer{budgets: n.engine.Budgets, origins: &n.engine.origins})
 	go func() {
 		if err := server.Serve(l); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
 			n.logger("budgets").Error("peer server failed; peers get no more responses", "err", err)
--- a/internal/edge/shared.go
+++ b/internal/edge/shared.go
@@ -22,13 +22,14 @@
 		OnChange: func(c keyed.Change) {
 			f.applyShared(c)
 			q.setInstances(n.opts.Instance, f.otherInstances())
+			n.engine.origins.setPeers(f.peerAddresses())
 			q.apply(c)
 		},
 		OnReachability: n.logStoreState(n.opts.Board.Topic, nil),
 	}
 	f.onGone = q.targetEnded
 	q.board, q.logger, q.read = n.board, n.logger("quarantine"), make(chan struct{})
-	f.limits.board, f.limits.logger, f.limits.self = n.board, n.logger("targets"), n.opts.Instance
+	f.limits.board, f.limits.logger, f.limits.self, f.limits.address = n.board, n.logger("targets"), n.opts.Instance, n.opts.PeerListen
 }
 
 // runBoard shares records until the context ends.
@@ -36,12 +37,14 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { n.board.Run(ctx) })
+	wg.Go(func() { n.engine.origins.run(ctx) })
 	n.engine.fleet.join()
 	joined := time.Now()
 	for pause.For(ctx, expireInterval) {
 		now := time.Now()
 		n.engine.quarantine.expire(now)
 		n.engine.fleet.expireLimits(now)
+		n.engine.origins.see(n.engine.fleet.versions())
 		if now.Sub(joined) > limit.RefreshInterval {
 			n.engine.fleet.join()
 			joined = now
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -132,6 +132,9 @@
 
 // recordVersion records that events of the attempt's target are forwarded.
 func (x *exchange) recordVersion(a *attempt) {
+	if len(x.versions) == 0 {
+		x.noteOrigin(a)
+	}
 	if n := len(x.versions); n == 0 || x.versions[n-1] != a.target.Version {
 		x.versions = append(x.versions, a.target.Version)
 	}
--- a/internal/edge/stream_test.go
+++ b/internal/edge/stream_test.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/beryllanding/beryllanding/pkg/origin"
 )
 
 // chunk encodes events as one chunk.
@@ -214,7 +216,8 @@
 	w := newTestEnv(t, func(a receivedRequest, w io.Writer) bool {
 		return write(w, streamHead(a.id)+chunk(events(lastEvent(a), lastEvent(a)+2))+"0\r\n\r\n")
 	})
-	got := w.ask("/resume/", fields+"Last-Event: 7\n", "x")
+	w.engine.origins.note("o/first", origin.Origin{Service: "s"})
+	got := w.ask("/resume/", fields+"Last-Event: 7\nResumes: first\n", "x")
 	if got.body != events(8, 9) || lastEvent(w.received()[0]) != 7 {
 		t.Errorf("got response %+v, want events 8 and 9, requested from the target after event 7", got)
 	}
--- a/internal/emul/instance.go
+++ b/internal/emul/instance.go
@@ -91,10 +91,14 @@
 		if err != nil {
 			return err
 		}
+		peers, err := freeAddress()
+		if err != nil {
+			return err
+		}
 		l := &link{Store: f.store}
 		in := &instance{f: f, link: l, options: edge.Options{
 			Instance: fmt.Sprintf("instance-%d", i), DataCentre: "here", Machine: fmt.Sprintf("machine-%d", i),
-			Listen: listen, ReadyListen: ready, ReadyPath: "/ready", MetricsPath: "/metrics", Grace: stopGrace,
+			Listen: listen, ReadyListen: ready, PeerListen: peers, ReadyPath: "/ready", MetricsPath: "/metrics", Grace: stopGrace,
 			Retries: edge.Retries{Window: retryWindow, Share: retryShare, Burst: retrySpare},
 			Dialect: dialect, Store: l, Decoder: keyd.Records{},
 			Tables: keyed.Partition{Topic: "tables"}, Targets: keyed.Partition{Topic: "targets"}, Budgets: "budgets", Pledges: "pledges",
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -56,10 +56,10 @@
 type Meter struct {
 	handler http.Handler
 
-	requests, attempts, retries, notices  metric.Int64Counter
-	wrongResponses, connections           metric.Int64Counter
-	ended, quarantines, refusals, limited metric.Int64Counter
-	requestTime, firstByte, reserveTime   metric.Float64Histogram
+	requests, attempts, retries, notices               metric.Int64Counter
+	wrongResponses, connections                        metric.Int64Counter
+	ended, quarantines, refusals, limited, told, asked metric.Int64Counter
+	requestTime, firstByte, reserveTime                metric.Float64Histogram
 }
 
 // New returns a meter. The meter calls read for each scrape.
@@ -150,6 +150,22 @@
 	m.add(m.refusals, attribute.String("service", service))
 }
 
+// OriginsTold counts streams of which another instance was told where they began, and whether
+// it took that.
+func (m *Meter) OriginsTold(n int, taken bool) {
+	if m != nil && m.told != nil {
+		m.told.Add(context.Background(), int64(n), metric.WithAttributes(attribute.Bool("taken", taken)))
+	}
+}
+
+// OriginAsked counts a stream that a caller took up, and from where its origin was known:
+// "here", "peer" or "unknown".
+func (m *Meter) OriginAsked(service, from string) {
+	if m != nil {
+		m.add(m.asked, attribute.String("service", service), attribute.String("origin", from))
+	}
+}
+
 // LimitedAttempt counts an attempt at a target that names a limit.
 func (m *Meter) LimitedAttempt(service string) {
 	m.add(m.limited, attribute.String("service", service))
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -50,6 +50,8 @@
 	m.Quarantine("s", "begun")
 	m.QuarantineRefusal("s")
 	m.LimitedAttempt("s")
+	m.OriginsTold(2, true)
+	m.OriginAsked("s", "peer")
 	m.WrongResponse()
 	m.Connection()
 	return m
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -44,6 +44,8 @@
 	quarantinesMetric    = definition{"beryl.quarantine.changes", counter, "", "service, change", "Quarantines of prompt parts and requests that have `begun`, were `cleared` by an answer, another instance or an operator, or `expired`. `cleared`: a sound one was held for a while"}
 	refusalsMetric       = definition{"beryl.quarantine.refusals", counter, "", "service", "Requests refused with 503 because they, or a part of their prompt, are in quarantine"}
 	limitedMetric        = definition{"beryl.limited.attempts", counter, "", "service", "Attempts at targets that name a limit of requests a second. Its rate, summed over all instances, is to stay below the sum of the limits"}
+	toldMetric           = definition{"beryl.streams.told", counter, "", "taken", "Streams of which another instance was told at which version they began. None while each service has one version. `taken` is `false`: it did not answer, and a further one is told"}
+	askedMetric          = definition{"beryl.streams.taken.up", counter, "", "service, origin", "Streams that callers took up: the version that began them was known `here`, at a `peer`, or `unknown`. `unknown` rises: such requests get 503; instances that knew it are gone or out of reach"}
 	suspectedMetric      = definition{"beryl.parts.suspected", gauge, "", "service", "Prompt parts and requests that targets ended on, not in quarantine. They are served"}
 	quarantinedMetric    = definition{"beryl.parts.quarantined", gauge, "", "service", "Prompt parts and requests in quarantine. They are refused; `beryl edge parts` names them"}
 	wrongResponsesMetric = definition{"beryl.foreign.answers", counter, "", "", "Answers that belong to no request: some target sends too many"}
@@ -62,7 +64,7 @@
 
 	definitions = []definition{
 		requestsMetric, requestTimeMetric, firstByteMetric, reserveTimeMetric, attemptsMetric, retriesMetric, noticesMetric, wrongResponsesMetric, connectionsMetric, openMetric,
-		endedMetric, quarantinesMetric, refusalsMetric, limitedMetric, suspectedMetric, quarantinedMetric,
+		endedMetric, quarantinesMetric, refusalsMetric, limitedMetric, toldMetric, askedMetric, suspectedMetric, quarantinedMetric,
 		targetsMetric, leavingMetric, restingMetric, targetsLimitedMetric, freeMetric, reservedMetric, versionMetric, ageMetric, epochMetric, logDroppedMetric,
 	}
 )
@@ -90,7 +92,7 @@
 	m.wrongResponses, m.connections = newCounter(wrongResponsesMetric), newCounter(connectionsMetric)
 	m.notices = newCounter(noticesMetric)
 	m.ended, m.quarantines, m.refusals = newCounter(endedMetric), newCounter(quarantinesMetric), newCounter(refusalsMetric)
-	m.limited = newCounter(limitedMetric)
+	m.limited, m.told, m.asked = newCounter(limitedMetric), newCounter(toldMetric), newCounter(askedMetric)
 	m.requestTime, m.firstByte, m.reserveTime = newHistogram(requestTimeMetric), newHistogram(firstByteMetric), newHistogram(reserveTimeMetric)
 	open, targets, free, reserved := newGauge(openMetric), newGauge(targetsMetric), newGauge(freeMetric), newGauge(reservedMetric)
 	leaving, resting, limited := newGauge(leavingMetric), newGauge(restingMetric), newGauge(targetsLimitedMetric)
--- /dev/null
+++ b/pkg/origin/origin.go
@@ -0,0 +1,175 @@
+// Package origin holds where streams began, so that each goes on at the software version that
+// began it. An instance knows the streams that it forwards. It tells a few others of them
+// ahead, chosen by the stream's id, and an instance at which a stream is taken up asks the
+// same ones. The package does no input or output.
+package origin
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Origin is where a stream began.
+type Origin struct {
+	Service string
+	// Version is the version of the target's software.
+	Version string
+}
+
+const (
+	// memory is how long an origin is kept at least, after it was noted. A caller takes its
+	// stream up within seconds after it broke off.
+	memory = 30 * time.Second
+	// maxOrigins bounds the origins that are kept, for each memory.
+	maxOrigins = 32768
+	// maxID bounds the id of a stream, in bytes. Longer ones are not kept.
+	maxID = 128
+	// versionMemory is how long a version counts as serving after its last target left the
+	// list: its targets end their streams meanwhile.
+	versionMemory = time.Minute
+	// minWatch is how long an instance must have followed the list to know that no other
+	// version served just before.
+	minWatch = 30 * time.Second
+)
+
+// Memory holds the origins of streams by the id of the request that brought the first event.
+// The zero value is empty. It is not safe for concurrent use.
+type Memory struct {
+	recent, before map[string]Origin
+	rotated        time.Time
+}
+
+// Note records the origin of a stream. It reports whether it is kept.
+func (m *Memory) Note(now time.Time, id string, o Origin) bool {
+	m.rotate(now)
+	if _, known := m.recent[id]; !known && (len(m.recent) >= maxOrigins || len(id) > maxID || id == "") {
+		return false
+	}
+	m.recent[id] = o
+	return true
+}
+
+// Find returns the origin of a stream.
+func (m *Memory) Find(now time.Time, id string) (o Origin, ok bool) {
+	m.rotate(now)
+	if o, ok = m.recent[id]; !ok {
+		o, ok = m.before[id]
+	}
+	return o, ok
+}
+
+// Of returns the origins of the streams of a service.
+func (m *Memory) Of(service string) map[string]Origin {
+	found := make(map[string]Origin)
+	for _, all := range []map[string]Origin{m.before, m.recent} {
+		for id, o := range all {
+			if o.Service == service {
+				found[id] = o
+			}
+		}
+	}
+	return found
+}
+
+// Len returns the number of origins that are kept.
+func (m *Memory) Len() int { return len(m.recent) + len(m.before) }
+
+// rotate drops the origins that are older than twice the memory.
+func (m *Memory) rotate(now time.Time) {
+	switch age := now.Sub(m.rotated); {
+	case m.recent == nil || age >= 2*memory:
+		m.recent, m.before = make(map[string]Origin), nil
+	case age >= memory:
+		m.recent, m.before = make(map[string]Origin), m.recent
+	default:
+		return
+	}
+	m.rotated = now
+}
+
+// Versions tracks which versions serve, by service. The zero value knows none.
+type Versions struct {
+	// first is when the list was first read.
+	first time.Time
+	last  map[Origin]time.Time
+}
+
+// See records the versions of the targets in the list now. It returns the services for
+// which several versions serve from now on, and one did before.
+func (v *Versions) See(now time.Time, listed []Origin) (mixed []string) {
+	if v.last == nil {
+		v.first, v.last = now, make(map[Origin]time.Time)
+	}
+	for o, last := range v.last {
+		if now.Sub(last) > versionMemory {
+			delete(v.last, o)
+		}
+	}
+	before := v.count()
+	for _, o := range listed {
+		v.last[o] = now
+	}
+	for service, n := range v.count() {
+		if n > 1 && before[service] == 1 {
+			mixed = append(mixed, service)
+		}
+	}
+	slices.Sort(mixed)
+	return mixed
+}
+
+// count returns the number of versions by service.
+func (v *Versions) count() map[string]int {
+	n := make(map[string]int)
+	for o := range v.last {
+		n[o.Service]++
+	}
+	return n
+}
+
+// Single returns the only version of a service that serves, or served lately. ok is false if
+// there are several, or if an earlier one may have served before the list was first read.
+func (v *Versions) Single(now time.Time, service string) (version string, ok bool) {
+	if v.last == nil || now.Sub(v.first) < minWatch {
+		return "", false
+	}
+	n := 0
+	for o, last := range v.last {
+		if o.Service == service && now.Sub(last) <= versionMemory {
+			version = o.Version
+			n++
+		}
+	}
+	return version, n == 1
+}
+
+// maxKeepers bounds the instances that keep origins for others, and so the connections of each
+// instance.
+const maxKeepers = 32
+
+// Keepers returns the instances that keep the origin of a stream, in the order in which they
+// are told and asked. All instances that know the same others get the same order.
+func Keepers(id string, instances []string) []string {
+	return byRank(id, byRank("", instances))
+}
+
+// byRank returns up to maxKeepers instances in the order of their hashes for a key.
+func byRank(key string, instances []string) []string {
+	type ranked struct {
+		name string
+		rank uint64
+	}
+	all := make([]ranked, len(instances))
+	for i, name := range instances {
+		all[i] = ranked{name, xxhash.Sum64String(name + "/" + key)}
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.name, b.name)) })
+	names := make([]string, 0, min(maxKeepers, len(all)))
+	for _, r := range all[:min(maxKeepers, len(all))] {
+		names = append(names, r.name)
+	}
+	return names
+}
--- a/pkg/poison/probe.go
+++ b/pkg/poison/probe.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // probeTurn is the time between two steps in which more instances may try a subject again
@@ -33,11 +34,7 @@
 		return true
 	}
 	key := subject.Key() + "/" + strconv.Itoa(term) + "/"
-	rank := func(instance string) uint64 {
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(key + instance)) // A hash returns no errors.
-		return h.Sum64()
-	}
+	rank := func(instance string) uint64 { return xxhash.Sum64String(key + instance) }
 	own, ahead := rank(t.Self), 0
 	for _, other := range t.Instances {
 		if cmp.Or(cmp.Compare(rank(other), own), cmp.Compare(other, t.Self)) < 0 {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -32,7 +32,7 @@
 
 // Same reports whether two entries describe the same run of a target.
 func (t Target) Same(o Target) bool {
-	return t.ID == o.ID && t.Service == o.Service && t.Address == o.Address && t.Born == o.Born
+	return t.ID == o.ID && t.Service == o.Service && t.Address == o.Address && t.Born == o.Born && t.Version == o.Version
 }
 
 // Run returns the name of this run of the target. A target that restarted under the same
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -17,6 +17,9 @@
 		if available > 0 {
 			return Target{}, ErrSaturated
 		}
+		if req.Version != "" {
+			return Target{}, ErrVersion
+		}
 		if _, why := p.AllRest(now); why != nil {
 			return Target{}, why
 		}
@@ -41,7 +44,7 @@
 		return nil
 	}
 	for _, t := range p.targets {
-		if t.ejected && !t.probing && t.takesWork(now) && !now.Before(t.ejectedUntil) && t.reportedAt.After(t.ejectedAt) {
+		if req.accepts(t) && t.ejected && !t.probing && t.takesWork(now) && !now.Before(t.ejectedUntil) && t.reportedAt.After(t.ejectedAt) {
 			return t
 		}
 	}
@@ -53,15 +56,15 @@
 // excluded, ejected ones become candidates, and if there are none, excluded ones too: a
 // doubtful target is better than none.
 func (p *Picker) collect(now time.Time, req Request) int {
-	available := p.collectIf(now, func(t *target) bool { return !t.ejected && !req.excluded(t) })
+	available := p.collectIf(now, func(t *target) bool { return req.accepts(t) && !t.ejected && !req.excluded(t) })
 	if available > 0 {
 		return available
 	}
-	available = p.collectIf(now, func(t *target) bool { return !req.excluded(t) })
+	available = p.collectIf(now, func(t *target) bool { return req.accepts(t) && !req.excluded(t) })
 	if available > 0 {
 		return available
 	}
-	return p.collectIf(now, func(*target) bool { return true })
+	return p.collectIf(now, req.accepts)
 }
 
 // collectIf sets the candidates to the targets that ok accepts, and returns the number
--- a/pkg/route/picker.go
+++ b/pkg/route/picker.go
@@ -204,3 +204,6 @@
 
 // excluded reports whether the target was already tried for the request.
 func (r Request) excluded(t *target) bool { return slices.Contains(r.Exclude, t.Name) }
+
+// accepts reports whether the target has the version that the request needs.
+func (r Request) accepts(t *target) bool { return r.Version == "" || r.Version == t.Version }
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -17,6 +17,8 @@
 	// ErrSaturated reports that every target is at its concurrency limit, which is
 	// Policy.MaxInFlight.
 	ErrSaturated = errors.New("every target is at its concurrency limit")
+	// ErrVersion reports that no target of Request.Version takes new work.
+	ErrVersion = errors.New("no target of the version that began the stream takes work")
 )
 
 // Target is one target of a service, as the instance list shows it.
@@ -24,6 +26,8 @@
 	// Name is unique among the targets of all services.
 	Name       string
 	DataCentre string
+	// Version is the version of the target's software. It may be empty.
+	Version string
 	// Address is the host:port of the side process.
 	Address string
 	// Incarnation identifies the run of the side process that was listed. It may
@@ -52,6 +56,8 @@
 	Prefix uint64
 	// Exclude names the targets that were already tried for this request.
 	Exclude []string
+	// Version, if it is not empty, is that of the only targets that may be picked.
+	Version string
 	// Prompt is the size of the prompt in tokens, if known. With Policy.Cost, the
 	// choice of the target depends on it.
 	Prompt Prompt
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -51,6 +51,11 @@
 // have begun. The result is true for idempotent routes and for resumable streams.
 func (r *Route) MayRepeat() bool { return r.Repeat == Idempotent || (r.Stream && r.Resumable) }
 
+// LeadsTo reports whether the route sends requests to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service })
+}
+
 // Share is a service's share of the requests on a route.
 type Share struct {
 	Service string
