--- a/pkg/poison/tracker_test.go
+++ b/pkg/poison/tracker_test.go
@@ -522,3 +522,28 @@
 		t.Error("the request that ended three targets isn't in quarantine")
 	}
 }
+
+// TestPartThatEndsTargetsInsideAnswers: a part whose prompts end targets in the middle of the
+// answer is in quarantine after six, unless a whole answer came in between. Answers that began
+// don't speak for it.
+func TestPartThatEndsTargetsInsideAnswers(t *testing.T) {
+	var tr poison.Tracker
+	now := start
+	for i := range 6 {
+		if held(&tr, now, "bad") {
+			t.Fatalf("in quarantine after %d ends, want 6", i)
+		}
+		now = now.Add(step)
+		for _, part := range []string{"bad", "sound"} {
+			r := newRequest("a", fmt.Sprint(part, i), part)
+			tr.Answered(now, r, false)
+			tr.Ended(now, poison.End{Run: fmt.Sprint("t", i), Sent: start.Add(-time.Second), At: now, Inside: true}, r)
+		}
+		if i == 3 {
+			answered(&tr, now, "sound")
+		}
+	}
+	if !held(&tr, now, "bad") || held(&tr, now, "sound") {
+		t.Errorf("in quarantine: bad %v, sound %v; want bad alone", held(&tr, now, "bad"), held(&tr, now, "sound"))
+	}
+}
