--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -330,8 +330,12 @@
 }
 
 // noteOrigin records where the stream of the response began, when its first event is
-// forwarded, and binds further attempts to that version.
+// forwarded, and binds further attempts to that version. A stream that can't be taken up needs
+// neither.
 func (x *exchange) noteOrigin(a *attempt) {
+	if !x.route.Resumable {
+		return
+	}
 	if x.streamID == "" {
 		x.streamID = x.streamName(string(x.id))
 	}
