internal/emul: an instance whose port is taken before its use starts on another one

Cause: the emulator chooses free ports, and connections of the tests beside it may take one before the instance listens; the process then ended at once, and the fleet waited for it in vain. Each instance has a third such port since streams are told to peers, and more fleets run in parallel. Evidence: TestInstanceOnTakenAddress gives the same message without the repeat. Only the emulator changes.

--- a/internal/emul/emul_test.go
+++ b/internal/emul/emul_test.go
@@ -186,3 +186,11 @@
 		}
 	}
 }
+
+// TestInstanceOnTakenAddress guards against a fleet that does not start since another process
+// has taken a port between its choice and its use.
+func TestInstanceOnTakenAddress(t *testing.T) {
+	if moved, err := emul.StartOnTakenAddress(t.Context(), small(t)); err != nil || !moved {
+		t.Errorf("moved to another address: %v, error %v; want the instance ready at another one", moved, err)
+	}
+}
--- a/internal/emul/export_test.go
+++ b/internal/emul/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 )
 
 // RunLowered runs a scenario and lowers the prepaid tokens of all organisations to
@@ -28,3 +29,22 @@
 	})
 	return r, asked, err
 }
+
+// StartOnTakenAddress starts a fleet, and one more instance whose address another listener
+// has taken since it was chosen. It returns whether the instance is ready at another address.
+func StartOnTakenAddress(ctx context.Context, s Scenario) (moved bool, err error) {
+	f, err := start(ctx, s, io.Discard)
+	if err != nil {
+		return false, err
+	}
+	defer f.close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = l.Close() }()
+	in := &instance{f: f, link: f.instances[0].link, options: f.instances[0].options}
+	in.options.Instance, in.options.Listen = "late", l.Addr().String()
+	err = in.startFirst()
+	return in.options.Listen != l.Addr().String(), err
+}
--- a/internal/emul/instance.go
+++ b/internal/emul/instance.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"syscall"
 	"time"
 
 	"github.com/beryllanding/beryllanding/internal/edge"
@@ -19,8 +20,9 @@
 	options edge.Options
 	link    *link
 	stop    context.CancelFunc
-	// ended is closed when the present process has ended.
+	// ended is closed when the present process has ended. err is its error, set before.
 	ended chan struct{}
+	err   error
 }
 
 // link is an instance's path to the store. It fails all calls while it is cut.
@@ -106,7 +108,7 @@
 			Logger: f.logger.With("instance", i),
 		}}
 		f.instances = append(f.instances, in)
-		if err := awaitReady(f.ctx, in.start()); err != nil {
+		if err := in.startFirst(); err != nil {
 			return err
 		}
 	}
@@ -122,12 +124,32 @@
 	i.f.wg.Go(func() {
 		defer close(ended)
 		if err := node.Run(ctx); err != nil {
+			i.err = err
 			i.f.logger.Error("instance ended", "instance", i.options.Instance, "err", err)
 		}
 	})
 	return node
 }
 
+// addressTries bounds the tries to start an instance whose addresses another process takes.
+const addressTries = 5
+
+// startFirst starts the first process of the instance, and waits until it is ready. If one of
+// its addresses was taken since it was chosen, it takes others.
+func (i *instance) startFirst() error {
+	for try := 1; ; try++ {
+		err := i.awaitReady(i.start())
+		if !errors.Is(err, syscall.EADDRINUSE) || try == addressTries {
+			return err
+		}
+		for _, address := range []*string{&i.options.Listen, &i.options.ReadyListen, &i.options.PeerListen} {
+			if *address, err = freeAddress(); err != nil {
+				return err
+			}
+		}
+	}
+}
+
 // set begins or ends a fault of the instance.
 func (i *instance) set(t Fault, on bool) {
 	switch {
@@ -147,9 +169,15 @@
 	return !state.cut && time.Since(state.changed) > i.f.s.Settle
 }
 
-func awaitReady(ctx context.Context, node *edge.Node) error {
+// awaitReady waits until the node is ready. The error says why its process has ended, if it has.
+func (i *instance) awaitReady(node *edge.Node) error {
 	for end := time.Now().Add(readyTimeout); !node.Ready(); {
-		if time.Now().After(end) || !pause.For(ctx, readyPoll) {
+		select {
+		case <-i.ended:
+			return errors.Join(errNotReady, i.err)
+		default:
+		}
+		if time.Now().After(end) || !pause.For(i.f.ctx, readyPoll) {
 			return errNotReady
 		}
 	}
