internal/peers: one record of peers that did not answer

internal/edge/origins.go wrote again what internal/alloc had: when a peer last did not answer, and a pause of 2 s. Both use peers.Silence now, which forgets peers after the pause; the map of internal/alloc kept every address. The error of a peer without a connection has its own name instead of that of an unknown origin. Behaviour is the same.

--- a/internal/alloc/peers.go
+++ b/internal/alloc/peers.go
@@ -22,17 +22,15 @@
 	// shortPause is the time after peers had too few tokens of a budget in which no
 	// peer is asked for tokens of this budget.
 	shortPause = 400 * time.Millisecond
-	// unresponsivePause is the time in which a peer that did not answer is not asked
-	// again.
-	unresponsivePause = 2 * time.Second
 )
 
-// peerBackoff records when a peer last did not answer, by address, and when peers last
-// had too few tokens, by budget.
+// peerBackoff records which peers did not answer, and when peers last had too few tokens,
+// by budget.
 type peerBackoff struct {
-	mu           sync.Mutex
-	unresponsive map[string]time.Time
-	short        map[string]time.Time
+	silence peers.Silence
+
+	mu    sync.Mutex
+	short map[string]time.Time
 }
 
 // mayAsk reports whether shortPause has passed since peers had too few tokens of a
@@ -43,20 +41,14 @@
 	return now.Sub(m.short[budget]) > shortPause
 }
 
-// mayRespond reports whether unresponsivePause has passed since a peer did not answer.
-func (m *peerBackoff) mayRespond(addr string, now time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return now.Sub(m.unresponsive[addr]) > unresponsivePause
-}
-
-func (m *peerBackoff) note(list *map[string]time.Time, key string, now time.Time) {
+// noteShort records that peers had too few tokens of a budget.
+func (m *peerBackoff) noteShort(budget string, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if *list == nil {
-		*list = make(map[string]time.Time)
+	if m.short == nil {
+		m.short = make(map[string]time.Time)
 	}
-	(*list)[key] = now
+	m.short[budget] = now
 }
 
 // requestTransfers asks other instances for tokens of a budget, a few at a time, and reports
@@ -77,7 +69,7 @@
 		addrs = addrs[n:]
 	}
 	if got < tokens {
-		s.peerBackoff.note(&s.peerBackoff.short, b.name, time.Now())
+		s.peerBackoff.noteShort(b.name, time.Now())
 	}
 	return got >= tokens
 }
@@ -92,7 +84,7 @@
 	var addrs []string
 	for _, key := range p.state.Keys() {
 		a := p.state.Account(key)
-		if key != s.key && a.Peer != "" && a.Line(b.name).Held() > 0 && s.peerBackoff.mayRespond(a.Peer, now) {
+		if key != s.key && a.Peer != "" && a.Line(b.name).Held() > 0 && s.peerBackoff.silence.MayAnswer(a.Peer, now) {
 			addrs = append(addrs, a.Peer)
 		}
 	}
@@ -115,7 +107,7 @@
 		wg.Go(func() {
 			n, err := peers.RequestTransfer(ctx, client, s.holder, b.name, each)
 			if err != nil {
-				s.peerBackoff.note(&s.peerBackoff.unresponsive, addr, time.Now())
+				s.peerBackoff.silence.Note(addr, time.Now())
 				s.logf(log.InfoLevel, "peer did not answer a request for tokens", "peer", addr, "budget", b.name, "err", err)
 			}
 			mu.Lock()
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/beryllanding/beryllanding/internal/meter"
+	"github.com/beryllanding/beryllanding/internal/peers"
 	"github.com/beryllanding/beryllanding/internal/wire"
 	"github.com/beryllanding/beryllanding/pkg/origin"
 	"github.com/beryllanding/beryllanding/pkg/pause"
@@ -26,8 +28,6 @@
 	// tellTimeout and askTimeout bound a call to a peer.
 	tellTimeout = 300 * time.Millisecond
 	askTimeout  = 150 * time.Millisecond
-	// peerPause is the time in which a peer that did not answer is passed over.
-	peerPause = 2 * time.Second
 	// maxPending bounds the origins that wait to be told to one peer.
 	maxPending = 4096
 	// maxTellTries bounds the peers that are tried for each telling of an origin.
@@ -37,15 +37,20 @@
 	renoteInterval = 20 * time.Second
 )
 
-// errUnknownOrigin reports a stream of which nobody knows at which version it began.
-var errUnknownOrigin = errors.New("it is not known which version began the stream")
+var (
+	// errUnknownOrigin reports a stream of which nobody knows at which version it began.
+	errUnknownOrigin = errors.New("it is not known which version began the stream")
+	// errNoPeer reports a peer to which no connection can be set up.
+	errNoPeer = errors.New("no connection to the peer can be set up")
+)
 
 // origins knows at which software version streams began. The zero value knows what it is
 // told. It is safe for concurrent use.
 type origins struct {
 	// dial returns the client of a peer by its address, or nil. It may be nil.
-	dial  func(addr string) wire.PeerClient
-	meter *meter.Meter
+	dial    func(addr string) wire.PeerClient
+	meter   *meter.Meter
+	silence peers.Silence
 
 	mu       sync.Mutex
 	memory   origin.Memory
@@ -55,9 +60,7 @@
 	names []string
 	// pending are the origins to be told, by address.
 	pending map[string][]toldOrigin
-	// silent is when a peer last did not answer, by address.
-	silent map[string]time.Time
-	wake   chan struct{}
+	wake    chan struct{}
 }
 
 // toldOrigin is an origin to be told to a peer. tries is the number of peers that did not take
@@ -69,14 +72,10 @@
 }
 
 // setPeers sets the addresses of the other instances.
-func (o *origins) setPeers(peers map[string]string) {
+func (o *origins) setPeers(addresses map[string]string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.peers, o.names = peers, o.names[:0]
-	for name := range peers {
-		o.names = append(o.names, name)
-	}
-	slices.Sort(o.names)
+	o.peers, o.names = addresses, slices.Sorted(maps.Keys(addresses))
 }
 
 // see records the versions of the listed targets. Once a service has several versions, others
@@ -131,8 +130,9 @@
 // those that did not answer lately. o.mu must be held.
 func (o *origins) keepers(id string) []string {
 	var addresses []string
+	now := time.Now()
 	for _, name := range origin.Keepers(id, o.names) {
-		if addr := o.peers[name]; time.Since(o.silent[addr]) > peerPause {
+		if addr := o.peers[name]; o.silence.MayAnswer(addr, now) {
 			addresses = append(addresses, addr)
 		}
 	}
@@ -202,17 +202,17 @@
 	for _, t := range told {
 		req.Origins = append(req.Origins, &wire.StreamOrigin{Id: t.id, Service: t.Service, Version: t.Version})
 	}
-	err := errUnknownOrigin
-	if client := o.client(addr); client != nil {
+	client, err := o.client(addr)
+	if err == nil {
 		_, err = client.Remember(ctx, req)
 	}
 	o.meter.OriginsTold(len(told), err == nil)
 	if err == nil {
 		return
 	}
+	o.silence.Note(addr, time.Now())
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.markSilent(addr)
 	for _, t := range told {
 		if t.tries++; t.tries < maxTellTries {
 			o.enqueue(t)
@@ -220,19 +220,14 @@
 	}
 }
 
-func (o *origins) client(addr string) wire.PeerClient {
-	if o.dial == nil || addr == "" {
-		return nil
-	}
-	return o.dial(addr)
-}
-
-// markSilent records that a peer did not answer. o.mu must be held.
-func (o *origins) markSilent(addr string) {
-	if o.silent == nil || len(o.silent) > len(o.peers) {
-		o.silent = make(map[string]time.Time) // Peers that are gone are forgotten too.
+// client returns the client of a peer. The error is errNoPeer.
+func (o *origins) client(addr string) (wire.PeerClient, error) {
+	if o.dial != nil {
+		if client := o.dial(addr); client != nil {
+			return client, nil
+		}
 	}
-	o.silent[addr] = time.Now()
+	return nil, errNoPeer
 }
 
 // ask returns where a stream of a service began, from this instance or from those that keep
@@ -273,8 +268,9 @@
 	answers := make(chan answer, len(addresses))
 	for _, addr := range addresses {
 		go func() {
-			a := answer{addr: addr, err: errUnknownOrigin}
-			if client := o.client(addr); client != nil {
+			client, err := o.client(addr)
+			a := answer{addr: addr, err: err}
+			if err == nil {
 				a.reply, a.err = client.FindOrigin(ctx, &wire.FindOriginRequest{Id: id, Service: service})
 			}
 			answers <- a
@@ -283,9 +279,7 @@
 	for range addresses {
 		a := <-answers
 		if a.err != nil {
-			o.mu.Lock()
-			o.markSilent(a.addr)
-			o.mu.Unlock()
+			o.silence.Note(a.addr, time.Now())
 			continue
 		}
 		answered++
