pkg/limit: the address of an instance is kept with the instance

The addresses were a second map beside limit.Members in internal/edge, changed in the same four places and not bounded as Members is. Members keeps them now. The list of versions moves to the targets that it describes, and the names of all instances are no longer called those of the others (this one is among them; the turns after a quarantine are the same either way). Behaviour is the same.

--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/beryllanding/beryllanding/pkg/origin"
 	"github.com/beryllanding/beryllanding/pkg/pool"
 	"github.com/beryllanding/beryllanding/pkg/roster"
 	"github.com/beryllanding/beryllanding/pkg/route"
@@ -183,6 +184,20 @@
 	return added, removed, draining
 }
 
+// versions returns the services and versions of the targets in use.
+func (f *fleet) versions() (list []origin.Origin) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for service, g := range f.groups {
+		for _, t := range g.byName {
+			if o := (origin.Origin{Service: service, Version: t.Version}); !slices.Contains(list, o) {
+				list = append(list, o)
+			}
+		}
+	}
+	return list
+}
+
 // countRequest adds a caller's request to the retry budget of the service.
 func (f *fleet) countRequest(service string) {
 	f.mu.Lock()
--- a/internal/edge/limit.go
+++ b/internal/edge/limit.go
@@ -1,11 +1,7 @@
 package edge
 
 import (
-	"cmp"
-	"maps"
 	"math/rand/v2"
-	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -13,7 +9,6 @@
 	"github.com/beryllanding/beryllanding/internal/board"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
 	"github.com/beryllanding/beryllanding/pkg/limit"
-	"github.com/beryllanding/beryllanding/pkg/origin"
 )
 
 const (
@@ -38,10 +33,8 @@
 	self    string
 	known   map[string]knownLimit
 	members limit.Members
-	// address is that at which this instance can be asked, and peers are those of the others
-	// by their names.
+	// address is that at which other instances can ask this one. It may be empty.
 	address string
-	peers   map[string]string
 	// read is set once the other instances were read. Before, this instance can't know its
 	// part of a limit.
 	read bool
@@ -121,11 +114,9 @@
 		switch {
 		case !ok || instance == f.limits.self:
 		case e.Value == nil:
-			delete(f.limits.peers, instance)
 			changed = f.limits.members.Gone(instance) || changed
 		default:
-			changed = f.limits.members.See(now, instance) || changed
-			f.setPeer(instance, string(e.Value))
+			changed = f.limits.members.See(now, instance, limit.ParseMember(e.Value)) || changed
 		}
 	}
 	if c.Full {
@@ -144,9 +135,8 @@
 		switch key := limit.MemberKey(instance); {
 		case shared[key]:
 		case instance == f.limits.self:
-			f.limits.board.Write(key, f.memberValue(), 0)
+			f.limits.board.Write(key, limit.MemberValue(f.limits.address), 0)
 		default:
-			delete(f.limits.peers, instance)
 			changed = f.limits.members.Gone(instance) || changed
 		}
 	}
@@ -198,45 +188,11 @@
 	}
 }
 
-// noAddress is the value of the record of an instance that can't be asked.
-const noAddress = "1"
-
-// memberValue returns the value of this instance's record: its address.
-func (f *fleet) memberValue() []byte {
-	return []byte(cmp.Or(f.limits.address, noAddress))
-}
-
-// setPeer sets the address of another instance from its record. f.mu must be held.
-func (f *fleet) setPeer(instance, address string) {
-	if _, err := netip.ParseAddrPort(address); err != nil {
-		delete(f.limits.peers, instance)
-		return
-	}
-	if f.limits.peers == nil {
-		f.limits.peers = make(map[string]string)
-	}
-	f.limits.peers[instance] = address
-}
-
 // peerAddresses returns the addresses of the other instances by their names.
 func (f *fleet) peerAddresses() map[string]string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return maps.Clone(f.limits.peers)
-}
-
-// versions returns the services and versions of the targets in use.
-func (f *fleet) versions() (list []origin.Origin) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for service, g := range f.groups {
-		for _, t := range g.byName {
-			if o := (origin.Origin{Service: service, Version: t.Version}); !slices.Contains(list, o) {
-				list = append(list, o)
-			}
-		}
-	}
-	return list
+	return f.limits.members.Addresses()
 }
 
 // join makes this instance known to the others. It is called at the start and then at each
@@ -245,10 +201,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	if f.limits.members.See(now, f.limits.self) {
+	if f.limits.members.See(now, f.limits.self, "") {
 		f.shareLimits(now)
 	}
-	f.limits.board.Write(limit.MemberKey(f.limits.self), f.memberValue(), 0)
+	f.limits.board.Write(limit.MemberKey(f.limits.self), limit.MemberValue(f.limits.address), 0)
 }
 
 // depart makes it known that this instance ends.
@@ -265,7 +221,6 @@
 	defer f.mu.Unlock()
 	gone := f.limits.members.Expire(now)
 	for _, instance := range gone {
-		delete(f.limits.peers, instance)
 		if instance != f.limits.self {
 			f.limits.board.Write(limit.MemberKey(instance), nil, rand.N(forgetDelay))
 		}
@@ -291,8 +246,8 @@
 	return false
 }
 
-// otherInstances returns the names of the other instances that are known.
-func (f *fleet) otherInstances() []string {
+// instances returns the names of the known instances, with this one.
+func (f *fleet) instances() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.limits.members.Names()
--- a/internal/edge/limit_test.go
+++ b/internal/edge/limit_test.go
@@ -155,7 +155,7 @@
 	for _, n := range []int{4, 32, 68, 390} {
 		var names []keyed.Entry
 		for i := range n {
-			names = append(names, keyed.Entry{Key: limit.MemberKey(fmt.Sprint("i", i)), Value: []byte(noAddress)})
+			names = append(names, keyed.Entry{Key: limit.MemberKey(fmt.Sprint("i", i)), Value: limit.MemberValue("")})
 		}
 		retries := 0
 		for i := range n {
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -73,11 +73,11 @@
 	}
 }
 
-// setInstances sets the names of this instance and of the others.
-func (q *quarantine) setInstances(self string, others []string) {
+// setInstances sets the names of this instance and of all.
+func (q *quarantine) setInstances(self string, all []string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.tracker.Self, q.tracker.Instances = self, others
+	q.tracker.Self, q.tracker.Instances = self, all
 }
 
 // publish logs a change and shares its record after a delay. q.mu must be held.
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -4,11 +4,13 @@
 package limit
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
 	"math"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -81,6 +83,21 @@
 	return instance, ok && instance != ""
 }
 
+// noAddress is the value of the record of an instance that can't be asked.
+const noAddress = "1"
+
+// MemberValue returns the value of an instance's record. address is where other instances can
+// ask it, or "" if they can't.
+func MemberValue(address string) []byte { return []byte(cmp.Or(address, noAddress)) }
+
+// ParseMember returns the address in an instance's record, or "" if it has none.
+func ParseMember(value []byte) (address string) {
+	if _, err := netip.ParseAddrPort(string(value)); err != nil {
+		return ""
+	}
+	return string(value)
+}
+
 const (
 	// RefreshInterval is the interval at which an instance writes its record again.
 	RefreshInterval = 10 * time.Minute
@@ -92,20 +109,28 @@
 
 // Members is the list of instances. The zero value is an empty list.
 type Members struct {
-	seen map[string]time.Time
+	seen map[string]member
 }
 
-// See records that an instance has written its record. It reports whether the instance is
-// new.
-func (m *Members) See(now time.Time, instance string) bool {
+// member is one instance.
+type member struct {
+	// at is when its record was last seen.
+	at time.Time
+	// address is where it can be asked, or "" if it can't.
+	address string
+}
+
+// See records that an instance has written its record, with the address where it can be
+// asked, or "". It reports whether the instance is new.
+func (m *Members) See(now time.Time, instance, address string) bool {
 	if m.seen == nil {
-		m.seen = make(map[string]time.Time)
+		m.seen = make(map[string]member)
 	}
 	_, known := m.seen[instance]
 	if !known && len(m.seen) >= maxMembers {
 		return false
 	}
-	m.seen[instance] = now
+	m.seen[instance] = member{now, address}
 	return !known
 }
 
@@ -119,8 +144,8 @@
 // Expire removes the instances that have not written their record for memberTTL, and returns
 // them.
 func (m *Members) Expire(now time.Time) (gone []string) {
-	for instance, at := range m.seen {
-		if now.Sub(at) > memberTTL {
+	for instance, known := range m.seen {
+		if now.Sub(known.at) > memberTTL {
 			delete(m.seen, instance)
 			gone = append(gone, instance)
 		}
@@ -131,5 +156,16 @@
 // Len returns the number of instances.
 func (m *Members) Len() int { return len(m.seen) }
 
+// Addresses returns the addresses of the instances that can be asked, by their names.
+func (m *Members) Addresses() map[string]string {
+	addresses := make(map[string]string, len(m.seen))
+	for instance, known := range m.seen {
+		if known.address != "" {
+			addresses[instance] = known.address
+		}
+	}
+	return addresses
+}
+
 // Names returns the instances in order.
 func (m *Members) Names() []string { return slices.Sorted(maps.Keys(m.seen)) }
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -57,21 +58,38 @@
 func TestMembers(t *testing.T) {
 	var m limit.Members
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	if !m.See(now, "b") || !m.See(now, "a") || m.See(now, "a") {
+	if !m.See(now, "b", "") || !m.See(now, "a", "") || m.See(now, "a", "") {
 		t.Error("see: want news for the first two and none for the third")
 	}
 	if !m.Gone("b") || m.Gone("b") {
 		t.Error("gone: want news once")
 	}
-	m.See(now, "c")
-	m.See(now.Add(20*time.Minute), "a")
+	m.See(now, "c", "")
+	m.See(now.Add(20*time.Minute), "a", "")
 	if gone := m.Expire(now.Add(30 * time.Minute)); !slices.Equal(gone, []string{"c"}) || !slices.Equal(m.Names(), []string{"a"}) {
 		t.Errorf("expired are %v, left %v; want c and a", gone, m.Names())
 	}
 	for i := range 10_000 {
-		m.See(now, fmt.Sprint(i))
+		m.See(now, fmt.Sprint(i), "")
 	}
 	if n := len(m.Names()); n > 4096 {
 		t.Errorf("%d instances are known, want at most 4096", n)
 	}
 }
+
+// TestMemberAddresses: an instance can be asked at the address of its newest record, unless
+// that has none or the instance has ended.
+func TestMemberAddresses(t *testing.T) {
+	var m limit.Members
+	now := time.Now()
+	for _, e := range []struct{ instance, value string }{{"a", "10.0.0.1:7201"}, {"b", "1"}, {"c", "10.0.0.3:7201"}, {"c", "nonsense"}, {"d", "10.0.0.4:7201"}} {
+		m.See(now, e.instance, limit.ParseMember([]byte(e.value)))
+	}
+	m.See(now, "e", limit.ParseMember(limit.MemberValue("10.0.0.5:7201")))
+	m.See(now, "f", limit.ParseMember(limit.MemberValue("")))
+	m.Gone("d")
+	want := map[string]string{"a": "10.0.0.1:7201", "e": "10.0.0.5:7201"}
+	if got := m.Addresses(); !maps.Equal(got, want) {
+		t.Errorf("addresses are %v, want %v", got, want)
+	}
+}
--- a/pkg/poison/tracker.go
+++ b/pkg/poison/tracker.go
@@ -47,8 +47,8 @@
 // Tracker holds the records of all suspects. The zero value has none. Its methods take the
 // present time, with a monotonic reading. It is not safe for concurrent use.
 type Tracker struct {
-	// Self is the name of this instance, and Instances are those of the others, which take
-	// turns with it after a quarantine.
+	// Self is the name of this instance, and Instances are those of all, with or without
+	// this one. They take turns after a quarantine.
 	Self      string
 	Instances []string
 
