internal/edge: the list's owner tells the quarantine which targets are gone

fleet.update called back through a field, from a deferred function that ran after the unlock. It returns the targets that are gone now, as it does the other changes. Behaviour is the same.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -126,7 +126,10 @@
 			n.publishTargets(time.Now())
 		})
 	}
-	added, removed, draining := n.engine.fleet.update(n.list.Targets())
+	added, removed, draining, gone := n.engine.fleet.update(n.list.Targets())
+	for _, t := range gone {
+		n.engine.quarantine.targetEnded(t)
+	}
 	n.engine.origins.see(n.engine.fleet.versions())
 	if added+removed+draining > 0 {
 		n.logger("targets").Info("targets changed", "added", added, "removed", removed,
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -80,9 +80,6 @@
 	groups        map[string]*group
 	rnd           *rand.Rand
 	limits        limits
-	// onGone, if it is not nil, is called for each run of a target that left the list
-	// without having said that it leaves.
-	onGone func(*target)
 }
 
 func newFleet(dataCentre string, retries Retries) *fleet {
@@ -121,14 +118,8 @@
 }
 
 // update replaces the targets. It returns how many were added, were removed and began
-// to drain.
-func (f *fleet) update(list []roster.Target) (added, removed, draining int) {
-	var gone []*target
-	defer func() {
-		for _, t := range gone {
-			f.onGone(t)
-		}
-	}()
+// to drain, and which left the list without having said that they leave.
+func (f *fleet) update(list []roster.Target) (added, removed, draining int, gone []*target) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	byService := make(map[string][]roster.Target)
@@ -143,13 +134,13 @@
 		f.applyLimits(g)
 		added, removed, draining = added+a, removed+len(r), draining+d
 		for _, t := range r {
-			if f.onGone != nil && !t.Draining && !t.leaving.Load() {
+			if !t.Draining && !t.leaving.Load() {
 				t.gone.Store(true)
 				gone = append(gone, t)
 			}
 		}
 	}
-	return added, removed, draining
+	return added, removed, draining, gone
 }
 
 // update replaces the targets of the group. It returns how many were added and began to
--- a/internal/edge/shared.go
+++ b/internal/edge/shared.go
@@ -27,7 +27,6 @@
 		},
 		OnReachability: n.logStoreState(n.opts.Board.Topic, nil),
 	}
-	f.onGone = q.targetEnded
 	q.board, q.logger, q.read = n.board, n.logger("quarantine"), make(chan struct{})
 	f.limits.board, f.limits.logger, f.limits.self, f.limits.address = n.board, n.logger("targets"), n.opts.Instance, n.opts.PeerListen
 }
