internal/edge, pkg/poison: broken attempts wait in one place

An attempt that broke off stood in one map until its target was checked, and was moved to another one if the target went on. Both held the same, and only the second was bounded. The parts of a request are copied once instead of twice.

--- a/internal/edge/blame.go
+++ b/internal/edge/blame.go
@@ -39,34 +39,34 @@
 // brokenAttempts holds attempts by target until it is known whether the target has ended. It
 // is guarded by quarantine.mu.
 type brokenAttempts struct {
-	// checked are those whose targets are about to be checked, and waiting those whose
-	// targets go on, or can't be reached.
-	checked, waiting map[*target][]brokenAttempt
-	// count is the number of waiting ones.
+	byTarget map[*target][]brokenAttempt
+	// count is the number of attempts.
 	count int
+	// checking are the targets that are about to be checked.
+	checking map[*target]bool
 }
 
-// wait adds an attempt to the waiting ones, unless they are too many.
-func (b *brokenAttempts) wait(t *target, broken brokenAttempt) {
+// add adds an attempt, unless they are too many.
+func (b *brokenAttempts) add(t *target, broken brokenAttempt) {
 	if b.count >= maxBroken {
 		return
 	}
-	if b.waiting == nil {
-		b.waiting = make(map[*target][]brokenAttempt)
+	if b.byTarget == nil {
+		b.byTarget, b.checking = make(map[*target][]brokenAttempt), make(map[*target]bool)
 	}
-	b.waiting[t] = append(b.waiting[t], broken)
+	b.byTarget[t] = append(b.byTarget[t], broken)
 	b.count++
 }
 
-// take removes the waiting attempts at a target, and returns those that are not too old.
+// take removes the attempts at a target, and returns those that are not too old.
 func (b *brokenAttempts) take(now time.Time, t *target) (recent []brokenAttempt) {
-	for _, broken := range b.waiting[t] {
+	for _, broken := range b.byTarget[t] {
 		b.count--
 		if !broken.expired(now) {
 			recent = append(recent, broken)
 		}
 	}
-	delete(b.waiting, t)
+	delete(b.byTarget, t)
 	return recent
 }
 
@@ -79,11 +79,11 @@
 	return now.Sub(b.end.At) > memory
 }
 
-// expire drops the waiting attempts that are too old.
+// expire drops the attempts that are too old.
 func (b *brokenAttempts) expire(now time.Time) {
-	for t := range b.waiting {
+	for t := range b.byTarget {
 		if recent := b.take(now, t); len(recent) > 0 {
-			b.waiting[t] = recent
+			b.byTarget[t] = recent
 			b.count += len(recent)
 		}
 	}
@@ -109,21 +109,15 @@
 	}}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	switch {
-	case a.target.gone.Load():
+	if a.target.gone.Load() {
 		q.recordEnd(a.target, []brokenAttempt{broken})
 		return
-	case dark:
-		q.broken.wait(a.target, broken)
-		return
-	}
-	if q.broken.checked == nil {
-		q.broken.checked = make(map[*target][]brokenAttempt)
 	}
-	if len(q.broken.checked[a.target]) == 0 {
+	q.broken.add(a.target, broken)
+	if !dark && !q.broken.checking[a.target] {
+		q.broken.checking[a.target] = true
 		time.AfterFunc(endCheckDelay, func() { q.checkEnd(a.target) })
 	}
-	q.broken.checked[a.target] = append(q.broken.checked[a.target], broken)
 }
 
 // checkEnd finds out whether a target has ended. If nothing listens at its address, it has;
@@ -132,14 +126,9 @@
 	ended := t.refusesConnections()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	checked := q.broken.checked[t]
-	delete(q.broken.checked, t)
+	delete(q.broken.checking, t)
 	if ended {
-		q.recordEnd(t, append(checked, q.broken.take(time.Now(), t)...))
-		return
-	}
-	for _, broken := range checked {
-		q.broken.wait(t, broken)
+		q.recordEnd(t, q.broken.take(time.Now(), t))
 	}
 }
 
--- a/pkg/poison/subject.go
+++ b/pkg/poison/subject.go
@@ -204,9 +204,9 @@
 // parts returns the parts that an end may be blamed on, or that an answer clears. Inside
 // answers, the own part stands for nothing that the Exact doesn't.
 func (r Request) parts(inside bool) []string {
-	all := r.Parts[:len(r.Parts):len(r.Parts)]
+	all := slices.Clone(r.Parts)
 	if !inside {
 		all = append(all, r.Own)
 	}
-	return slices.DeleteFunc(slices.Clone(all), func(id string) bool { return id == "" || len(id) > maxPartID })
+	return slices.DeleteFunc(all, func(id string) bool { return id == "" || len(id) > maxPartID })
 }
