internal/edge: a caller that leaves makes no peer count as silent

Callers that take up a stream right after another caller left could get 503: a question to the keepers of a stream's origin ended with the caller's request, and the error counted as their silence, so they were passed over for 2 s. A question that ends with its caller says nothing of the peer now.

Evidence: TestCallerThatLeavesSilencesNoPeer failed before, with the origin unknown.

--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -255,7 +255,7 @@
 // askAll asks peers at the same time. It returns the first origin found, or nil once all have
 // answered or failed, and the number of those that answered.
 func (o *origins) askAll(ctx context.Context, addresses []string, id, service string) (found *origin.Origin, answered int) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	asking, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	type answer struct {
 		addr  string
@@ -268,7 +268,7 @@
 			client, err := o.client(addr)
 			a := answer{addr: addr, err: err}
 			if err == nil {
-				a.reply, a.err = client.FindOrigin(ctx, &wire.FindOriginRequest{Id: id, Service: service})
+				a.reply, a.err = client.FindOrigin(asking, &wire.FindOriginRequest{Id: id, Service: service})
 			}
 			answers <- a
 		}()
@@ -276,7 +276,9 @@
 	for range addresses {
 		a := <-answers
 		if a.err != nil {
-			o.silence.Note(a.addr, time.Now())
+			if ctx.Err() == nil { // Else the caller has left, and the peer had no time.
+				o.silence.Note(a.addr, time.Now())
+			}
 			continue
 		}
 		answered++
--- a/internal/edge/origins_test.go
+++ b/internal/edge/origins_test.go
@@ -238,3 +238,17 @@
 		t.Errorf("two versions: %d others were told, want %d", n, toldKeepers)
 	}
 }
+
+// TestCallerThatLeavesSilencesNoPeer: a caller that leaves while its stream's origin is asked
+// for doesn't make the asked instances count as silent.
+func TestCallerThatLeavesSilencesNoPeer(t *testing.T) {
+	nodes := newPeerNodes(t, 4)
+	want := origin.Origin{Service: "s", Version: "v1"}
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	nodes[0].askAll(gone, nodes[0].keepers("o/1"), "o/1", "s")
+	nodes[1].note("o/1", want)
+	if got, ok := nodes[0].ask(t.Context(), "o/1", "s"); !ok || got != want {
+		t.Errorf("got %+v, known %v; want %+v", got, ok, want)
+	}
+}
