pkg/route, internal/edge: cold targets are paced, evacuated data centres get nothing

Ruled out: a limit for each instance alone, which 31 instances multiply. Change: records beside the configuration withdraw the targets of a data centre; cold targets share the mechanism of named limits, with a number of sharers that keeps their sum below the bound of the settings. Both are off unless settings and configuration name them. A target that was withdrawn while a connection to it was made gets nothing.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -44,6 +44,12 @@
 		}
 		return notRun{err: err}
 	}
+	// Connecting takes up to pool.DefaultDialTimeout, and longer at an instance that is slow
+	// or was frozen.
+	if !x.e.fleet.accepts(x.service, a) {
+		a.target.pool.Put(conn)
+		return notRun{err: ErrWithdrawn}
+	}
 	stop := context.AfterFunc(x.ctx, func() {
 		// The goroutine that reads from the connection closes it.
 		_ = conn.SetDeadline(expiredDeadline)
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -21,6 +21,9 @@
 	// TargetID returns the id of the target that a key of the target topic names, and
 	// whether the key names one.
 	TargetID(key string) (id string, ok bool)
+	// Evacuation returns the data centre that a record of the configuration topic
+	// evacuates while the record exists, and whether the key is of such a record.
+	Evacuation(key string) (dataCentre string, ok bool)
 }
 
 // applyTables applies changes of the configuration.
@@ -31,6 +34,9 @@
 		n.storedVersion = 0
 	}
 	for _, entry := range c.Entries {
+		if _, ok := n.opts.Decoder.Evacuation(entry.Key); ok {
+			continue
+		}
 		t, err := n.opts.Decoder.Table(entry)
 		if err != nil {
 			n.logger("config").Warn("configuration is invalid; keeping the previous one", "key", entry.Key, "offset", entry.Offset, "err", err)
@@ -43,9 +49,12 @@
 	}
 	// A store that was restored from an older copy has an older configuration, or none,
 	// until the operators have written the newest one again.
-	if view := n.engine.view.Load(); view == nil || n.storedVersion >= view.Version {
+	view := n.engine.view.Load()
+	current := view == nil || n.storedVersion >= view.Version
+	if current {
 		n.engine.confirm(c.RequestedAt)
 	}
+	n.applyEvacuations(c, current)
 }
 
 // storeRestored logs that a follower saw a restore of the store, and tells the budgets.
@@ -70,6 +79,7 @@
 	// Requests under the new configuration find its totals.
 	n.engine.Budgets.SetTotals(t.Version, totals)
 	n.engine.view.Store(t)
+	n.engine.fleet.setColdLimits(t.Services)
 	var from int64
 	if old != nil {
 		from = old.Version
@@ -106,6 +116,10 @@
 			continue
 		}
 		ids[id] = true
+		if t.ColdLeft < 0 || t.ColdLeft > roster.MaxCold {
+			n.logger("targets").Warn("target says for an impossible time that it is cold; using the nearest possible one", "target", t.ID, "cold-left", t.ColdLeft, "most", roster.MaxCold)
+		}
+		t.ColdUntil = t.ColdBy(now)
 		n.list.Set(t)
 	}
 	if c.Full {
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -384,6 +384,9 @@
 	if a.limited {
 		x.e.Meter.LimitedAttempt(x.service)
 	}
+	if a.cold {
+		x.e.Meter.ColdAttempt(x.service)
+	}
 	a.events = x.events
 	result := x.attempt(a)
 	stopLog()
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -80,6 +81,7 @@
 	groups        map[string]*group
 	rnd           *rand.Rand
 	limits        limits
+	cold          coldState
 }
 
 func newFleet(dataCentre string, retries Retries) *fleet {
@@ -105,6 +107,9 @@
 		if f.limits.read {
 			g.picker.Instances(time.Now(), f.rnd, f.limits.self, f.limits.members.Names())
 		}
+		for dataCentre := range f.cold.evacuated {
+			g.picker.Evacuate(dataCentre, true)
+		}
 		f.groups[service] = g
 	}
 	return g
@@ -140,6 +145,7 @@
 			}
 		}
 	}
+	f.noteCold(time.Now())
 	return added, removed, draining, gone
 }
 
@@ -158,7 +164,7 @@
 		if t.Draining && !old.Draining {
 			draining++
 		}
-		old.Draining = t.Draining
+		old.Draining, old.ColdUntil = t.Draining, t.ColdUntil
 		next[name] = old
 		entries = append(entries, route.Target{
 			Name: name, DataCentre: t.DataCentre, Version: t.Version, Address: t.Address, Draining: t.Draining,
@@ -215,6 +221,8 @@
 	open    int
 	// limited is set if the target named a limit before the attempt.
 	limited bool
+	// cold is set if the target was cold at the start of the attempt.
+	cold bool
 	// events is the number of events that the caller had when the attempt began.
 	events int64
 	// answered is set once the target has answered the prompt beyond its beginning.
@@ -246,6 +254,7 @@
 	return &attempt{
 		target: target, routed: g.picker.Begin(now, t.Name, req), began: now,
 		listAge: now.Sub(f.listConfirmed), open: target.open, limited: f.limits.known[t.Name].Rate > 0,
+		cold: g.picker.IsCold(now, t.Name),
 	}, nil
 }
 
@@ -292,11 +301,16 @@
 		g.picker.AttemptEnded(name, route.Responded)
 		g.picker.RecordResult(now, name, true)
 	case notRun:
-		if result.sent {
+		switch {
+		case errors.Is(result.err, ErrWithdrawn):
+			g.picker.AttemptEnded(name, route.Unknown)
+			return
+		case result.sent:
 			g.picker.AttemptEnded(name, route.Responded)
-		} else {
+		default:
 			g.picker.AttemptEnded(name, route.Unknown)
 			g.picker.RecordConnectFailure(now, name)
+			f.mayHaveRestarted(now, g, name)
 		}
 		g.picker.RecordResult(now, name, true)
 	case uncertain:
@@ -304,6 +318,7 @@
 		if !isCallerGone(result.err) {
 			g.picker.RecordConnectFailure(now, name)
 			g.picker.RecordResult(now, name, true)
+			f.mayHaveRestarted(now, g, name)
 		}
 	}
 }
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -19,6 +19,7 @@
 	"github.com/beryllanding/beryllanding/internal/peers"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
 	"github.com/beryllanding/beryllanding/pkg/roster"
+	"github.com/beryllanding/beryllanding/pkg/table"
 )
 
 const (
@@ -75,6 +76,8 @@
 	// Grace is the time allowed between the stop signal and the end of the process.
 	Grace   time.Duration
 	Retries Retries
+	// Cold bounds the requests at cold targets. The zero value is no bound.
+	Cold    ColdBound
 	Dialect Dialect
 	Store   keyed.Store
 	Decoder Decoder
@@ -111,6 +114,10 @@
 	// read; 0 if it had none. Only applyTables uses it.
 	storedVersion int64
 
+	// evacuations are the data centres that operators have evacuated. Only applyTables uses
+	// them.
+	evacuations table.Evacuations
+
 	listMu     sync.Mutex
 	list       roster.Roster
 	graceTimer *time.Timer
@@ -133,6 +140,7 @@
 		Dialect: opts.Dialect, Budgets: budgets, Logger: opts.Logger.WithPrefix("requests"), Meter: &meter.Meter{},
 		fleet: newFleet(opts.DataCentre, opts.Retries), loaded: make(chan struct{}), started: time.Now(),
 	}
+	n.engine.fleet.cold.bound = opts.Cold
 	n.engine.origins.dial = n.peers.Client
 	n.setUpBoard()
 	n.server = &Server{Engine: n.engine, Logger: opts.Logger.WithPrefix("callers")}
@@ -285,10 +293,12 @@
 // state returns the current values of the gauges.
 func (n *Node) state() meter.State {
 	leaving, resting, limited := n.engine.fleet.withdrawn()
+	cold, evacuated := n.engine.fleet.unavailable()
 	suspected, quarantined := n.engine.quarantine.counts()
 	s := meter.State{
 		Suspected: suspected, Quarantined: quarantined,
 		Targets: n.engine.fleet.targetCounts(), Leaving: leaving, Resting: resting, Limited: limited,
+		Cold: cold, Evacuated: evacuated,
 		TableAge: n.engine.age(), LogEpoch: int64(n.engine.Budgets.LogEpoch()), Open: n.server.Busy(),
 	}
 	if t := n.engine.view.Load(); t != nil {
--- a/internal/edge/retry.go
+++ b/internal/edge/retry.go
@@ -25,6 +25,9 @@
 	ErrCallerGone = errors.New("caller has disconnected")
 	// ErrInternal reports a panic in the code of the instance.
 	ErrInternal = errors.New("internal error")
+	// ErrWithdrawn reports a target that was withdrawn between its choice and the sending
+	// of the request, which was not sent.
+	ErrWithdrawn = errors.New("target was withdrawn before the request was sent")
 	// ErrSilent reports a target that sent nothing for too long.
 	ErrSilent = errors.New("target sent nothing for too long")
 )
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -31,6 +31,9 @@
 	Targets, Leaving, Resting map[string]int
 	// Limited is the number of targets that name a limit of requests a second, by service.
 	Limited map[string]int
+	// Cold and Evacuated are the numbers of targets that are cold, and of those whose data
+	// centre is evacuated, by service.
+	Cold, Evacuated map[string]int
 	// Suspected and Quarantined are the numbers of prompt parts and requests that are suspected
 	// to crash targets, and of those in quarantine, by service.
 	Suspected, Quarantined map[string]int
@@ -59,6 +62,7 @@
 	requests, attempts, retries, notices               metric.Int64Counter
 	wrongResponses, connections                        metric.Int64Counter
 	ended, quarantines, refusals, limited, told, asked metric.Int64Counter
+	coldAttempts                                       metric.Int64Counter
 	requestTime, firstByte, reserveTime                metric.Float64Histogram
 }
 
@@ -171,6 +175,11 @@
 	m.add(m.limited, attribute.String("service", service))
 }
 
+// ColdAttempt counts an attempt at a cold target.
+func (m *Meter) ColdAttempt(service string) {
+	m.add(m.coldAttempts, attribute.String("service", service))
+}
+
 // WrongResponse counts a response, on a connection to a target, that belongs to no
 // request in progress.
 func (m *Meter) WrongResponse() { m.add(m.wrongResponses) }
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -31,6 +31,7 @@
 	m, err := New(func() State {
 		return State{
 			Budgets: []Budget{{"o", 500, 70}}, Targets: map[string]int{"s": 3}, Leaving: map[string]int{"s": 1}, Resting: map[string]int{"s": 0}, Limited: map[string]int{"s": 1},
+			Cold: map[string]int{"s": 1}, Evacuated: map[string]int{"s": 2},
 			Suspected: map[string]int{"s": 2}, Quarantined: map[string]int{"s": 1}, TableVersion: 7,
 			TableAge: 250 * time.Millisecond, LogEpoch: 3, Open: 2, LogDropped: 4,
 		}
@@ -50,6 +51,7 @@
 	m.Quarantine("s", "begun")
 	m.QuarantineRefusal("s")
 	m.LimitedAttempt("s")
+	m.ColdAttempt("s")
 	m.OriginsTold(2, true)
 	m.OriginAsked("s", "peer")
 	m.WrongResponse()
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -55,6 +55,9 @@
 	leavingMetric        = definition{"beryl.targets.leaving", gauge, "", "service", "Targets in the list that get no new requests because they said that they leave. As many as `beryl_targets`: callers get 503"}
 	restingMetric        = definition{"beryl.targets.resting", gauge, "", "service", "Targets in the list that get no requests because they asked for a rest. As many as `beryl_targets`: callers get 503 with the time of the first return"}
 	targetsLimitedMetric = definition{"beryl.targets.limited", gauge, "", "service", "Targets in the list that name a limit of requests a second for all instances together. As many as `beryl_targets`: callers get 503 beyond the limits"}
+	targetsColdMetric    = definition{"beryl.targets.cold", gauge, "", "service", "Targets in the list that are cold: they get few requests a second from all instances together"}
+	evacuatedMetric      = definition{"beryl.targets.evacuated", gauge, "", "service", "Targets in the list that get no new requests because operators evacuated their data centre. As many as `beryl_targets`: callers get 503"}
+	coldAttemptsMetric   = definition{"beryl.cold.attempts", counter, "", "service", "Attempts at cold targets. Its rate, summed over all instances, is to stay below what the cold targets tolerate"}
 	freeMetric           = definition{"beryl.budget.free", gauge, "", "budget", "Tokens that this instance may use. 0 for long: the budget is spent or the store away"}
 	reservedMetric       = definition{"beryl.budget.reserved", gauge, "", "budget", "Tokens of requests in progress, at their most"}
 	versionMetric        = definition{"beryl.table.version", gauge, "", "", "Version of the configuration in force"}
@@ -64,8 +67,8 @@
 
 	definitions = []definition{
 		requestsMetric, requestTimeMetric, firstByteMetric, reserveTimeMetric, attemptsMetric, retriesMetric, noticesMetric, wrongResponsesMetric, connectionsMetric, openMetric,
-		endedMetric, quarantinesMetric, refusalsMetric, limitedMetric, toldMetric, askedMetric, suspectedMetric, quarantinedMetric,
-		targetsMetric, leavingMetric, restingMetric, targetsLimitedMetric, freeMetric, reservedMetric, versionMetric, ageMetric, epochMetric, logDroppedMetric,
+		endedMetric, quarantinesMetric, refusalsMetric, limitedMetric, coldAttemptsMetric, toldMetric, askedMetric, suspectedMetric, quarantinedMetric,
+		targetsMetric, leavingMetric, restingMetric, targetsLimitedMetric, targetsColdMetric, evacuatedMetric, freeMetric, reservedMetric, versionMetric, ageMetric, epochMetric, logDroppedMetric,
 	}
 )
 
@@ -93,9 +96,11 @@
 	m.notices = newCounter(noticesMetric)
 	m.ended, m.quarantines, m.refusals = newCounter(endedMetric), newCounter(quarantinesMetric), newCounter(refusalsMetric)
 	m.limited, m.told, m.asked = newCounter(limitedMetric), newCounter(toldMetric), newCounter(askedMetric)
+	m.coldAttempts = newCounter(coldAttemptsMetric)
 	m.requestTime, m.firstByte, m.reserveTime = newHistogram(requestTimeMetric), newHistogram(firstByteMetric), newHistogram(reserveTimeMetric)
 	open, targets, free, reserved := newGauge(openMetric), newGauge(targetsMetric), newGauge(freeMetric), newGauge(reservedMetric)
 	leaving, resting, limited := newGauge(leavingMetric), newGauge(restingMetric), newGauge(targetsLimitedMetric)
+	cold, evacuated := newGauge(targetsColdMetric), newGauge(evacuatedMetric)
 	suspected, quarantined := newGauge(suspectedMetric), newGauge(quarantinedMetric)
 	version, age, epoch := newGauge(versionMetric), newGauge(ageMetric), newGauge(epochMetric)
 	dropped, err := meter.Int64ObservableCounter(logDroppedMetric.Name, metric.WithDescription(logDroppedMetric.Text))
@@ -108,7 +113,7 @@
 			o.ObserveFloat64(reserved, float64(b.Reserved), label)
 		}
 		for gauge, byService := range map[metric.Float64Observable]map[string]int{
-			targets: s.Targets, leaving: s.Leaving, resting: s.Resting, limited: s.Limited, suspected: s.Suspected, quarantined: s.Quarantined,
+			targets: s.Targets, leaving: s.Leaving, resting: s.Resting, limited: s.Limited, cold: s.Cold, evacuated: s.Evacuated, suspected: s.Suspected, quarantined: s.Quarantined,
 		} {
 			for service, n := range byService {
 				o.ObserveFloat64(gauge, float64(n), metric.WithAttributes(attribute.String("service", service)))
@@ -120,7 +125,7 @@
 		o.ObserveFloat64(epoch, float64(s.LogEpoch))
 		o.ObserveInt64(dropped, s.LogDropped)
 		return nil
-	}, open, targets, leaving, resting, limited, suspected, quarantined, free, reserved, version, age, epoch, dropped)
+	}, open, targets, leaving, resting, limited, cold, evacuated, suspected, quarantined, free, reserved, version, age, epoch, dropped)
 	return errors.Join(append(errs, err)...)
 }
 
--- a/internal/stand/keyd/records.go
+++ b/internal/stand/keyd/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 
 	"github.com/beryllanding/beryllanding/pkg/keyed"
 	"github.com/beryllanding/beryllanding/pkg/roster"
@@ -14,6 +15,9 @@
 
 // Table decodes a configuration.
 func (Records) Table(e keyed.Entry) (*table.Table, error) {
+	if strings.HasPrefix(e.Key, EvacuationPrefix) {
+		return nil, nil
+	}
 	t := &table.Table{}
 	return t, json.Unmarshal(e.Value, t)
 }
@@ -24,5 +28,14 @@
 	return t, err
 }
 
+// EvacuationPrefix begins the keys of the records that evacuate a data centre.
+const EvacuationPrefix = "evacuate/"
+
+// Evacuation returns the data centre that a record evacuates while it exists, and whether it
+// is such a record.
+func (Records) Evacuation(key string) (dataCentre string, ok bool) {
+	return strings.CutPrefix(key, EvacuationPrefix)
+}
+
 // TargetID returns the key as the id of the target. It reports false for an empty key.
 func (Records) TargetID(key string) (id string, ok bool) { return key, key != "" }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -28,6 +28,22 @@
 	// Sequence is the number of the entry among those of its run. Later entries have
 	// higher numbers.
 	Sequence int64
+	// ColdLeft is how much longer the target is cold, as of the entry. ColdUntil is when
+	// the reader of the entry expects it to be warm; it is not part of the entry.
+	ColdLeft  time.Duration
+	ColdUntil time.Time `json:"-"`
+}
+
+// MaxCold bounds ColdLeft, so that a wrong value does not slow a target down for good.
+const MaxCold = 5 * time.Minute
+
+// ColdBy returns when the target is expected to be warm if its entry was read at the given
+// time, or zero if it is not cold. A negative ColdLeft counts as 0.
+func (t Target) ColdBy(read time.Time) time.Time {
+	if t.ColdLeft <= 0 {
+		return time.Time{}
+	}
+	return read.Add(min(t.ColdLeft, MaxCold))
 }
 
 // Same reports whether two entries describe the same run of a target.
--- a/pkg/route/cost.go
+++ b/pkg/route/cost.go
@@ -135,8 +135,9 @@
 
 // cheapest returns the candidate with the lowest estimated time to the first
 // token. It compares the home of the request's prefix, which is the target with
-// the highest rendezvous weight; the targets that read the prefix recently; and
-// all candidates or, above compareAllLimit, a random sample.
+// the highest rendezvous weight; the targets that read the prefix recently; cold targets,
+// which few instances may send to; and all candidates or, above compareAllLimit, a random
+// sample.
 func (p *Picker) cheapest(now time.Time, rnd *rand.Rand, req Request) *target {
 	var home, best *target
 	least := math.Inf(1)
@@ -156,6 +157,9 @@
 			}
 		}
 	}
+	for _, t := range p.cold {
+		consider(t)
+	}
 	for _, pool := range [][]*target{p.local, p.remote} {
 		if len(p.local)+len(p.remote) <= compareAllLimit {
 			for _, t := range pool {
@@ -223,6 +227,7 @@
 	}
 	if t.notice != nil {
 		t.notice.limit.take(now)
+		t.notice.cold.pace.take(now)
 	}
 	a.prefillTokens = float64(req.Prompt.Own)
 	if !p.recent.has(req.Prefix, t, now) {
--- a/pkg/route/limit.go
+++ b/pkg/route/limit.go
@@ -100,31 +100,42 @@
 	}
 	p.instancesKnown = true
 	for _, t := range p.targets {
-		if t.notice != nil && t.notice.limit.rate > 0 {
-			t.notice.limit.set(now, rnd, t.notice.limit.rate, p.part(t, t.notice.limit.rate))
+		if t.notice == nil {
+			continue
+		}
+		if l := &t.notice.limit; l.rate > 0 {
+			l.set(now, rnd, l.rate, p.part(t, l.rate))
+		}
+		if c := &t.notice.cold; now.Before(c.until) {
+			c.pace.set(now, rnd, c.pace.rate, p.coldPart(t, c.limit))
 		}
 	}
 }
 
-// part returns this instance's part of a target's limit, in requests a second. A few
-// instances share the limit: those with the highest rendezvous-hashing weights for the
-// target, which every instance computes alike. All instances share it if they are few.
+// part returns this instance's part of a target's limit, in requests a second.
 func (p *Picker) part(t *target, rate float64) float64 {
 	if !p.instancesKnown {
 		return probeShare * rate / assumedInstances
 	}
 	all := 1 + len(p.instances)
 	sharers := min(all, extraSharers+int(min(rate, float64(all))))
+	if p.shares(t, sharers) {
+		return rate / float64(sharers)
+	}
+	return probeShare * rate / float64(all)
+}
+
+// shares reports whether this instance is one of the given number that share a target. They
+// are those with the highest rendezvous-hashing weights for the target, which every instance
+// computes alike.
+func (p *Picker) shares(t *target, sharers int) bool {
 	own, rank := mix(p.self^t.hash), 0
 	for _, other := range p.instances {
 		if mix(other^t.hash) > own {
 			rank++
 		}
 	}
-	if rank < sharers {
-		return rate / float64(sharers)
-	}
-	return probeShare * rate / float64(all)
+	return rank < sharers
 }
 
 // Limited returns the number of listed targets that name a limit.
--- a/pkg/route/notice.go
+++ b/pkg/route/notice.go
@@ -14,6 +14,7 @@
 	leaving bool
 	rest    rest
 	limit   rateLimit
+	cold    cold
 	at      time.Time
 }
 
@@ -63,9 +64,9 @@
 }
 
 // withdrawn reports whether the target's own notice forbids a new attempt now: it leaves,
-// rests, or is at the limit that it named.
+// rests, or is at the limit that it named or at the pace of a cold target.
 func (t *target) withdrawn(now time.Time) bool {
-	return t.notice != nil && (t.notice.leaving || t.notice.rest.active(now) || t.notice.limit.blocks(now))
+	return t.notice != nil && (t.notice.leaving || t.notice.rest.active(now) || t.notice.limit.blocks(now) || t.notice.cold.blocks(now))
 }
 
 // Withdrawn counts the listed targets that leave and those that rest, by their own
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -6,7 +6,7 @@
 )
 
 // Pick returns the target for the request. The errors are ErrNoTarget, ErrSaturated,
-// ErrResting and ErrLimited. The caller records the attempt with AttemptStarted or Begin.
+// ErrVersion, ErrResting, ErrLimited, ErrCold and ErrEvacuated. The caller records the attempt with AttemptStarted or Begin.
 func (p *Picker) Pick(now time.Time, rnd *rand.Rand, req Request) (Target, error) {
 	p.init()
 	if t := p.probe(now, req); t != nil {
@@ -70,7 +70,7 @@
 // collectIf sets the candidates to the targets that ok accepts, and returns the number
 // of those that take work.
 func (p *Picker) collectIf(now time.Time, ok func(*target) bool) int {
-	p.local, p.remote = p.local[:0], p.remote[:0]
+	p.local, p.remote, p.cold = p.local[:0], p.remote[:0], p.cold[:0]
 	available := 0
 	for _, t := range p.targets {
 		if !t.takesWork(now) || !ok(t) {
@@ -80,6 +80,9 @@
 		if t.inFlight >= t.limit(p.policy.MaxInFlight) {
 			continue
 		}
+		if t.notice != nil && now.Before(t.notice.cold.until) {
+			p.cold = append(p.cold, t)
+		}
 		if t.DataCentre == p.DataCentre {
 			p.local = append(p.local, t)
 		} else {
--- a/pkg/route/picker.go
+++ b/pkg/route/picker.go
@@ -27,8 +27,13 @@
 	self           uint64
 	instances      []uint64
 	instancesKnown bool
+	// evacuated holds the data centres whose targets take no new attempt.
+	evacuated map[string]bool
 	// local and remote are scratch space for the candidates during a Pick.
 	local, remote []*target
+	// cold holds those of the candidates that are cold and for which this instance has a
+	// request left in the pace.
+	cold []*target
 }
 
 // target is the state that the picker keeps for one target.
@@ -66,6 +71,8 @@
 	// for none to 1 for all; see RecordResult. Both decay over time.
 	excessLatency decayingMean
 	faultRate     decayingMean
+	// evacuated is set while the target's data centre is evacuated.
+	evacuated bool
 	// notice is what the target announced about itself; nil if it announced nothing.
 	notice *notice
 }
@@ -76,7 +83,9 @@
 func (t *target) load() float64 { return float64(t.inFlight) + t.otherLoad }
 
 // takesWork reports whether the target may get a new attempt.
-func (t *target) takesWork(now time.Time) bool { return !t.draining(now) && !t.withdrawn(now) }
+func (t *target) takesWork(now time.Time) bool {
+	return !t.evacuated && !t.draining(now) && !t.withdrawn(now)
+}
 
 // limit returns the number of this instance's attempts that may be open at the target at
 // the same time.
@@ -106,7 +115,7 @@
 		if known == nil || known.Address != t.Address {
 			known = &target{hash: hashString(t.Name), notice: p.notices[noticeKey{t.Name, t.Address}]}
 		}
-		known.Target = t
+		known.Target, known.evacuated = t, p.evacuated[t.DataCentre]
 		next[t.Name] = known
 		p.targets = append(p.targets, known)
 	}
--- a/pkg/route/rest.go
+++ b/pkg/route/rest.go
@@ -76,26 +76,39 @@
 }
 
 // AllRest returns when the first of the targets that rest, or are at the limit that they
-// named, takes work again. why is ErrResting or ErrLimited for that target. It is nil unless
-// there is such a target and no target takes work now.
+// named or at the pace of a cold target, takes work again. why is ErrResting, ErrLimited or
+// ErrCold for that target. If there is no such target, but the data centre of one is
+// evacuated, why is ErrEvacuated and end is now. why is nil if a target takes work now, and
+// if there is no target that will.
 func (p *Picker) AllRest(now time.Time) (end time.Time, why error) {
-	if len(p.notices) == 0 {
+	if len(p.notices) == 0 && len(p.evacuated) == 0 {
 		return time.Time{}, nil
 	}
+	evacuated := false
 	for _, t := range p.targets {
 		if t.takesWork(now) {
 			return time.Time{}, nil
 		}
-		if t.draining(now) || t.notice.leaving {
+		if t.draining(now) || (t.notice != nil && t.notice.leaving) {
+			continue
+		}
+		if t.evacuated {
+			evacuated = true
 			continue
 		}
 		free, reason := t.notice.rest.until, ErrResting
 		if limit := &t.notice.limit; limit.blocks(now) && limit.freeAt(now).After(free) {
 			free, reason = limit.freeAt(now), ErrLimited
 		}
+		if c := &t.notice.cold; c.blocks(now) && c.freeAt(now).After(free) {
+			free, reason = c.freeAt(now), ErrCold
+		}
 		if why == nil || free.Before(end) {
 			end, why = free, reason
 		}
 	}
+	if why == nil && evacuated {
+		return now, ErrEvacuated
+	}
 	return end, why
 }
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -67,6 +67,11 @@
 	Name string
 	// EventTokens is the number of tokens in an event of its streams; 0 means 1.
 	EventTokens int64
+	// ColdTime is how long a target is cold after its start. ColdRate is the number of
+	// requests a second that a cold target tolerates from all instances together; 0 means
+	// that cold targets need no care.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Organisation owns keys and a prepaid budget.
