--- a/cmd/beryl/edge.go
+++ b/cmd/beryl/edge.go
@@ -57,7 +57,7 @@
 			},
 			{
 				Name:     "targets",
-				Short:    "List the targets, with the limits that they named, and why entries cannot be used",
+				Short:    "List the targets, with their limits, cold times and evacuations, and why entries cannot be used",
 				Examples: []cmds.Example{{Line: "beryl edge targets --boot settings.toml", Does: "the targets that an instance reads from the store now"}},
 				New:      func() cmds.Runner { return new(edgeTargets) },
 			},
@@ -198,7 +198,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, edgeTimeout)
 	defer cancel()
-	list, err := audit.Targets(ctx, store, platform.TargetsPartition, platform.BoardPartition, platform.Records{})
+	list, err := audit.Targets(ctx, store, audit.Partitions{
+		Targets: platform.TargetsPartition, Tables: platform.TablesPartition, Board: platform.BoardPartition,
+	}, platform.Records{})
 	if err != nil {
 		return err
 	}
@@ -214,6 +216,10 @@
 			state = t.Fault
 		case t.Draining:
 			state = "draining"
+		case t.Evacuated:
+			state = "evacuated"
+		case t.ColdLeft > 0:
+			state = fmt.Sprintf("cold for %v", t.ColdLeft)
 		}
 		rate := "-"
 		if t.Limit > 0 {
--- a/cmd/beryl/edge_test.go
+++ b/cmd/beryl/edge_test.go
@@ -28,6 +28,8 @@
 	}}, true)
 	writeTargets(w, []audit.Target{
 		{Target: roster.Target{ID: "i-1", Service: "chat", Address: "10.0.0.9:80", DataCentre: "z", Version: "v1.2", Draining: true}, Limit: 1.5},
+		{Target: roster.Target{ID: "i-3", Service: "chat", ColdLeft: 2500 * time.Millisecond}},
+		{Target: roster.Target{ID: "i-4", Service: "chat", DataCentre: "z"}, Evacuated: true},
 		{Target: roster.Target{ID: "i-2"}, Fault: "no service"},
 	})
 	writeTable(w, &table.Table{
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -23,6 +23,7 @@
 type Decoder interface {
 	Table(e keyed.Entry) (*table.Table, error)
 	Target(e keyed.Entry) (roster.Target, error)
+	Evacuation(key string) (dataCentre string, ok bool)
 }
 
 // Target is an entry of the list of targets.
@@ -32,20 +33,36 @@
 	// Limit is the number of requests a second that the target named as its limit for all
 	// instances together; 0 if it named none.
 	Limit float64 `json:",omitempty"`
+	// Evacuated is set if the target's data centre is evacuated.
+	Evacuated bool `json:",omitempty"`
 	// Fault is the reason why the entry cannot be used. It is empty if the entry
 	// can be used.
 	Fault string `json:",omitempty"`
 }
 
+// Partitions names the partitions of the store that hold the list of targets, the operators'
+// configuration, and what instances share of targets.
+type Partitions struct{ Targets, Tables, Board keyed.Partition }
+
 // Targets returns the list of targets, ordered by service and ID, with the limits that
-// instances have shared in the partition limits. It includes the entries that cannot be
-// used.
-func Targets(ctx context.Context, s keyed.Store, p, limits keyed.Partition, d Decoder) ([]Target, error) {
-	known, err := readLimits(ctx, s, limits)
+// instances have shared and the operators' evacuations. It includes the entries that cannot
+// be used.
+func Targets(ctx context.Context, s keyed.Store, p Partitions, d Decoder) ([]Target, error) {
+	known, err := readLimits(ctx, s, p.Board)
 	if err != nil {
 		return nil, err
 	}
-	page, err := keyed.Snapshot(ctx, s, p)
+	tables, err := keyed.Snapshot(ctx, s, p.Tables)
+	if err != nil {
+		return nil, fmt.Errorf("read the evacuated data centres: %w", err)
+	}
+	evacuated := make(map[string]bool)
+	for _, e := range tables.Entries {
+		if dataCentre, ok := d.Evacuation(e.Key); ok && e.Value != nil {
+			evacuated[dataCentre] = true
+		}
+	}
+	page, err := keyed.Snapshot(ctx, s, p.Targets)
 	if err != nil {
 		return nil, fmt.Errorf("read the list of targets: %w", err)
 	}
@@ -58,7 +75,7 @@
 		if t.Target, err = d.Target(e); err != nil {
 			t.Target, t.Fault = roster.Target{ID: e.Key}, err.Error()
 		} else {
-			t.Limit = known[t.Run()]
+			t.Limit, t.Evacuated = known[t.Run()], evacuated[t.DataCentre]
 		}
 		list = append(list, t)
 	}
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -128,17 +128,20 @@
 func TestTargets(t *testing.T) {
 	store := &keyd.Store{}
 	put(t, store, "t", "z", `{"ID":"z","Service":"a","Draining":true}`)
-	put(t, store, "t", "y", `{"ID":"y","Service":"b"}`)
+	put(t, store, "t", "y", `{"ID":"y","Service":"b","DataCentre":"dc"}`)
+	put(t, store, "tables", keyd.EvacuationPrefix+"dc", `{}`)
 	put(t, store, "t", "broken", `{`)
 	put(t, store, "board", limit.Key("y/0"), `{"seq":1,"rate":1.5}`)
 	put(t, store, "board", limit.Key("z/0"), `{"seq":2,"rate":0}`)
 	put(t, store, "board", limit.Key("w/0"), `x`)
-	got, err := audit.Targets(t.Context(), store, keyed.Partition{Topic: "t"}, keyed.Partition{Topic: "board"}, keyd.Records{})
+	got, err := audit.Targets(t.Context(), store, audit.Partitions{
+		Targets: keyed.Partition{Topic: "t"}, Tables: keyed.Partition{Topic: "tables"}, Board: keyed.Partition{Topic: "board"},
+	}, keyd.Records{})
 	if err != nil || len(got) != 3 {
 		t.Fatalf("targets are %+v, error %v; want 3 targets", got, err)
 	}
-	if got[0].ID != "broken" || got[0].Fault == "" || got[1].ID != "z" || !got[1].Draining || got[2].ID != "y" || got[2].Fault != "" || got[2].Limit != 1.5 || got[1].Limit != 0 {
-		t.Errorf("targets are %+v, want broken with a fault, z draining, and y without a fault and with a limit", got)
+	if got[0].ID != "broken" || got[0].Fault == "" || got[1].ID != "z" || !got[1].Draining || got[2].ID != "y" || got[2].Fault != "" || got[2].Limit != 1.5 || got[1].Limit != 0 || !got[2].Evacuated || got[1].Evacuated {
+		t.Errorf("targets are %+v, want broken with a fault, z draining, and y without a fault, with a limit and evacuated", got)
 	}
 }
 
--- a/internal/edge/cold.go
+++ b/internal/edge/cold.go
@@ -129,7 +129,7 @@
 		}
 		orders = append(orders, table.Order{DataCentre: dataCentre, Exists: e.Value != nil})
 	}
-	begun, ended := n.evacuations.Apply(time.Now(), orders, c.Full, current)
+	begun, ended := n.evacuations.Apply(time.Now(), orders, c.Full, c.Restored, current)
 	for _, dataCentre := range begun {
 		targets := n.engine.fleet.evacuate(dataCentre, true)
 		n.logger("config").Info("data centre is evacuated; its targets get no new requests", "data-centre", dataCentre, "targets", targets)
--- a/internal/emul/fleet.go
+++ b/internal/emul/fleet.go
@@ -55,6 +55,7 @@
 	senders senders
 	crashes crashes
 	limits  limits
+	places  places
 }
 
 // start starts the store, the targets and the instances, and waits until they are
@@ -62,6 +63,7 @@
 func start(ctx context.Context, s Scenario, logs io.Writer) (*fleet, error) {
 	f := &fleet{s: s, store: &keyd.Store{}, logger: log.NewWithOptions(logs, log.Options{Formatter: log.JSONFormatter, ReportTimestamp: true})}
 	f.store.Switches.Set(keyd.Switches{Delay: storeDelay})
+	f.places.evacuated = make(map[string]time.Time)
 	f.ctx, f.stop = context.WithCancel(ctx)
 	err := errors.Join(f.startTargets(), f.put("tables", "table", f.table()))
 	if err == nil {
@@ -97,7 +99,7 @@
 func (f *fleet) table() *table.Table {
 	t := &table.Table{
 		Version: 1, NeedsKey: true, Keys: make(map[string]*table.Organisation),
-		Services: map[string]table.Service{service: {Name: service, EventTokens: f.s.EventTokens}},
+		Services: map[string]table.Service{service: {Name: service, EventTokens: f.s.EventTokens, ColdTime: f.s.ColdTime, ColdRate: f.s.ColdRate}},
 		Limits:   table.Limits{HeadBytes: 16 << 10, BodyBytes: 1 << 20, HeadTimeout: 5 * time.Second, IdleTimeout: time.Minute},
 	}
 	for i, k := range f.s.Kinds {
@@ -160,6 +162,14 @@
 		}
 		return
 	}
+	switch dataCentre := f.s.dataCentre(t.DataCentre); {
+	case t.Evacuate:
+		f.evacuate(dataCentre, on)
+		return
+	case t.ReturnCold:
+		f.returnCold(dataCentre, on)
+		return
+	}
 	if t.Target == nil {
 		for _, i := range f.instances[:min(t.Count, len(f.instances))] {
 			i.set(t, on)
--- a/internal/emul/instance.go
+++ b/internal/emul/instance.go
@@ -99,9 +99,10 @@
 		}
 		l := &link{Store: f.store}
 		in := &instance{f: f, link: l, options: edge.Options{
-			Instance: fmt.Sprintf("instance-%d", i), DataCentre: "here", Machine: fmt.Sprintf("machine-%d", i),
+			Instance: fmt.Sprintf("instance-%d", i), DataCentre: f.s.dataCentre(i), Machine: fmt.Sprintf("machine-%d", i),
 			Listen: listen, ReadyListen: ready, PeerListen: peers, ReadyPath: "/ready", MetricsPath: "/metrics", Grace: stopGrace,
 			Retries: edge.Retries{Window: retryWindow, Share: retryShare, Burst: retrySpare},
+			Cold:    edge.ColdBound{Excess: coldExcess, Spare: coldSpare},
 			Dialect: dialect, Store: l, Decoder: keyd.Records{},
 			Tables: keyed.Partition{Topic: "tables"}, Targets: keyed.Partition{Topic: "targets"}, Budgets: "budgets", Pledges: "pledges",
 			Board:  keyed.Partition{Topic: "board"},
--- a/internal/emul/replica.go
+++ b/internal/emul/replica.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/beryllanding/beryllanding/internal/stand/modeld"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
@@ -57,6 +58,11 @@
 	if n := len(r.runs); n > 0 {
 		e.ID = fmt.Sprintf("target-%d-%d", r.index, n)
 	}
+	place, coldLeft := s.dataCentre(r.index), time.Duration(0)
+	if len(r.runs) > 0 {
+		coldLeft = s.ColdTime
+	}
+	warm := time.Now().Add(coldLeft)
 	server := &http.Server{Handler: e, ErrorLog: r.f.logger.StandardLog()}
 	e.CrashAfter = func(id string) (events int, crashes bool) {
 		cause, events := r.f.cause(id)
@@ -66,6 +72,7 @@
 		cause, _ := r.f.cause(id)
 		r.crash(server, cause)
 	}
+	e.Accepted = func(id string) { r.f.places.accepted(e.ID, place, warm, r.f.senders.of(id)) }
 	e.Arrived = func(id string, limit float64) {
 		from := r.f.senders.of(id)
 		if cause, _ := r.f.cause(id); cause != "" {
@@ -75,7 +82,7 @@
 	}
 	go func() { _ = server.Serve(l) }() // Serve returns when the server is closed.
 	r.runs, r.server = append(r.runs, e), server
-	return r.f.put("targets", e.ID, roster.Target{ID: e.ID, Service: service, Address: r.addr, DataCentre: "here", Version: e.Version, Born: int64(len(r.runs))})
+	return r.f.put("targets", e.ID, roster.Target{ID: e.ID, Service: service, Address: r.addr, DataCentre: place, Version: e.Version, Born: int64(len(r.runs)), ColdLeft: coldLeft})
 }
 
 // crash ends the run of a server: its listener and all its connections are closed at once,
--- a/internal/emul/report.go
+++ b/internal/emul/report.go
@@ -192,6 +192,9 @@
 	for _, broken := range f.limits.broken(f.s.Settle) {
 		t.violation(broken)
 	}
+	for _, broken := range f.places.broken(f.s.ColdRate) {
+		t.violation(broken)
+	}
 	slices.Sort(t.r.Violations)
 }
 
--- a/internal/emul/scenario.go
+++ b/internal/emul/scenario.go
@@ -47,6 +47,12 @@
 	// Versions is the number of software versions among the replicas. What two of them write
 	// doesn't fit together.
 	Versions int
+	// DataCentres is the number of data centres among which instances and targets are spread.
+	DataCentres int
+	// ColdTime is how long a target is cold after it starts during the scenario. ColdRate is
+	// the number of requests a second that it tolerates then; 0 stands for any.
+	ColdTime time.Duration
+	ColdRate float64
 	// Restart is the time after which a target that crashed is back, under a new id.
 	Restart time.Duration
 	// Dark means that a target that crashes keeps its connections open and says nothing more.
@@ -121,6 +127,10 @@
 	// them again at the end of the fault. With either, Store and Target are nil.
 	Cut, Stop bool
 	Count     int
+	// Evacuate evacuates the data centre DataCentre. ReturnCold ends its targets, and starts
+	// them again, cold, at the end of the fault. With either, the fields above are not set.
+	Evacuate, ReturnCold bool
+	DataCentre           int
 	// Copy, if it is not 0, is the age of the copy that the store comes back from at the
 	// end of the fault.
 	Copy time.Duration
@@ -193,6 +203,9 @@
 			s.Settle = p.duration("settle", defaultSettle)
 			s.Dark = p.whole("dark", 0) != 0
 			s.Versions = int(p.whole("versions", 1))
+			s.DataCentres = int(p.whole("data-centres", 1))
+			s.ColdTime = p.duration("cold-time", 0)
+			s.ColdRate = p.number("cold-rate", 0)
 		case "kind":
 			s.Kinds = append(s.Kinds, Kind{
 				Name: name, Rate: p.number("rate", 0), Prompt: p.whole("prompt", 100), Output: p.whole("output", 20),
@@ -253,8 +266,12 @@
 		t.Cut = true
 	case "instance-stop":
 		t.Stop = true
+	case "evacuate":
+		t.Evacuate, t.DataCentre = true, int(p.whole("data-centre", 0))
+	case "return-cold":
+		t.ReturnCold, t.DataCentre = true, int(p.whole("data-centre", 0))
 	default:
-		p.fault(fmt.Sprintf("what = %q: expected store-down, store-restored, store-slow, store-forgetful, silent, reject, fault, break, foreign, leave, rest, limit, slow, instance-cut or instance-stop", what))
+		p.fault(fmt.Sprintf("what = %q: expected store-down, store-restored, store-slow, store-forgetful, silent, reject, fault, break, foreign, leave, rest, limit, slow, instance-cut, instance-stop, evacuate or return-cold", what))
 	}
 	return t
 }
@@ -269,6 +286,9 @@
 	between("[fleet] instances", int64(s.Instances), 1, maxInstances)
 	between("[fleet] targets", int64(s.Targets), 1, maxTargets)
 	between("[fleet] versions", int64(s.Versions), 1, maxTargets)
+	between("[fleet] data-centres", int64(s.DataCentres), 1, maxTargets)
+	between("[fleet] cold-rate", int64(s.ColdRate), 0, maxRate)
+	between("[fleet] cold-time in ms", s.ColdTime.Milliseconds(), 0, maxLength.Milliseconds())
 	between("[fleet] length in ms", s.Length.Milliseconds(), 1, maxLength.Milliseconds())
 	between("[fleet] event-tokens", s.EventTokens, 1, maxTokens)
 	between("[fleet] prompt-rate", int64(s.PromptRate), 1, maxTokens)
--- a/internal/stand/modeld/modeld.go
+++ b/internal/stand/modeld/modeld.go
@@ -68,6 +68,10 @@
 	// the limit that its response names.
 	Arrived func(id string, limit float64)
 
+	// Accepted, if it is not nil, is called with the id of each request that is meant for the
+	// replica.
+	Accepted func(id string)
+
 	Switches toggle.Box[Switches]
 
 	once  sync.Once
@@ -150,6 +154,9 @@
 		q.decline(http.StatusMisdirectedRequest)
 		return
 	}
+	if e.Accepted != nil {
+		e.Accepted(q.id)
+	}
 	if tokens, err := d.ParseTokens([]byte(r.Header.Get(d.Tokens))); err == nil {
 		q.tokens = tokens
 	}
--- a/pkg/table/evacuation.go
+++ b/pkg/table/evacuation.go
@@ -19,17 +19,18 @@
 	inForce map[string]time.Time
 }
 
-// rewriteGrace is how long after the configuration an order may be written again by the
-// operators once the store was restored from an older copy.
-const rewriteGrace = 2 * time.Second
+// rewriteGrace is how long after a restore of the store from an older copy, and after the
+// operators have written their configuration again, an order that the copy lacks stays in
+// force. Operators and targets write again within about two seconds.
+const rewriteGrace = 2100 * time.Millisecond
 
 // Apply applies the records of a change and returns the data centres whose evacuation begins
-// and ends, sorted. full means that there are no other orders in the store. current means
-// that the store has the newest known configuration. It has not after it was restored from
-// an older copy, until the operators have written again what the copy lacks; an order that
-// is missing meanwhile stays in force. Apply must be called now and then also without
+// and ends, sorted. full means that there are no other orders in the store. restored means that
+// they are those of an older copy from which the store was restored; current means that the
+// store has the newest known configuration. An order that a copy lacks stays in force until
+// the operators had time to write it again. Apply must be called now and then also without
 // records.
-func (e *Evacuations) Apply(now time.Time, orders []Order, full, current bool) (begun, ended []string) {
+func (e *Evacuations) Apply(now time.Time, orders []Order, full, restored, current bool) (begun, ended []string) {
 	before := slices.Collect(maps.Keys(e.inForce))
 	if e.inForce == nil {
 		e.inForce = make(map[string]time.Time)
@@ -46,7 +47,7 @@
 	for dataCentre, end := range e.inForce {
 		missing := !end.IsZero() || (full && !exists[dataCentre])
 		switch {
-		case missing && !current:
+		case missing && (restored || !current):
 			e.inForce[dataCentre] = now.Add(rewriteGrace)
 		case missing && !end.After(now):
 			delete(e.inForce, dataCentre)
--- a/pkg/table/evacuation_test.go
+++ b/pkg/table/evacuation_test.go
@@ -14,11 +14,13 @@
 func TestEvacuations(t *testing.T) {
 	set, removed := func(dc string) Order { return Order{dc, true} }, func(dc string) Order { return Order{DataCentre: dc} }
 	type step struct {
-		at      time.Duration
-		orders  []Order
-		full    bool
-		old     bool
-		changes string
+		at     time.Duration
+		orders []Order
+		full   bool
+		// restored and old are set if the store was restored, and if it has an old
+		// configuration.
+		restored, old bool
+		changes       string
 	}
 	for name, steps := range map[string][]step{
 		"sent twice and taken back twice": {
@@ -40,7 +42,7 @@
 		},
 		"copy lacks the order, which is written again after the configuration": {
 			{orders: []Order{set("a")}, changes: "+a"},
-			{full: true, old: true},
+			{full: true, restored: true, old: true},
 			{at: time.Minute, old: true},
 			{at: time.Minute + time.Second},
 			{at: time.Minute + 1500*time.Millisecond, orders: []Order{set("a")}},
@@ -48,12 +50,19 @@
 		},
 		"copy lacks the order, which is not written again": {
 			{orders: []Order{set("a")}, changes: "+a"},
-			{full: true, old: true},
+			{full: true, restored: true, old: true},
 			{at: time.Second},
 			{at: 3 * time.Second, changes: "-a"},
 		},
+		"copy with the newest configuration lacks the order": {
+			{orders: []Order{set("a")}, changes: "+a"},
+			{full: true, restored: true},
+			{at: time.Second},
+			{at: 1500 * time.Millisecond, orders: []Order{set("a")}},
+			{at: 5 * time.Second},
+		},
 		"copy has an order that was taken back": {
-			{orders: []Order{set("a")}, full: true, old: true, changes: "+a"},
+			{orders: []Order{set("a")}, full: true, restored: true, old: true, changes: "+a"},
 			{at: time.Second, orders: []Order{removed("a")}, changes: "-a"},
 		},
 	} {
@@ -61,7 +70,7 @@
 			var e Evacuations
 			start := time.Unix(1000, 0)
 			for i, s := range steps {
-				begun, ended := e.Apply(start.Add(s.at), s.orders, s.full, !s.old)
+				begun, ended := e.Apply(start.Add(s.at), s.orders, s.full, s.restored, !s.old)
 				var got []string
 				for _, dc := range begun {
 					got = append(got, "+"+dc)
