pkg/room, internal/edge: an overloaded instance refuses a part of its requests at once

Change: a gate follows the delay of the instance's goroutines and the use of its link, and refuses a share of new requests with a time for a retry of 5 to 50 ms, which reaches another instance.

--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -55,6 +55,7 @@
 	Meter   *meter.Meter
 
 	fleet      *fleet
+	room       ownRoom
 	quarantine quarantine
 	origins    origins
 	buffers    buffers
@@ -159,6 +160,11 @@
 	if len(x.id) == 0 || x.head.Count(e.Dialect.RequestID) != 1 {
 		return x.deny(statusBadRequest, 0, "a request carries one id")
 	}
+	if e.room.refuses(x.statedTime()) {
+		e.Meter.OverloadRefusal()
+		x.respondError(statusUnavailable, returnLeast+rand.N(returnSpread), "instance is overloaded; others may have room")
+		return false
+	}
 	e.awaitLoaded(x.ctx)
 	x.table, x.tableAge = e.view.Load(), e.age()
 	if x.table == nil {
@@ -185,6 +191,16 @@
 	return true
 }
 
+// statedTime returns the time that the caller is left with by its own field, or maxDeadline if
+// there is none. Whether the field is valid is checked later.
+func (x *exchange) statedTime() time.Duration {
+	ms, err := strconv.ParseInt(string(x.head.Get(x.e.Dialect.Deadline)), 10, 64)
+	if err != nil {
+		return maxDeadline
+	}
+	return min(maxDeadline, time.Duration(ms)*time.Millisecond) - time.Since(x.arrived)
+}
+
 // awaitLoaded waits until the configuration, the targets and the shared records were read for
 // the first time, up to startWait. Later than startWait after the start, it doesn't wait for
 // the shared records.
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -72,6 +73,8 @@
 type fleet struct {
 	dataCentre string
 	retries    Retries
+	// wrap, if it is not nil, wraps the connections to targets.
+	wrap func(net.Conn) net.Conn
 
 	mu    sync.Mutex
 	start time.Time
@@ -135,7 +138,7 @@
 		f.group(service)
 	}
 	for service, g := range f.groups {
-		a, r, d := g.update(byService[service])
+		a, r, d := g.update(byService[service], f.wrap)
 		f.applyLimits(g)
 		added, removed, draining = added+a, removed+len(r), draining+d
 		for _, t := range r {
@@ -151,14 +154,14 @@
 
 // update replaces the targets of the group. It returns how many were added and began to
 // drain, and those that were removed.
-func (g *group) update(list []roster.Target) (added int, removed []*target, draining int) {
+func (g *group) update(list []roster.Target, wrap func(net.Conn) net.Conn) (added int, removed []*target, draining int) {
 	next := make(map[string]*target, len(list))
 	entries := make([]route.Target, 0, len(list))
 	for _, t := range list {
 		name := t.Run()
 		old := g.byName[name]
 		if old == nil || !old.Same(t) {
-			old = &target{Target: t, name: name, pool: pool.Pool{Addr: t.Address}}
+			old = &target{Target: t, name: name, pool: pool.Pool{Addr: t.Address, Wrap: wrap}}
 			added++
 		}
 		if t.Draining && !old.Draining {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -76,6 +76,10 @@
 	// Grace is the time allowed between the stop signal and the end of the process.
 	Grace   time.Duration
 	Retries Retries
+	// LinkRate is the rate of the machine's link in bytes a second; 0 if it is not known.
+	LinkRate float64
+	// NoRefusals switches off the refusals of an overloaded instance.
+	NoRefusals bool
 	// Cold bounds the requests at cold targets. The zero value is no bound.
 	Cold    ColdBound
 	Dialect Dialect
@@ -141,6 +145,8 @@
 		fleet: newFleet(opts.DataCentre, opts.Retries), loaded: make(chan struct{}), started: time.Now(),
 	}
 	n.engine.fleet.cold.bound = opts.Cold
+	n.engine.room.linkRate, n.engine.room.logger = opts.LinkRate, n.logger("node")
+	n.engine.fleet.wrap = n.engine.room.counted
 	n.engine.origins.dial = n.peers.Client
 	n.setUpBoard()
 	n.server = &Server{Engine: n.engine, Logger: opts.Logger.WithPrefix("callers")}
@@ -203,7 +209,7 @@
 	// need it.
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){n.tables.Run, n.targets.Run, n.engine.Budgets.Run, n.runBoard, n.watchClock} {
+	for _, run := range []func(context.Context){n.tables.Run, n.targets.Run, n.engine.Budgets.Run, n.runBoard, n.watchClock, n.watchRoom} {
 		wg.Go(func() { run(work) })
 	}
 	served := make(chan error, 1)
@@ -249,6 +255,13 @@
 	n.logger("node").Info("stopped", "took", time.Since(began), "busy", n.server.Busy())
 }
 
+// watchRoom measures the instance's own load until the context ends.
+func (n *Node) watchRoom(ctx context.Context) {
+	if !n.opts.NoRefusals {
+		n.engine.room.run(ctx, func() bool { return n.engine.idleFor() < time.Second })
+	}
+}
+
 // serveStatus serves readiness and metrics until the returned function is called.
 func (n *Node) serveStatus() (func(), error) {
 	ready := mux.NewRouter()
@@ -307,6 +320,8 @@
 	if n.opts.LogDropped != nil {
 		s.LogDropped = n.opts.LogDropped()
 	}
+	load, refused := n.engine.room.state()
+	s.RunDelay, s.LinkUse, s.Refused = load.Delay, load.Link, refused
 	for _, h := range n.engine.Budgets.Holdings() {
 		s.Budgets = append(s.Budgets, meter.Budget{Name: h.Budget, Free: int64(h.Free), Reserved: int64(h.Reserved)})
 	}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -76,6 +76,7 @@
 			continue
 		}
 		s.Engine.Meter.Connection()
+		nc = s.Engine.room.counted(nc)
 		c := &callerConn{s: s, nc: nc, r: bufio.NewReaderSize(nc, callerBufferBytes)}
 		s.mu.Lock()
 		if s.conns == nil {
@@ -236,7 +237,7 @@
 
 // linger closes the write side and discards what the caller still sends.
 func (c *callerConn) linger() {
-	if tc, ok := c.nc.(*net.TCPConn); ok {
+	if tc, ok := tcpConn(c.nc); ok {
 		_ = tc.CloseWrite() // The caller may have closed the connection already.
 	}
 	c.setDeadline(lingerTimeout)
@@ -275,7 +276,7 @@
 
 // abort resets a connection, so that a partial response cannot look complete.
 func abort(nc net.Conn) {
-	if tc, ok := nc.(*net.TCPConn); ok {
+	if tc, ok := tcpConn(nc); ok {
 		_ = tc.SetLinger(0) // SetLinger fails only on a closed connection.
 	}
 	_ = nc.Close() // Nothing more is sent on it.
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -43,6 +43,10 @@
 	TableAge     time.Duration
 	// LogEpoch is the number of times that the store was restored, as far as it told.
 	LogEpoch int64
+	// RunDelay is the delay of the instance's own work, and LinkUse the use of its link as a
+	// share of the link's rate. Refused is the share of new requests that it refuses.
+	RunDelay         time.Duration
+	LinkUse, Refused float64
 	// Open is the number of requests in progress.
 	Open int
 	// LogDropped is the number of log lines dropped so far.
@@ -62,7 +66,7 @@
 	requests, attempts, retries, notices               metric.Int64Counter
 	wrongResponses, connections                        metric.Int64Counter
 	ended, quarantines, refusals, limited, told, asked metric.Int64Counter
-	coldAttempts                                       metric.Int64Counter
+	coldAttempts, overloadRefusals                     metric.Int64Counter
 	requestTime, firstByte, reserveTime                metric.Float64Histogram
 }
 
@@ -175,6 +179,9 @@
 	m.add(m.limited, attribute.String("service", service))
 }
 
+// OverloadRefusal counts a request that was refused because the instance is overloaded.
+func (m *Meter) OverloadRefusal() { m.add(m.overloadRefusals) }
+
 // ColdAttempt counts an attempt at a cold target.
 func (m *Meter) ColdAttempt(service string) {
 	m.add(m.coldAttempts, attribute.String("service", service))
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -34,6 +34,7 @@
 			Cold: map[string]int{"s": 1}, Evacuated: map[string]int{"s": 2},
 			Suspected: map[string]int{"s": 2}, Quarantined: map[string]int{"s": 1}, TableVersion: 7,
 			TableAge: 250 * time.Millisecond, LogEpoch: 3, Open: 2, LogDropped: 4,
+			RunDelay: 80 * time.Millisecond, LinkUse: 0.5, Refused: 0.25,
 		}
 	})
 	if err != nil {
@@ -52,6 +53,7 @@
 	m.QuarantineRefusal("s")
 	m.LimitedAttempt("s")
 	m.ColdAttempt("s")
+	m.OverloadRefusal()
 	m.OriginsTold(2, true)
 	m.OriginAsked("s", "peer")
 	m.WrongResponse()
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -58,6 +58,10 @@
 	targetsColdMetric    = definition{"beryl.targets.cold", gauge, "", "service", "Targets in the list that are cold: they get few requests a second from all instances together"}
 	evacuatedMetric      = definition{"beryl.targets.evacuated", gauge, "", "service", "Targets in the list that get no new requests because operators evacuated their data centre. As many as `beryl_targets`: callers get 503"}
 	coldAttemptsMetric   = definition{"beryl.cold.attempts", counter, "", "service", "Attempts at cold targets. Its rate, summed over all instances, is to stay below what the cold targets tolerate"}
+	overloadMetric       = definition{"beryl.overload.refusals", counter, "", "", "Requests refused with 503 because the instance is overloaded. Their callers' retries reach other instances"}
+	overloadShareMetric  = definition{"beryl.overload.share", gauge, "", "", "Share of new requests that the overloaded instance refuses now, from 0 to 1"}
+	runDelayMetric       = definition{"beryl.run.delay", gauge, seconds, "", "Time that the instance's own work waits for the processor: the longest tenth. Above 0.05: the instance is overloaded"}
+	linkUseMetric        = definition{"beryl.link.use", gauge, "", "", "Use of the machine's link in the busier direction, as a share of the rate in the settings. Above 0.8: the instance is overloaded"}
 	freeMetric           = definition{"beryl.budget.free", gauge, "", "budget", "Tokens that this instance may use. 0 for long: the budget is spent or the store away"}
 	reservedMetric       = definition{"beryl.budget.reserved", gauge, "", "budget", "Tokens of requests in progress, at their most"}
 	versionMetric        = definition{"beryl.table.version", gauge, "", "", "Version of the configuration in force"}
@@ -67,7 +71,7 @@
 
 	definitions = []definition{
 		requestsMetric, requestTimeMetric, firstByteMetric, reserveTimeMetric, attemptsMetric, retriesMetric, noticesMetric, wrongResponsesMetric, connectionsMetric, openMetric,
-		endedMetric, quarantinesMetric, refusalsMetric, limitedMetric, coldAttemptsMetric, toldMetric, askedMetric, suspectedMetric, quarantinedMetric,
+		endedMetric, quarantinesMetric, refusalsMetric, limitedMetric, coldAttemptsMetric, overloadMetric, overloadShareMetric, runDelayMetric, linkUseMetric, toldMetric, askedMetric, suspectedMetric, quarantinedMetric,
 		targetsMetric, leavingMetric, restingMetric, targetsLimitedMetric, targetsColdMetric, evacuatedMetric, freeMetric, reservedMetric, versionMetric, ageMetric, epochMetric, logDroppedMetric,
 	}
 )
@@ -96,7 +100,8 @@
 	m.notices = newCounter(noticesMetric)
 	m.ended, m.quarantines, m.refusals = newCounter(endedMetric), newCounter(quarantinesMetric), newCounter(refusalsMetric)
 	m.limited, m.told, m.asked = newCounter(limitedMetric), newCounter(toldMetric), newCounter(askedMetric)
-	m.coldAttempts = newCounter(coldAttemptsMetric)
+	m.coldAttempts, m.overloadRefusals = newCounter(coldAttemptsMetric), newCounter(overloadMetric)
+	share, delay, link := newGauge(overloadShareMetric), newGauge(runDelayMetric), newGauge(linkUseMetric)
 	m.requestTime, m.firstByte, m.reserveTime = newHistogram(requestTimeMetric), newHistogram(firstByteMetric), newHistogram(reserveTimeMetric)
 	open, targets, free, reserved := newGauge(openMetric), newGauge(targetsMetric), newGauge(freeMetric), newGauge(reservedMetric)
 	leaving, resting, limited := newGauge(leavingMetric), newGauge(restingMetric), newGauge(targetsLimitedMetric)
@@ -120,12 +125,15 @@
 			}
 		}
 		o.ObserveFloat64(open, float64(s.Open))
+		o.ObserveFloat64(share, s.Refused)
+		o.ObserveFloat64(delay, s.RunDelay.Seconds())
+		o.ObserveFloat64(link, s.LinkUse)
 		o.ObserveFloat64(version, float64(s.TableVersion))
 		o.ObserveFloat64(age, s.TableAge.Seconds())
 		o.ObserveFloat64(epoch, float64(s.LogEpoch))
 		o.ObserveInt64(dropped, s.LogDropped)
 		return nil
-	}, open, targets, leaving, resting, limited, cold, evacuated, suspected, quarantined, free, reserved, version, age, epoch, dropped)
+	}, open, share, delay, link, targets, leaving, resting, limited, cold, evacuated, suspected, quarantined, free, reserved, version, age, epoch, dropped)
 	return errors.Join(append(errs, err)...)
 }
 
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -79,6 +79,8 @@
 	Addr string
 	// DialTimeout bounds a connection attempt; 0 means DefaultDialTimeout.
 	DialTimeout time.Duration
+	// Wrap, if it is not nil, returns the connection through which a new one is used.
+	Wrap func(net.Conn) net.Conn
 
 	mu     sync.Mutex
 	idle   []*Conn
@@ -131,6 +133,10 @@
 			return nil, errors.Join(ErrConnect, err)
 		}
 	}
+	if p.Wrap != nil {
+		c.Conn = p.Wrap(nc)
+		c.Reader.Reset(c.Conn)
+	}
 	return c, nil
 }
 
