pkg/room, internal/edge: events are forwarded in groups under load; the link is only shown

Change: the gate follows the processor alone; the use of the link is a metric. While the instance's work waits, events of streams are held back for up to a third of the settings' bound and written together.

--- a/cmd/beryl-edge/main.go
+++ b/cmd/beryl-edge/main.go
@@ -23,7 +23,7 @@
 // options holds the command line's options.
 type options struct {
 	Settings string `long:"settings" value-name:"FILE" description:"settings file of the platform; if it is omitted, the file that the environment variable BERYLLANDING_BOOT names"`
-	ServeAll bool   `long:"serve-all" description:"serve all requests also while the instance is overloaded, instead of refusing a part of them at once"`
+	ServeAll bool   `long:"serve-all" description:"serve all requests and forward each event at once also while the instance is overloaded"`
 	LogLevel string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least severe level that is logged"`
 }
 
@@ -77,7 +77,7 @@
 	store := platform.NewStore(settings.StoreAddress)
 	store.Logger = logger.WithPrefix("store")
 	nodeOptions := platform.Options(settings, store, logger)
-	nodeOptions.NoRefusals = opts.ServeAll
+	nodeOptions.ServeAll = opts.ServeAll
 	nodeOptions.LogDropped = out.Dropped
 	node := edge.New(nodeOptions)
 	go reload(ctx, path, settings, store, logger)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -78,8 +78,12 @@
 	Retries Retries
 	// LinkRate is the rate of the machine's link in bytes a second; 0 if it is not known.
 	LinkRate float64
-	// NoRefusals switches off the refusals of an overloaded instance.
-	NoRefusals bool
+	// EventDelay is the longest time for which an event of a stream may be under way in an
+	// instance; 0 means that it is forwarded at once.
+	EventDelay time.Duration
+	// ServeAll switches off what an overloaded instance does otherwise: it refuses a part of
+	// its requests and forwards events in groups.
+	ServeAll bool
 	// Cold bounds the requests at cold targets. The zero value is no bound.
 	Cold    ColdBound
 	Dialect Dialect
@@ -145,7 +149,7 @@
 		fleet: newFleet(opts.DataCentre, opts.Retries), loaded: make(chan struct{}), started: time.Now(),
 	}
 	n.engine.fleet.cold.bound = opts.Cold
-	n.engine.room.linkRate, n.engine.room.logger = opts.LinkRate, n.logger("node")
+	n.engine.room.linkRate, n.engine.room.hold, n.engine.room.logger = opts.LinkRate, opts.EventDelay/holdDivisor, n.logger("node")
 	n.engine.fleet.wrap = n.engine.room.counted
 	n.engine.origins.dial = n.peers.Client
 	n.setUpBoard()
@@ -257,7 +261,7 @@
 
 // watchRoom measures the instance's own load until the context ends.
 func (n *Node) watchRoom(ctx context.Context) {
-	if !n.opts.NoRefusals {
+	if !n.opts.ServeAll {
 		n.engine.room.run(ctx, func() bool { return n.engine.idleFor() < time.Second })
 	}
 }
@@ -320,8 +324,7 @@
 	if n.opts.LogDropped != nil {
 		s.LogDropped = n.opts.LogDropped()
 	}
-	load, refused := n.engine.room.state()
-	s.RunDelay, s.LinkUse, s.Refused = load.Delay, load.Link, refused
+	s.RunDelay, s.LinkUse, s.Refused = n.engine.room.state()
 	for _, h := range n.engine.Budgets.Holdings() {
 		s.Budgets = append(s.Budgets, meter.Budget{Name: h.Budget, Free: int64(h.Free), Reserved: int64(h.Reserved)})
 	}
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -31,6 +31,9 @@
 	// most bytes of payload in one.
 	packetBytes   = 66
 	packetPayload = 1448
+	// holdDivisor is the part (1/n) of the time for which an event may be under way that it
+	// is held back at most. The rest is for the delays of an overloaded instance.
+	holdDivisor = 3
 	// slowestShare is the share of the instance's goroutines whose delay counts as that of
 	// its work: those that wait longest.
 	slowestShare = 0.1
@@ -44,13 +47,19 @@
 type ownRoom struct {
 	// linkRate is the rate of the machine's link in bytes a second; 0 if it is not known.
 	linkRate float64
-	logger   *log.Logger
+	// hold is the longest time for which events of a stream are held back.
+	hold   time.Duration
+	logger *log.Logger
 
 	in, out atomic.Int64
+	// eventHold is how long events are held back now, in ns.
+	eventHold atomic.Int64
 
 	mu     sync.Mutex
 	gate   room.Gate
 	sample room.Sample
+	// link is the use of the link at the last sample, as a share of its rate.
+	link float64
 	// counts are the counts of the buckets of schedLatencies at the last sample.
 	counts []uint64
 }
@@ -68,21 +77,23 @@
 		}
 		metrics.Read(samples)
 		now := time.Now()
-		s := room.Sample{At: now, Link: r.linkUse(now.Sub(last))}
-		last = now
+		s := room.Sample{At: now}
 		r.mu.Lock()
+		r.link = r.linkUse(now.Sub(last))
+		last = now
 		if samples[0].Value.Kind() == metrics.KindFloat64Histogram {
 			s.Delay = r.slowest(samples[0].Value.Float64Histogram())
 		}
 		r.sample = s
-		changed, refused := r.gate.Observe(s), r.gate.Refused()
+		changed, refused, link := r.gate.Observe(s), r.gate.Refused(), r.link
+		r.eventHold.Store(int64(r.gate.Hold(r.hold)))
 		r.mu.Unlock()
 		if changed && r.logger != nil {
 			msg := "instance is overloaded; it refuses a part of its new requests"
 			if refused == 0 {
 				msg = "instance is no longer overloaded"
 			}
-			r.logger.Info(msg, "run-delay", s.Delay, "link-use", s.Link)
+			r.logger.Info(msg, "run-delay", s.Delay, "link-use", link)
 		}
 	}
 }
@@ -127,11 +138,19 @@
 	return r.gate.Refuses(rand.Float64(), left, returnTime)
 }
 
-// state returns the last sample and the refused share.
-func (r *ownRoom) state() (s room.Sample, refused float64) {
+// holdEvents waits as long as events of a stream are to be held back, so that those that
+// arrive meanwhile are forwarded together.
+func (r *ownRoom) holdEvents() {
+	if d := r.eventHold.Load(); d > 0 {
+		time.Sleep(time.Duration(d))
+	}
+}
+
+// state returns the delay of the instance's work, the use of its link, and the refused share.
+func (r *ownRoom) state() (delay time.Duration, link, refused float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.sample, r.gate.Refused()
+	return r.sample.Delay, r.link, r.gate.Refused()
 }
 
 // countedConn counts the bytes of a connection for the use of the link.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -69,6 +69,7 @@
 			if x.events-a.events > beginEvents {
 				x.recordAnswered(a)
 			}
+			x.e.room.holdEvents()
 		}
 		if err != nil {
 			return uncertain{err: err, forwarded: x.w.started}
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -61,7 +61,7 @@
 	overloadMetric       = definition{"beryl.overload.refusals", counter, "", "", "Requests refused with 503 because the instance is overloaded. Their callers' retries reach other instances"}
 	overloadShareMetric  = definition{"beryl.overload.share", gauge, "", "", "Share of new requests that the overloaded instance refuses now, from 0 to 1"}
 	runDelayMetric       = definition{"beryl.run.delay", gauge, seconds, "", "Time that the instance's own work waits for the processor: the longest tenth. Above 0.05: the instance is overloaded"}
-	linkUseMetric        = definition{"beryl.link.use", gauge, "", "", "Use of the machine's link in the busier direction, as a share of the rate in the settings. Above 0.8: the instance is overloaded"}
+	linkUseMetric        = definition{"beryl.link.use", gauge, "", "", "Use of the machine's link in the busier direction, as a share of the rate in the settings. Near 1: requests wait for the link, unread"}
 	freeMetric           = definition{"beryl.budget.free", gauge, "", "budget", "Tokens that this instance may use. 0 for long: the budget is spent or the store away"}
 	reservedMetric       = definition{"beryl.budget.reserved", gauge, "", "budget", "Tokens of requests in progress, at their most"}
 	versionMetric        = definition{"beryl.table.version", gauge, "", "", "Version of the configuration in force"}
--- a/pkg/room/room.go
+++ b/pkg/room/room.go
@@ -11,16 +11,17 @@
 	// A request waits for it some three times before its first byte, and the shortest goals
 	// of routes are some hundred ms.
 	DelayGoal = 50 * time.Millisecond
-	// LinkGoal is the use of the link, as a share of its rate, above which packets begin to
-	// queue in bursts.
-	LinkGoal = 0.8
+	// holdFrom and holdFull are the delays from which events of streams are held back to be
+	// forwarded together, and at which they are held back for the longest time allowed.
+	holdFrom = 5 * time.Millisecond
+	holdFull = 25 * time.Millisecond
 	// maxRefused bounds the refused share. The rest shows when the overload ends.
 	maxRefused = 0.95
 	// rise and fall are the largest changes of the refused share in a second. A
 	// burst is met within a second; the share falls slowly, so that it does not swing.
 	rise = 5.0
 	fall = 0.5
-	// slackBelow is the part of the goals below which the refused share falls.
+	// slackBelow is the part of the goal below which the refused share falls.
 	slackBelow = 0.8
 	// maxStep bounds the time that one sample stands for.
 	maxStep = 500 * time.Millisecond
@@ -31,14 +32,10 @@
 	At time.Time
 	// Delay is how long the instance's work waits for the processor.
 	Delay time.Duration
-	// Link is the use of the link as a share of its rate; 0 if the rate is not known.
-	Link float64
 }
 
-// pressure returns how far the sample is above the goals: 1 is at the goal that is nearer.
-func (s Sample) pressure() float64 {
-	return max(float64(s.Delay)/float64(DelayGoal), s.Link/LinkGoal)
-}
+// pressure returns how far the sample is above the goal: 1 is at the goal.
+func (s Sample) pressure() float64 { return float64(s.Delay) / float64(DelayGoal) }
 
 // Gate holds the share of requests that are refused. The zero value refuses none. It is not
 // safe for concurrent use.
@@ -61,7 +58,7 @@
 	}
 	g.last = s.At
 	before, p := g.refused, s.pressure()
-	// A single sample above the goals is a burst that passes by itself.
+	// A single sample above the goal is a burst that passes by itself.
 	lasting := min(p, g.before)
 	g.before = p
 	switch {
@@ -73,6 +70,14 @@
 	return (before == 0) != (g.refused == 0)
 }
 
+// Hold returns how long events of streams are held back after the last ones were forwarded,
+// up to most. Few large writes take much less processor time than many small ones.
+func (g *Gate) Hold(most time.Duration) time.Duration {
+	delay := time.Duration(g.before * float64(DelayGoal))
+	part := float64(delay-holdFrom) / float64(holdFull-holdFrom)
+	return time.Duration(float64(most) * min(1, max(0, part)))
+}
+
 // Refuses reports whether a new request is refused. u is a uniform random number in [0, 1),
 // left the caller's remaining time, and back the time that a return takes. A request that has
 // no time to return is not refused.
