pkg/room: an overloaded instance leaves the rotation for some seconds

Change: an instance whose link or processor is overloaded is not ready for 3 to 8 s, so that new connections of the caller go to the next instance while the kept ones stay. At most one in ten instances, and one in three of a data centre, by records on the board.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -18,6 +18,7 @@
 	"github.com/beryllanding/beryllanding/internal/meter"
 	"github.com/beryllanding/beryllanding/internal/peers"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
+	"github.com/beryllanding/beryllanding/pkg/room"
 	"github.com/beryllanding/beryllanding/pkg/roster"
 	"github.com/beryllanding/beryllanding/pkg/table"
 )
@@ -150,6 +151,10 @@
 	}
 	n.engine.fleet.cold.bound = opts.Cold
 	n.engine.room.linkRate, n.engine.room.hold, n.engine.room.logger = opts.LinkRate, opts.EventDelay/holdDivisor, n.logger("node")
+	n.engine.room.self, n.engine.room.dataCentre = opts.Instance, opts.DataCentre
+	n.engine.room.share = func(out bool) {
+		n.board.Write(room.Key(opts.Instance), room.Value(opts.DataCentre, out), 0)
+	}
 	n.engine.fleet.wrap = n.engine.room.counted
 	n.engine.origins.dial = n.peers.Client
 	n.setUpBoard()
@@ -171,7 +176,7 @@
 	if n.stopping.Load() || n.engine.view.Load() == nil {
 		return false
 	}
-	return n.isListComplete() && n.engine.Budgets.Loaded()
+	return n.isListComplete() && n.engine.Budgets.Loaded() && !n.engine.room.out()
 }
 
 // isListComplete reports whether the target list was read completely at least once.
@@ -250,6 +255,7 @@
 	}
 	_ = l.Close() // No further connections are accepted.
 	n.engine.fleet.depart()
+	n.board.Write(room.Key(n.opts.Instance), nil, 0)
 	ctx, cancel := context.WithTimeout(context.Background(), tokenReturnTime/2)
 	defer cancel()
 	defer n.board.Flush(ctx)
@@ -261,6 +267,7 @@
 
 // watchRoom measures the instance's own load until the context ends.
 func (n *Node) watchRoom(ctx context.Context) {
+	n.engine.room.share(false)
 	if !n.opts.ServeAll {
 		n.engine.room.run(ctx, func() bool { return n.engine.idleFor() < time.Second })
 	}
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/beryllanding/beryllanding/pkg/keyed"
 	"github.com/beryllanding/beryllanding/pkg/pause"
 	"github.com/beryllanding/beryllanding/pkg/room"
 )
@@ -58,6 +59,13 @@
 	mu     sync.Mutex
 	gate   room.Gate
 	sample room.Sample
+	// rotation decides whether the instance takes new connections, by what it knows of its
+	// peers. share makes a change known to them.
+	rotation room.Rotation
+	peers    room.Peers
+	share    func(out bool)
+	// self and dataCentre are the instance's name and place.
+	self, dataCentre string
 	// link is the use of the link at the last sample, as a share of its rate.
 	link float64
 	// counts are the counts of the buckets of schedLatencies at the last sample.
@@ -86,8 +94,15 @@
 		}
 		r.sample = s
 		changed, refused, link := r.gate.Observe(s), r.gate.Refused(), r.link
+		others := r.peers.Others(now, r.self, r.dataCentre)
+		moved := r.rotation.Observe(s, link, others)
+		out := r.rotation.Out()
 		r.eventHold.Store(int64(r.gate.Hold(r.hold)))
 		r.mu.Unlock()
+		if moved {
+			r.share(out)
+			r.logMove(out, s.Delay, link, others)
+		}
 		if changed && r.logger != nil {
 			msg := "instance is overloaded; it refuses a part of its new requests"
 			if refused == 0 {
@@ -98,6 +113,42 @@
 	}
 }
 
+// logMove logs that the instance left the rotation or returned.
+func (r *ownRoom) logMove(out bool, delay time.Duration, link float64, others room.Others) {
+	if r.logger == nil {
+		return
+	}
+	msg := "instance is in the rotation again"
+	if out {
+		msg = "instance leaves the rotation: it is overloaded, and others take its new connections"
+	}
+	r.logger.Info(msg, "run-delay", delay, "link-use", link, "others-out", others.Out, "instances", others.All, "instances-here", others.Here)
+}
+
+// apply applies what other instances have shared.
+func (r *ownRoom) apply(c keyed.Change) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	exists := make(map[string]bool)
+	for _, e := range c.Entries {
+		if instance, ok := room.ParseKey(e.Key); ok {
+			exists[instance] = e.Value != nil
+			r.peers.See(now, instance, e.Value)
+		}
+	}
+	if c.Full {
+		r.peers.Retain(func(instance string) bool { return exists[instance] })
+	}
+}
+
+// out reports whether the instance is out of the rotation.
+func (r *ownRoom) out() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rotation.Out()
+}
+
 // linkUse returns the use of the link in the busier direction since the last call, as a share
 // of its rate.
 func (r *ownRoom) linkUse(d time.Duration) float64 {
--- a/internal/edge/shared.go
+++ b/internal/edge/shared.go
@@ -21,6 +21,7 @@
 		Store: n.opts.Store, Partition: n.opts.Board,
 		OnChange: func(c keyed.Change) {
 			f.applyShared(c)
+			n.engine.room.apply(c)
 			q.setInstances(n.opts.Instance, f.instances())
 			n.engine.origins.setPeers(f.peerAddresses())
 			q.apply(c)
