--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -176,7 +176,7 @@
 	if n.stopping.Load() || n.engine.view.Load() == nil {
 		return false
 	}
-	return n.isListComplete() && n.engine.Budgets.Loaded() && !n.engine.room.out()
+	return n.isListComplete() && n.engine.Budgets.Loaded() && !n.engine.room.isOut()
 }
 
 // isListComplete reports whether the target list was read completely at least once.
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -142,8 +142,8 @@
 	}
 }
 
-// out reports whether the instance is out of the rotation.
-func (r *ownRoom) out() bool {
+// isOut reports whether the instance is out of the rotation.
+func (r *ownRoom) isOut() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.rotation.Out()
