pkg/route, platform: targets may report how long work takes now

Cause: the load field of targets that share their machines has a fourth figure; with it the whole field was rejected, so instances knew no load of such targets. Change: it is read; a moving average that decays within a second multiplies the estimated time.

--- a/pkg/route/cost.go
+++ b/pkg/route/cost.go
@@ -43,6 +43,12 @@
 	// of its requests is tried again after some seconds.
 	excessDecay = 3 * time.Second
 	faultDecay  = 6 * time.Second
+	// slowdownDecay is that of reported slowdowns. A report tells little about a request
+	// that is sent a second later.
+	slowdownDecay = time.Second
+	// maxSlowdown bounds a reported slowdown, so that a wrong value doesn't withdraw the
+	// target.
+	maxSlowdown = 10
 	// observeWeight is the weight of the newest observation in a decayingMean.
 	observeWeight = 0.3
 	// prefixTTL is how long a prefix is assumed to stay in a target's cache.
@@ -195,7 +201,8 @@
 	if !home && !p.recent.has(req.Prefix, t, now) {
 		tokens += cacheMissWeight * float64(req.Prompt.Shared)
 	}
-	c := tokens/p.policy.TokensPerMs + t.load()*p.policy.RequestMs + t.waiting*waitingCostMs
+	c := (tokens/p.policy.TokensPerMs + t.load()*p.policy.RequestMs) * (1 + t.slowdown.valueAt(now, slowdownDecay))
+	c += t.waiting * waitingCostMs
 	c += t.excessLatency.valueAt(now, excessDecay) + faultCostMs*t.faultRate.valueAt(now, faultDecay)
 	if t.DataCentre != p.DataCentre {
 		c += p.policy.RemoteMs
--- a/pkg/route/picker.go
+++ b/pkg/route/picker.go
@@ -66,6 +66,9 @@
 	prefillTokens float64
 	// waiting is the number of waiting requests in the last report.
 	waiting float64
+	// slowdown is the moving average of what the target reports above its usual speed, as a
+	// multiple of the usual time. It decays, since it changes many times a second.
+	slowdown decayingMean
 	// excessLatency is the average time in ms by which first tokens came later than
 	// estimated; see FirstToken. faultRate is the average of failed requests, from 0
 	// for none to 1 for all; see RecordResult. Both decay over time.
@@ -169,6 +172,9 @@
 	others := float64(max(0, status.Running+status.Waiting-t.inFlight))
 	t.otherLoad += reportWeight * (others - t.otherLoad)
 	t.waiting = float64(max(0, status.Waiting))
+	if status.Slowdown > 0 {
+		t.slowdown.add(now, slowdownDecay, min(status.Slowdown, maxSlowdown)-1)
+	}
 	t.reportedAt = now
 	if status.Draining {
 		t.drainingUntil = now.Add(drainingTTL)
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -44,6 +44,9 @@
 	Waiting int64
 	// Draining is set if the target takes no new work.
 	Draining bool
+	// Slowdown is how long work takes at the target now, as a multiple of the usual; 0 if the
+	// target doesn't tell.
+	Slowdown float64
 }
 
 // Request describes the request for which a target is picked.
