pkg/lease: less urgent requests leave the last tokens to more urgent ones

Ruled out: tokens that lie elsewhere; the accounts of the five budgets with the most refusals show none. Change: a request is refused at once if less is left of its budget than the more urgent ones need for 20 s, unless these are more than half of the demand.

--- a/internal/alloc/alloc.go
+++ b/internal/alloc/alloc.go
@@ -97,6 +97,9 @@
 	// When less than a tenth of a budget is left, the floors of idle leases would be a
 	// large part of it.
 	ScarceShare: 0.1,
+	// When a budget comes to its end, its less urgent requests leave the rest to the more
+	// urgent ones, if these need little of it. Their callers then have time to pay for more.
+	UrgentTime: 20 * time.Second,
 	// After a loss of 3% of a budget, the tokens for the last second of demand are
 	// released over 20 s. About one small request in twenty is then served.
 	PaceTime:      20 * time.Second,
@@ -359,11 +362,23 @@
 // waits up to Options.MaxWait for a grant. The error is a *refuse.Refusal with the
 // outcome not-run, or the context's error if the context ended first.
 func (s *Service) Reserve(ctx context.Context, budget string, tokens ledger.Tokens) (Reservation, error) {
+	return s.ReserveRank(ctx, budget, tokens, 0)
+}
+
+// ReserveRank is Reserve for a request of a rank, of which 0 is the most urgent. Near the end
+// of a budget, less urgent requests are refused for more urgent ones; see lease.Holder.Yields.
+func (s *Service) ReserveRank(ctx context.Context, budget string, tokens ledger.Tokens, rank int) (Reservation, error) {
+	// The demand of a request that yields counts too: if it didn't, the next one would not
+	// yield.
+	s.holder.RecordDemand(budget, tokens, time.Now())
+	s.holder.RecordRank(budget, rank, tokens, time.Now())
+	if s.holder.Yields(budget, rank, time.Now()) {
+		return Reservation{}, s.yieldRefusal(budget)
+	}
 	if s.fenced.Load() {
 		return Reservation{}, s.budgetUnreachable(budget, tokens)
 	}
 	t := Reservation{ID: ident.NewRequestID(), Budget: budget}
-	s.holder.RecordDemand(budget, tokens, time.Now())
 	var err error
 	t.Charges, err = s.holder.Reserve(t.ID, budget, tokens, time.Now())
 	if err == nil {
@@ -476,6 +491,16 @@
 		fmt.Sprintf("budget %q is spent, except for a remainder that is released slowly after a loss of tokens", budget))
 }
 
+// yieldRetryAfter is the least Retry-After of a request that yields to more urgent ones. Until
+// the budget is raised, a return is in vain.
+const yieldRetryAfter = 2 * time.Second
+
+// yieldRefusal refuses a request for the sake of more urgent ones.
+func (s *Service) yieldRefusal(budget string) error {
+	return newRefusal(refuse.CodeBudgetUnreachable, yieldRetryAfter,
+		fmt.Sprintf("budget %q: what is left is kept for more urgent requests", budget))
+}
+
 func newRefusal(code refuse.Code, after time.Duration, message string) *refuse.Refusal {
 	return &refuse.Refusal{Code: code, Outcome: refuse.NotRun, RetryAfter: after, Message: message}
 }
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -313,7 +313,7 @@
 	if x.org != nil && x.org.Limited && bound > 0 {
 		var err error
 		began := time.Now()
-		reservation, err = x.e.Budgets.Reserve(x.ctx, x.org.Name, bound)
+		reservation, err = x.e.Budgets.ReserveRank(x.ctx, x.org.Name, bound, x.priority())
 		x.reserveTime = time.Since(began)
 		if err != nil {
 			x.denyReservation(err)
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -108,6 +108,8 @@
 	transferUntil time.Time
 	seen          View
 	demand        demand
+	// ranks is the demand by rank, or nil before the first request with a rank.
+	ranks *rankDemand
 	// used counts the tokens of the own lease that settled requests used. Under
 	// pledges, it includes those transferred to peers.
 	used ledger.Tokens
--- a/pkg/lease/policy.go
+++ b/pkg/lease/policy.go
@@ -49,6 +49,9 @@
 	PaceTime      time.Duration
 	PaceThreshold time.Duration
 	PaceShare     float64
+	// UrgentTime is the time for which the tokens of more urgent requests are kept when a
+	// budget comes to its end; see Holder.Yields. 0 keeps none.
+	UrgentTime time.Duration
 	// FloorInUse applies the floor only to budgets that a request has asked for here.
 	FloorInUse bool
 	// FirstShare bounds the first grant of a budget to this fraction of the free
