--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -313,7 +313,8 @@
 	if x.org != nil && x.org.Limited && bound > 0 {
 		var err error
 		began := time.Now()
-		reservation, err = x.e.Budgets.ReserveRank(x.ctx, x.org.Name, bound, x.priority())
+		// Within one organisation, whose own rank goes first elsewhere, the routes' ranks decide.
+		reservation, err = x.e.Budgets.ReserveRank(x.ctx, x.org.Name, bound, x.route.Priority)
 		x.reserveTime = time.Since(began)
 		if err != nil {
 			x.denyReservation(err)
