--- a/pkg/keyed/follow.go
+++ b/pkg/keyed/follow.go
@@ -36,8 +36,9 @@
 	Restored bool
 	// LogEpoch is the epoch that the change is from.
 	LogEpoch LogEpoch
-	// RequestedAt is when the call that returned the change was sent. The change is at least
-	// as new as the store's state at that time.
+	// RequestedAt is a time at which the store's state was no newer than the change: when the
+	// call that returned it was sent or, if the call returned only a part of the new records,
+	// that of an earlier change.
 	RequestedAt time.Time
 }
 
@@ -67,6 +68,8 @@
 	// synced means that the follower can read on from end. While it is false, the
 	// follower needs a snapshot.
 	synced bool
+	// current is when the last call was sent that returned all records up to the end.
+	current time.Time
 	// epochs tracks the restores of the store. restored means that the next change is
 	// the first after a restore.
 	epochs   EpochTracker
@@ -129,6 +132,11 @@
 	if err := f.observe(page.LogEpoch); err != nil || !f.synced {
 		return err
 	}
+	if page.More {
+		// Further records remain. They may be old versions of the same keys, so a snapshot is
+		// shorter.
+		f.synced, at = false, f.current
+	}
 	f.deliver(page, false, at)
 	return nil
 }
@@ -162,7 +170,7 @@
 		f.offsets[e.Key] = e.Offset
 		newer = append(newer, e)
 	}
-	f.end = max(f.end, page.End)
+	f.end, f.current = max(f.end, page.End), at
 	f.OnChange(Change{Entries: newer, Full: full, Restored: full && f.restored, LogEpoch: f.epochs.Current, RequestedAt: at})
 }
 
--- a/pkg/keyed/follow_test.go
+++ b/pkg/keyed/follow_test.go
@@ -210,3 +210,56 @@
 		t.Error(err, diff)
 	}
 }
+
+// pageStore returns at most a number of records from each read.
+type pageStore struct {
+	*keyd.Store
+	most int
+}
+
+// Read implements keyed.Store.
+func (s pageStore) Read(ctx context.Context, p keyed.Partition, from keyed.Offset, wait time.Duration) (keyed.Page, error) {
+	page, err := s.Store.Read(ctx, p, from, wait)
+	if len(page.Entries) > s.most {
+		page.Entries, page.More = page.Entries[:s.most], true
+		page.End = page.Entries[s.most-1].Offset + 1
+	}
+	return page, err
+}
+
+// TestFollowPartialRead guards against a follower that counts as up to date although a read
+// returned only a part of the new records: a request would be refused by an old
+// configuration. The follower then takes a snapshot, which has the newest record of each key.
+func TestFollowPartialRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &keyd.Store{}
+		put(t, store, "config", "0")
+		f, v := follow(pageStore{store, 2})
+		f.ReadInterval = time.Second
+		apply := f.OnChange
+		var changes []keyed.Change
+		f.OnChange = func(c keyed.Change) {
+			changes = append(changes, c)
+			apply(c)
+		}
+		run(t, f)
+		synctest.Wait()
+		before := time.Now()
+		for i := range 5 {
+			put(t, store, "config", fmt.Sprint(i+1))
+		}
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		want(t, v, map[string]string{"config": "5"})
+		for i, c := range changes {
+			for _, e := range c.Entries {
+				if string(e.Value) != "0" && string(e.Value) != "5" && c.RequestedAt.After(before) {
+					t.Errorf("change %d with the old value %s says that it is current", i, e.Value)
+				}
+			}
+		}
+		if last := changes[len(changes)-1]; !last.RequestedAt.After(before) {
+			t.Errorf("the last change is from %v, want it current", last.RequestedAt)
+		}
+	})
+}
--- a/pkg/keyed/keyed.go
+++ b/pkg/keyed/keyed.go
@@ -50,7 +50,8 @@
 	Entries []Entry
 	// End is the offset of the next record to be written.
 	End Offset
-	// More is set by Newest if there are keys after the key of the last entry.
+	// More is set by Newest if there are keys after the key of the last entry, and by Read if
+	// there are records after the last entry.
 	More bool
 	// LogEpoch is the epoch in which the store responded.
 	LogEpoch LogEpoch
