--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -24,10 +25,11 @@
 	defaultTimeout = 30 * time.Second
 	// maxDeadline caps the time that a caller may ask for.
 	maxDeadline = time.Hour
-	// staleAfter is the age above which the configuration counts as stale: entries may
-	// have been added since it was read. Reads of the store wait up to 2 s, and a lost
-	// read is detected within 2 s more.
+	// staleAfter is the age above which the configuration counts as stale if the settings
+	// name no bound: entries may have been added since it was read. staleShare is the part
+	// of the settings' bound for which it does. A read waits up to tablesWait.
 	staleAfter = 4 * time.Second
+	staleShare = 0.75
 	// startWait is how long a request waits for the first reading of the configuration, of
 	// the targets and of the shared records by an instance that has just started. The
 	// reading takes a few calls to the store.
@@ -54,6 +56,8 @@
 	Logger  *log.Logger
 	Meter   *meter.Meter
 
+	// staleAfter replaces the constant if it is not 0.
+	staleAfter time.Duration
 	fleet      *fleet
 	room       ownRoom
 	quarantine quarantine
@@ -483,7 +487,7 @@
 func (x *exchange) isHead() bool { return string(x.head.Method) == "HEAD" }
 
 // stale reports whether a newer configuration may exist.
-func (e *Engine) stale() bool { return e.age() > staleAfter }
+func (e *Engine) stale() bool { return e.age() > cmp.Or(e.staleAfter, staleAfter) }
 
 // age returns the time since the store last confirmed that the active configuration
 // is the newest.
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -77,6 +77,9 @@
 	// Grace is the time allowed between the stop signal and the end of the process.
 	Grace   time.Duration
 	Retries Retries
+	// ConfigBound is the time within which a new configuration is in force; 0 if it is not
+	// known.
+	ConfigBound time.Duration
 	// LinkRate is the rate of the machine's link in bytes a second; 0 if it is not known.
 	LinkRate float64
 	// EventDelay is the longest time for which an event of a stream may be under way in an
@@ -156,6 +159,7 @@
 		n.board.Write(room.Key(opts.Instance), room.Value(opts.DataCentre, out), 0)
 	}
 	n.engine.fleet.wrap = n.engine.room.counted
+	n.engine.staleAfter = min(staleAfter, time.Duration(staleShare*float64(opts.ConfigBound)))
 	n.engine.origins.dial = n.peers.Client
 	n.setUpBoard()
 	n.server = &Server{Engine: n.engine, Logger: opts.Logger.WithPrefix("callers")}
--- a/pkg/lease/rank_test.go
+++ b/pkg/lease/rank_test.go
@@ -70,11 +70,11 @@
 // requests have one rank, or the urgent ones are the larger part of the demand.
 func TestNothingIsKept(t *testing.T) {
 	for name, load := range map[string]scarceLoad{
-		"enough":             {left: 9_000_000, fresh: true, large: 1, smallRate: 10},
-		"one rank":           {left: 1_500_000, fresh: true, large: 1, small: 1, smallRate: 10},
-		"large ones first":   {left: 1_500_000, fresh: true, large: 0, small: 1, smallRate: 10},
-		"rank out of range":  {left: 1_500_000, fresh: true, large: 99, small: 50, smallRate: 10},
-		"nothing is left":    {},
+		"enough":            {left: 9_000_000, fresh: true, large: 1, smallRate: 10},
+		"one rank":          {left: 1_500_000, fresh: true, large: 1, small: 1, smallRate: 10},
+		"large ones first":  {left: 1_500_000, fresh: true, large: 0, small: 1, smallRate: 10},
+		"rank out of range": {left: 1_500_000, fresh: true, large: 99, small: 50, smallRate: 10},
+		"nothing is left":   {},
 	} {
 		oldLarge, oldSmall := load.play(t)
 		load.keep = 20 * time.Second
@@ -94,3 +94,33 @@
 		t.Errorf("%d urgent requests served, %d before; want 50 more", small, oldSmall)
 	}
 }
+
+// TestKeptTokensAreBounded: no more than UrgentShare of what was paid is kept, and nothing after
+// a loss that starts pacing.
+func TestKeptTokensAreBounded(t *testing.T) {
+	for _, c := range []struct {
+		share  float64
+		left   ledger.Tokens
+		lost   ledger.Tokens
+		yields bool
+	}{
+		{0, 150_000, 0, true},
+		{0.01, 150_000, 0, false},
+		{0.01, 50_000, 0, true},
+		{0.01, 50_000, 400_000, false},
+	} {
+		h := lease.New("i~1", lease.Policy{RateTime: 4 * time.Second, UrgentTime: 20 * time.Second, UrgentShare: c.share, PaceShare: 0.03})
+		h.Sync("o", lease.View{Fresh: true, Known: true, Paid: 10_000_000, Free: c.left, Lost: c.lost, Own: "i~1"})
+		now := time.Unix(1000, 0)
+		for range 100 {
+			now = now.Add(100 * time.Millisecond)
+			for rank, tokens := range []ledger.Tokens{1000, 9000} {
+				h.RecordDemand("o", tokens, now)
+				h.RecordRank("o", rank, tokens, now)
+			}
+		}
+		if got := h.Yields("o", 1, now); got != c.yields {
+			t.Errorf("%+v: yields is %v", c, got)
+		}
+	}
+}
