--- a/internal/alloc/alloc.go
+++ b/internal/alloc/alloc.go
@@ -99,7 +99,9 @@
 	ScarceShare: 0.1,
 	// When a budget comes to its end, its less urgent requests leave the rest to the more
 	// urgent ones, if these need little of it. Their callers then have time to pay for more.
-	UrgentTime: 20 * time.Second,
+	// What is kept may be lost with machines that lose power.
+	UrgentTime:  20 * time.Second,
+	UrgentShare: 0.02,
 	// After a loss of 3% of a budget, the tokens for the last second of demand are
 	// released over 20 s. About one small request in twenty is then served.
 	PaceTime:      20 * time.Second,
@@ -373,7 +375,7 @@
 	s.holder.RecordDemand(budget, tokens, time.Now())
 	s.holder.RecordRank(budget, rank, tokens, time.Now())
 	if s.holder.Yields(budget, rank, time.Now()) {
-		return Reservation{}, s.yieldRefusal(budget)
+		return Reservation{}, s.yieldRefusal(budget, tokens)
 	}
 	if s.fenced.Load() {
 		return Reservation{}, s.budgetUnreachable(budget, tokens)
@@ -491,14 +493,11 @@
 		fmt.Sprintf("budget %q is spent, except for a remainder that is released slowly after a loss of tokens", budget))
 }
 
-// yieldRetryAfter is the least Retry-After of a request that yields to more urgent ones. Until
+// yieldRefusal refuses a request for the sake of more urgent ones. It has no retry time: until
 // the budget is raised, a return is in vain.
-const yieldRetryAfter = 2 * time.Second
-
-// yieldRefusal refuses a request for the sake of more urgent ones.
-func (s *Service) yieldRefusal(budget string) error {
-	return newRefusal(refuse.CodeBudgetUnreachable, yieldRetryAfter,
-		fmt.Sprintf("budget %q: what is left is kept for more urgent requests", budget))
+func (s *Service) yieldRefusal(budget string, tokens ledger.Tokens) error {
+	return newRefusal(refuse.CodeBudgetSpent, 0,
+		fmt.Sprintf("budget %q does not cover %d tokens beyond what is kept for more urgent requests", budget, tokens))
 }
 
 func newRefusal(code refuse.Code, after time.Duration, message string) *refuse.Refusal {
