--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -76,9 +76,16 @@
 
 // end closes the listener of a target, as if its process had ended.
 func (w *testEnv) end(target string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	_ = w.listeners[target].Close()
+	for {
+		w.mu.Lock()
+		l := w.listeners[target]
+		w.mu.Unlock()
+		if l != nil {
+			_ = l.Close()
+			return
+		}
+		time.Sleep(time.Millisecond) // The target's goroutine has not started yet.
+	}
 }
 
 func okResponse(id, body string) string {
