internal/emul: instances of one process don't judge their load

Cause: the delay of goroutines is that of the whole process, so on a busy machine instances of the emulator, and nodes in tests, would refuse requests for the load of others. Change: both serve all; a comment.

--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -69,8 +69,10 @@
 		MetricsListen: freeAddress(t), ReadyPath: "/ready", MetricsPath: "/metrics", Grace: 6 * time.Second,
 		Retries: Retries{Window: 10 * time.Second, Share: 0.2, Burst: 32}, Dialect: testDialect, Store: n.store, Decoder: keyd.Records{},
 		Tables: keyed.Partition{Topic: "tables"}, Targets: keyed.Partition{Topic: "targets"}, Budgets: "budgets", Pledges: "pledges",
-		Board:  keyed.Partition{Topic: "board"},
-		Logger: log.New(io.Discard),
+		Board: keyed.Partition{Topic: "board"},
+		// The tests share the processor with others.
+		ServeAll: true,
+		Logger:   log.New(io.Discard),
 	}
 	w.addr = n.opts.Listen
 	n.start()
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -52,6 +52,7 @@
 	hold   time.Duration
 	logger *log.Logger
 
+	// in and out count the bytes on the link since the last sample.
 	in, out atomic.Int64
 	// eventHold is how long events are held back now, in ns.
 	eventHold atomic.Int64
--- a/internal/emul/instance.go
+++ b/internal/emul/instance.go
@@ -103,7 +103,9 @@
 			Listen: listen, ReadyListen: ready, PeerListen: peers, ReadyPath: "/ready", MetricsPath: "/metrics", Grace: stopGrace,
 			Retries: edge.Retries{Window: retryWindow, Share: retryShare, Burst: retrySpare},
 			Cold:    edge.ColdBound{Excess: coldExcess, Spare: coldSpare},
-			Dialect: dialect, Store: l, Decoder: keyd.Records{},
+			// All instances share one process, so none can tell how long its own work waits.
+			ServeAll: true,
+			Dialect:  dialect, Store: l, Decoder: keyd.Records{},
 			Tables: keyed.Partition{Topic: "tables"}, Targets: keyed.Partition{Topic: "targets"}, Budgets: "budgets", Pledges: "pledges",
 			Board:  keyed.Partition{Topic: "board"},
 			Logger: f.logger.With("instance", i),
