--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -86,7 +86,7 @@
 	// instance; 0 means that it is forwarded at once.
 	EventDelay time.Duration
 	// ServeAll switches off what an overloaded instance does otherwise: it refuses a part of
-	// its requests and forwards events in groups.
+	// its requests, forwards events in groups and leaves the rotation.
 	ServeAll bool
 	// Cold bounds the requests at cold targets. The zero value is no bound.
 	Cold    ColdBound
--- a/pkg/room/room.go
+++ b/pkg/room/room.go
@@ -1,7 +1,8 @@
-// Package room decides which part of its new requests an entry instance refuses because it
-// cannot serve all of them in time. It answers this load: one instance gets far more
-// requests than the others of its data centre, which have room, and a caller's retry
-// reaches one of those. The package does no input or output and reads no clock.
+// Package room decides what an overloaded entry instance does: for how long it holds back
+// events of streams, which part of its new requests it refuses, and when it leaves the
+// rotation of the platform's balancer. It answers this load: one instance gets far more
+// requests than the others of its data centre, which have room. The package does no input or
+// output and reads no clock.
 package room
 
 import "time"
