pkg/origin: an instance that may have missed a version names none

Cause: the users report streams that were taken up and joined from two versions. After the end of all instances this repository already rejects such streams, as an instance that has just started names no version. But an instance that could not read the list of targets went on to name the only version that it knew: its list was noted again once a second as if it were current. Versions that came and left while it was cut off were not counted either, so a stream of theirs was continued at another version with status 200. Change: a version is named only while the list is at most two seconds old; all versions of entries in a read count, also of those that are gone by its end; a read of the whole list begins the watch of half a minute anew. Such an instance asks others, and rejects the request if none knows.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/beryllanding/beryllanding/internal/alloc"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
+	"github.com/beryllanding/beryllanding/pkg/origin"
 	"github.com/beryllanding/beryllanding/pkg/roster"
 	"github.com/beryllanding/beryllanding/pkg/table"
 )
@@ -100,6 +101,7 @@
 		n.list.Restored(now)
 	}
 	ids := make(map[string]bool)
+	var versions []origin.Origin
 	for _, entry := range c.Entries {
 		id, ok := n.opts.Decoder.TargetID(entry.Key)
 		if !ok {
@@ -116,6 +118,7 @@
 			continue
 		}
 		ids[id] = true
+		versions = append(versions, origin.Origin{Service: t.Service, Version: t.Version})
 		if t.ColdLeft < 0 || t.ColdLeft > roster.MaxCold {
 			n.logger("targets").Warn("target says for an impossible time that it is cold; using the nearest possible one", "target", t.ID, "cold-left", t.ColdLeft, "most", roster.MaxCold)
 		}
@@ -125,6 +128,9 @@
 	if c.Full {
 		n.list.Retain(ids, now)
 	}
+	// Entries that were replaced or removed since the read before are among the changes, unless
+	// the whole list had to be read.
+	n.engine.origins.read(c.RequestedAt, c.Full, versions)
 	n.publishTargets(now)
 }
 
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -75,12 +75,24 @@
 	o.peers, o.names = addresses, slices.Sorted(maps.Keys(addresses))
 }
 
-// see records the versions of the listed targets. Once a service has several versions, others
-// are told of the streams that began before.
+// see records the versions of the listed targets.
 func (o *origins) see(listed []origin.Origin) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, service := range o.versions.See(time.Now(), listed) {
+	o.tellMixed(o.versions.See(time.Now(), listed))
+}
+
+// read records a read of the target list; see origin.Versions.Read.
+func (o *origins) read(requested time.Time, gap bool, read []origin.Origin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.tellMixed(o.versions.Read(time.Now(), requested, gap, read))
+}
+
+// tellMixed tells others of the streams of services that have several versions now and had one
+// before. o.mu must be held.
+func (o *origins) tellMixed(services []string) {
+	for _, service := range services {
 		for id, known := range o.memory.Of(service) {
 			o.enqueue(toldOrigin{id: id, Origin: known})
 		}
--- a/internal/edge/origins_test.go
+++ b/internal/edge/origins_test.go
@@ -198,7 +198,8 @@
 	v1, v2 := origin.Origin{Service: "s", Version: "v1"}, origin.Origin{Service: "s", Version: "v2"}
 	past := time.Now().Add(-45 * time.Second)
 	for _, p := range nodes[1:] {
-		p.versions.See(past, []origin.Origin{v1})
+		p.versions.Read(past, past, true, []origin.Origin{v1})
+		p.read(time.Now(), false, nil)
 	}
 	if got, ok := nodes[0].ask(t.Context(), "o/1", "s"); !ok || got != v1 {
 		t.Errorf("one version: got %+v, known %v; want %+v", got, ok, v1)
@@ -216,7 +217,9 @@
 func TestSecondVersionIsTold(t *testing.T) {
 	nodes := newPeerNodes(t, 4)
 	v1, v2 := origin.Origin{Service: "s", Version: "v1"}, origin.Origin{Service: "s", Version: "v2"}
-	nodes[0].versions.See(time.Now().Add(-45*time.Second), []origin.Origin{v1})
+	past := time.Now().Add(-45 * time.Second)
+	nodes[0].versions.Read(past, past, true, []origin.Origin{v1})
+	nodes[0].read(time.Now(), false, nil)
 	nodes[0].note("o/1", v1)
 	time.Sleep(2 * tellInterval)
 	known := func() (n int) {
@@ -252,3 +255,71 @@
 		t.Errorf("got %+v, known %v; want %+v", got, ok, want)
 	}
 }
+
+// TestInstancesThatForgot guards against streams that go on at another version than the one that
+// began them, after the instances that knew it are gone: an instance whose knowledge doesn't reach
+// back names no version, and a request that takes such a stream up is rejected and not run.
+func TestInstancesThatForgot(t *testing.T) {
+	v1, v2 := origin.Origin{Service: "s", Version: "v1"}, origin.Origin{Service: "s", Version: "v2"}
+	ago := func(seconds int) time.Time { return time.Now().Add(-time.Duration(seconds) * time.Second) }
+	for name, prepare := range map[string]func(o *origins){
+		"all have just started, two versions serve": func(o *origins) {
+			o.read(time.Now(), true, []origin.Origin{v1, v2})
+		},
+		"all have just started, the old version has left": func(o *origins) {
+			o.read(time.Now(), true, []origin.Origin{v2})
+		},
+		"started 20 s ago, for the second time": func(o *origins) {
+			o.versions.Read(ago(20), ago(20), true, []origin.Origin{v2})
+			o.read(time.Now(), false, nil)
+		},
+		"cut off for 10 s, knows the old version only": func(o *origins) {
+			o.versions.Read(ago(45), ago(45), true, []origin.Origin{v2})
+			o.versions.Read(ago(10), ago(10), false, nil)
+			o.see([]origin.Origin{v2})
+		},
+		"read the whole list again after a cut": func(o *origins) {
+			o.versions.Read(ago(45), ago(45), true, []origin.Origin{v2})
+			o.read(time.Now(), true, []origin.Origin{v2})
+		},
+		"a version came and left during a cut": func(o *origins) {
+			o.versions.Read(ago(45), ago(45), true, []origin.Origin{v2})
+			o.read(time.Now(), false, []origin.Origin{v1})
+			o.see([]origin.Origin{v2})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestEnv(t, breakAfter(2), breakAfter(2))
+			w.setVersions("v2", "v2")
+			w.engine.origins.versions = origin.Versions{}
+			prepare(&w.engine.origins)
+			got := w.ask("/resume/", fields+"Last-Event: 2\nResumes: first\n", "x")
+			if got.status != 503 || len(w.received()) > 0 || got.head.Get("Retry-After") == nil {
+				t.Errorf("got status %d, sent to %d targets; want 503 with a time for a retry, and none", got.status, len(w.received()))
+			}
+		})
+	}
+	w := newTestEnv(t, breakAfter(2))
+	w.setVersions("v2")
+	w.engine.origins.versions = origin.Versions{}
+	w.engine.origins.versions.Read(ago(45), ago(45), true, []origin.Origin{v2})
+	w.engine.origins.read(time.Now(), false, nil)
+	if got := w.ask("/resume/", fields+"Last-Event: 2\nResumes: first\n", "x"); got.status != 200 {
+		t.Errorf("one version for 45 s: got status %d, want 200", got.status)
+	}
+}
+
+// TestStartedInstanceCutOffFromPeers: an instance that started alone, beside others that know a
+// stream but can't be reached, rejects it. It doesn't go by the version that it sees.
+func TestStartedInstanceCutOffFromPeers(t *testing.T) {
+	nodes := newPeerNodes(t, 4)
+	v1, v2 := origin.Origin{Service: "s", Version: "v1"}, origin.Origin{Service: "s", Version: "v2"}
+	for _, p := range nodes[1:] {
+		p.note("o/1", v1)
+		p.server.Stop()
+	}
+	nodes[0].read(time.Now(), true, []origin.Origin{v2})
+	if got, ok := nodes[0].ask(t.Context(), "o/1", "s"); ok {
+		t.Errorf("got %+v, want it unknown", got)
+	}
+}
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -33,6 +33,8 @@
 	// minWatch is how long an instance must have followed the list to know that no other
 	// version served just before.
 	minWatch = 30 * time.Second
+	// maxListAge is the age of the list from which further versions may serve unseen.
+	maxListAge = 2 * time.Second
 )
 
 // Memory holds the origins of streams by the id of the request that brought the first event.
@@ -92,9 +94,22 @@
 
 // Versions tracks which versions serve, by service. The zero value knows none.
 type Versions struct {
-	// first is when the list was first read.
-	first time.Time
-	last  map[Origin]time.Time
+	// first is since when the list has been read without a gap, and confirmed when it was last
+	// known to be the newest.
+	first, confirmed time.Time
+	last             map[Origin]time.Time
+}
+
+// Read records a read of the list that was requested at a time, with the versions of all entries
+// in it, also of those that are not in the list any more. gap is set if entries may have come and
+// gone since the read before. It returns what See does.
+func (v *Versions) Read(now, requested time.Time, gap bool, read []Origin) (mixed []string) {
+	mixed = v.See(now, read)
+	if gap {
+		v.first = now
+	}
+	v.confirmed = requested
+	return mixed
 }
 
 // See records the versions of the targets in the list now. It returns the services for
@@ -131,9 +146,10 @@
 }
 
 // Single returns the only version of a service that serves, or served lately. ok is false if
-// there are several, or if an earlier one may have served before the list was first read.
+// there are several, if an earlier one may have served while the list was not read, or if the list
+// is not current.
 func (v *Versions) Single(now time.Time, service string) (version string, ok bool) {
-	if v.last == nil || now.Sub(v.first) < minWatch {
+	if v.last == nil || now.Sub(v.first) < minWatch || now.Sub(v.confirmed) > maxListAge {
 		return "", false
 	}
 	n := 0
--- a/pkg/origin/origin_test.go
+++ b/pkg/origin/origin_test.go
@@ -105,6 +105,7 @@
 	}
 	check := func(at time.Duration, want state) {
 		t.Helper()
+		v.Read(start.Add(at), start.Add(at), false, nil)
 		version, single := v.Single(start.Add(at), "s")
 		if diff := cmp.Diff(want.Single, single); diff != "" || (single && version != want.Version) {
 			t.Errorf("after %v: version %q, single %v; want %+v", at, version, single, want)
@@ -127,3 +128,40 @@
 	}
 	check(3*time.Minute, state{"v2", true})
 }
+
+// TestUnseenVersions guards against an instance that names the version of a stream although
+// another one may have served without its knowledge: while it can't read the list, or in between.
+func TestUnseenVersions(t *testing.T) {
+	v1, v2 := origin.Origin{Service: "s", Version: "v1"}, origin.Origin{Service: "s", Version: "v2"}
+	second := func(n int) time.Time { return start.Add(time.Duration(n) * time.Second) }
+	for name, c := range map[string]struct {
+		// back is what is read in second 50, after a cut that begins in second 40.
+		back []origin.Origin
+		gap  bool
+		// until is the second until which no version is named after that.
+		until int
+	}{
+		"nothing happened":         {until: 50},
+		"a version came and left":  {back: []origin.Origin{v2}, until: 111},
+		"a version came":           {back: []origin.Origin{v1, v2}, until: 111},
+		"the records were removed": {back: []origin.Origin{v1}, gap: true, until: 80},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var v origin.Versions
+			for n := range 130 {
+				switch {
+				case n == 50:
+					v.Read(second(n), second(n), c.gap, c.back)
+				case n < 40 || n > 50:
+					v.Read(second(n), second(n), n == 0, []origin.Origin{v1})
+				default:
+					v.See(second(n), []origin.Origin{v1}) // The list as it was read last.
+				}
+				_, single := v.Single(second(n), "s")
+				if want := (n >= 30 && n <= 41) || (n >= c.until && n >= 50); single != want {
+					t.Errorf("second %d: a version is named: %v, want %v", n, single, want)
+				}
+			}
+		})
+	}
+}
