pkg/lease: tokens are kept for urgent requests after a loss only

Cause: near the end of a budget, less urgent requests got 402 although the budget covered them, since no other refusal keeps callers from returning in vain. 402 means that the balance does not cover the request. Change: without such a loss nothing is kept, and a 402 is literally true; after one, the reason says that there is a rest and what becomes of it. UrgentShare, which bounded what is kept before a loss, is gone. What a 402 may mean after a loss stays open.

--- a/internal/alloc/alloc.go
+++ b/internal/alloc/alloc.go
@@ -66,6 +66,10 @@
 	// unreachableRetryAfter is the retry time given to a request whose tokens this
 	// instance cannot get now.
 	unreachableRetryAfter = 500 * time.Millisecond
+	// releasedSlowly and keptForUrgent say what becomes of the tokens that are left of a budget
+	// after a loss.
+	releasedSlowly = "released slowly"
+	keptForUrgent  = "kept for more urgent requests"
 )
 
 // Policy sizes leases for a store that may be unreachable for about ten seconds, and
@@ -97,11 +101,9 @@
 	// When less than a tenth of a budget is left, the floors of idle leases would be a
 	// large part of it.
 	ScarceShare: 0.1,
-	// When a budget comes to its end, its less urgent requests leave the rest to the more
-	// urgent ones, if these need little of it. Their callers then have time to pay for more.
-	// What is kept may be lost with machines that lose power.
-	UrgentTime:  20 * time.Second,
-	UrgentShare: 0.02,
+	// When a budget comes to its end after such a loss, its less urgent requests leave the rest
+	// to the more urgent ones, if these need little of it.
+	UrgentTime: 20 * time.Second,
 	// After a loss of 3% of a budget, the tokens for the last second of demand are
 	// released over 20 s. About one small request in twenty is then served.
 	PaceTime:      20 * time.Second,
@@ -375,7 +377,7 @@
 	s.holder.RecordDemand(budget, tokens, time.Now())
 	s.holder.RecordRank(budget, rank, tokens, time.Now())
 	if s.holder.Yields(budget, rank, time.Now()) {
-		return Reservation{}, s.yieldRefusal(budget, tokens)
+		return Reservation{}, s.rationedRefusal(budget, tokens, keptForUrgent)
 	}
 	if s.fenced.Load() {
 		return Reservation{}, s.budgetUnreachable(budget, tokens)
@@ -387,7 +389,7 @@
 		return t, nil
 	}
 	if errors.Is(err, lease.ErrPaced) {
-		return Reservation{}, s.pacedRefusal(budget)
+		return Reservation{}, s.rationedRefusal(budget, tokens, releasedSlowly)
 	}
 	if !errors.Is(err, lease.ErrInsufficient) {
 		return Reservation{}, newRefusal(refuse.CodeTooLarge, 0, err.Error())
@@ -416,7 +418,7 @@
 			return Reservation{}, s.budgetUnreachable(t.Budget, tokens)
 		}
 		if errors.Is(err, lease.ErrPaced) {
-			return Reservation{}, s.pacedRefusal(t.Budget)
+			return Reservation{}, s.rationedRefusal(t.Budget, tokens, releasedSlowly)
 		}
 		if b.partition.worker.isFailed() || s.pledger.worker.isFailed() {
 			if !s.requestTransfers(waiting, b, tokens-s.holder.Allowed(t.Budget, time.Now())) {
@@ -486,18 +488,12 @@
 			budget, tokens, s.holder.Holding(budget).Free, s.holder.Allowed(budget, time.Now())))
 }
 
-// pacedRefusal refuses a request because pacing limits the use of the budget's last
-// tokens. The refusal has no retry time, because an early retry would be refused too.
-func (s *Service) pacedRefusal(budget string) error {
+// rationedRefusal refuses a request beyond the tokens that are released or kept for it, after a loss
+// of machines. It has no retry time: what is left serves few of the requests that are refused, so
+// most returns would be in vain.
+func (s *Service) rationedRefusal(budget string, tokens ledger.Tokens, why string) error {
 	return newRefusal(refuse.CodeBudgetSpent, 0,
-		fmt.Sprintf("budget %q is spent, except for a remainder that is released slowly after a loss of tokens", budget))
-}
-
-// yieldRefusal refuses a request for the sake of more urgent ones. It has no retry time: until
-// the budget is raised, a return is in vain.
-func (s *Service) yieldRefusal(budget string, tokens ledger.Tokens) error {
-	return newRefusal(refuse.CodeBudgetSpent, 0,
-		fmt.Sprintf("budget %q does not cover %d tokens beyond what is kept for more urgent requests", budget, tokens))
+		fmt.Sprintf("budget %q does not cover %d tokens: after a loss of machines, what is left is %s", budget, tokens, why))
 }
 
 func newRefusal(code refuse.Code, after time.Duration, message string) *refuse.Refusal {
--- a/pkg/lease/pace.go
+++ b/pkg/lease/pace.go
@@ -21,7 +21,7 @@
 // enough tokens for it have accumulated. This favours small requests, so that the
 // remaining tokens serve as many callers as possible.
 func (p Policy) paced(b *budgetState, tokens ledger.Tokens, now time.Time) bool {
-	if p.PaceTime == 0 || b.seen.Lost == 0 || float64(b.seen.Lost) < p.PaceShare*float64(b.seen.Paid) {
+	if p.PaceTime == 0 || !p.lossPaces(b) {
 		return false
 	}
 	part := 1.0
@@ -41,6 +41,11 @@
 	return b.paceTokens < float64(tokens)
 }
 
+// lossPaces reports whether machines were lost with so many tokens that what is left is rationed.
+func (p Policy) lossPaces(b *budgetState) bool {
+	return b.seen.Lost > 0 && float64(b.seen.Lost) >= p.PaceShare*float64(b.seen.Paid)
+}
+
 // spendPace subtracts a reservation from the tokens that pacing has released.
 func (b *budgetState) spendPace(tokens ledger.Tokens) {
 	b.paceTokens = max(0, b.paceTokens-float64(tokens))
--- a/pkg/lease/policy.go
+++ b/pkg/lease/policy.go
@@ -50,10 +50,8 @@
 	PaceThreshold time.Duration
 	PaceShare     float64
 	// UrgentTime is the time for which the tokens of more urgent requests are kept when a
-	// budget comes to its end; see Holder.Yields. 0 keeps none.
+	// budget comes to its end after a loss; see Holder.Yields. 0 keeps none.
 	UrgentTime time.Duration
-	// UrgentShare bounds what is kept so to this fraction of the paid tokens; 0 is no bound.
-	UrgentShare float64
 	// FloorInUse applies the floor only to budgets that a request has asked for here.
 	FloorInUse bool
 	// FirstShare bounds the first grant of a budget to this fraction of the free
--- a/pkg/lease/rank.go
+++ b/pkg/lease/rank.go
@@ -55,18 +55,17 @@
 }
 
 // Yields reports whether a request of a rank leaves the tokens of the budget to more urgent
-// requests: less is left than those need for Policy.UrgentTime, up to Policy.UrgentShare of
-// what was paid, by their part in the demand at this holder and the demand of all holders.
-// UrgentShare does not bind after a loss that starts pacing. While the log cannot be read,
-// what is left is the holder's own tokens, and the demand is its own too. No request yields if
-// the more urgent ones are the larger part of the demand.
+// requests, after a loss of machines that starts pacing: less is left than those need for
+// Policy.UrgentTime, by their part in the demand at this holder and the demand of all holders.
+// While the log cannot be read, what is left is the holder's own tokens, and the demand is its own
+// too. No request yields if the more urgent ones are the larger part of the demand.
 func (h *Holder) Yields(budget string, rank int, now time.Time) (yields bool) {
 	h.with(budget, func(_ *shard, b *budgetState) { yields = h.Policy.yields(b, rank, now) })
 	return yields
 }
 
 func (p Policy) yields(b *budgetState, rank int, now time.Time) bool {
-	if p.UrgentTime == 0 || b.ranks == nil || !b.seen.Known {
+	if p.UrgentTime == 0 || b.ranks == nil || !b.seen.Known || !p.lossPaces(b) {
 		return false
 	}
 	part := b.ranks.moreUrgent(rank)
@@ -77,12 +76,5 @@
 	if b.seen.Fresh {
 		left, rate, keep = left+float64(b.seen.Free), rate+float64(b.seen.OthersPerSecond), p.UrgentTime
 	}
-	kept := part * rate * keep.Seconds()
-	// What is kept before a loss of machines may be lost with them. After it, what is left
-	// serves many more of the urgent requests than of the others.
-	lost := p.PaceShare > 0 && float64(b.seen.Lost) >= p.PaceShare*float64(b.seen.Paid)
-	if p.UrgentShare > 0 && !lost {
-		kept = min(kept, p.UrgentShare*float64(b.seen.Paid))
-	}
-	return left < kept
+	return left < part*rate*keep.Seconds()
 }
