pkg/route: the pace of events shows which targets read prompts

Reports are old, and waiting requests show in 4 of 100 responses. Change: events of an instance's own streams come late while their target reads prompts, also those of others. Such a target costs more, the longer it has been reading; one whose events come as usual is compared too and costs least.

--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -280,6 +280,14 @@
 	f.group(service).picker.FirstToken(time.Now(), &a.routed, true)
 }
 
+// events records that events of the attempt's stream arrived. held is set if the instance holds
+// events back.
+func (f *fleet) events(service string, a *attempt, held bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.group(service).picker.Events(time.Now(), &a.routed, held)
+}
+
 // reportLoad records the load that a target reports.
 func (f *fleet) reportLoad(service string, a *attempt, status route.Status) {
 	f.mu.Lock()
@@ -295,6 +303,7 @@
 	now := time.Now()
 	a.target.open--
 	g.picker.FirstToken(now, &a.routed, false)
+	g.picker.EventsEnded(&a.routed)
 	name := a.target.name
 	switch result := result.(type) {
 	case responded:
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -198,6 +198,9 @@
 	}
 }
 
+// holds reports whether events are held back now.
+func (r *ownRoom) holds() bool { return r.eventHold.Load() > 0 }
+
 // state returns the delay of the instance's work, the use of its link, and the refused share.
 func (r *ownRoom) state() (delay time.Duration, link, refused float64) {
 	r.mu.Lock()
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -50,6 +50,7 @@
 				x.e.fleet.firstByte(x.service, a)
 				first = false
 			}
+			x.e.fleet.events(x.service, a, x.e.room.holds())
 		}
 		if err == nil && body.Buffered() && len(pending) < maxEventBytes {
 			continue
--- a/pkg/route/cost.go
+++ b/pkg/route/cost.go
@@ -142,8 +142,8 @@
 // cheapest returns the candidate with the lowest estimated time to the first
 // token. It compares the home of the request's prefix, which is the target with
 // the highest rendezvous weight; the targets that read the prefix recently; cold targets,
-// which few instances may send to; and all candidates or, above compareAllLimit, a random
-// sample.
+// which few instances may send to; and all candidates or, above compareAllLimit, those that
+// read no prompt now and a random sample.
 func (p *Picker) cheapest(now time.Time, rnd *rand.Rand, req Request) *target {
 	var home, best *target
 	least := math.Inf(1)
@@ -173,6 +173,13 @@
 			}
 			continue
 		}
+		if p.usesPace(req) {
+			for _, t := range pool {
+				if t.pace.isFree(now) {
+					consider(t)
+				}
+			}
+		}
 		for range min(sampleSize, len(pool)) {
 			consider(pool[rnd.IntN(len(pool))])
 		}
@@ -180,6 +187,9 @@
 	return best
 }
 
+// usesPace reports whether the pace of events matters to the request: only prompts are read.
+func (p *Picker) usesPace(req Request) bool { return !p.policy.NoEventPace && req.Prompt.Own > 0 }
+
 // isCandidate reports whether collect found the target.
 func (p *Picker) isCandidate(t *target) bool {
 	for _, pool := range [][]*target{p.local, p.remote} {
@@ -193,8 +203,8 @@
 }
 
 // cost estimates the time in ms to the first token at the target, with penalties for
-// reading a prefix again, for waiting requests, for past failures and for a remote data
-// centre. The home of a prefix is not charged for reading the prefix, because the
+// reading a prefix again, for waiting requests, for prompts being read, for past failures and
+// for a remote data centre. The home of a prefix is not charged for reading the prefix, because the
 // prefix is to be cached there.
 func (p *Picker) cost(now time.Time, t *target, req Request, home bool) float64 {
 	tokens := t.prefillTokens + float64(req.Prompt.Own)
@@ -207,6 +217,9 @@
 	if t.DataCentre != p.DataCentre {
 		c += p.policy.RemoteMs
 	}
+	if p.usesPace(req) {
+		c += t.pace.cost(now)
+	}
 	return c
 }
 
@@ -220,6 +233,8 @@
 	// alone.
 	expectedMs float64
 	startedAt  time.Time
+	// lastEvents is when events of the stream last arrived, or zero.
+	lastEvents time.Time
 }
 
 // Begin records that an attempt was sent to the target, as AttemptStarted does. It also
--- a/pkg/route/picker.go
+++ b/pkg/route/picker.go
@@ -74,6 +74,8 @@
 	// for none to 1 for all; see RecordResult. Both decay over time.
 	excessLatency decayingMean
 	faultRate     decayingMean
+	// pace is what the events of streams show.
+	pace eventPace
 	// evacuated is set while the target's data centre is evacuated.
 	evacuated bool
 	// notice is what the target announced about itself; nil if it announced nothing.
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -104,6 +104,8 @@
 	EjectMax  time.Duration
 	// NoAffinity disables prefix affinity.
 	NoAffinity bool
+	// NoEventPace disables the use of the pace of events.
+	NoEventPace bool
 	// Cost compares targets by the estimated time to the first token instead of
 	// the number of requests.
 	Cost bool
