pkg/route: reading a prefix again weighs more while first tokens come early

Change: the weight is 7 while first tokens come as early as estimated, and falls to 3 with their mean delay.

--- a/pkg/route/cost.go
+++ b/pkg/route/cost.go
@@ -32,6 +32,11 @@
 	// prefixes. A weight of 4 sends too many requests to the targets that hold a
 	// prefix.
 	cacheMissWeight = 3
+	// easyMissWeight is the weight while first tokens come as early as estimated: a wait at a
+	// target with these tokens is short then. slackMs is the mean delay in ms from which
+	// cacheMissWeight applies.
+	easyMissWeight = 7
+	slackMs        = 40
 	// waitingCostMs is the cost in ms of each request that already waits at the target.
 	// Such a request is served before a new one, and shows that the target is full.
 	waitingCostMs = 20
@@ -187,6 +192,13 @@
 	return best
 }
 
+// missWeight returns the weight of prefix tokens that a target has to read although another one
+// has them in its cache. It falls with the delay of first tokens at all targets.
+func (p *Picker) missWeight(now time.Time) float64 {
+	easy := max(0, 1-p.excess.valueAt(now, excessDecay)/slackMs)
+	return cacheMissWeight + (easyMissWeight-cacheMissWeight)*easy
+}
+
 // usesPace reports whether the pace of events matters to the request: only prompts are read.
 func (p *Picker) usesPace(req Request) bool { return !p.policy.NoEventPace && req.Prompt.Own > 0 }
 
@@ -209,7 +221,7 @@
 func (p *Picker) cost(now time.Time, t *target, req Request, home bool) float64 {
 	tokens := t.prefillTokens + float64(req.Prompt.Own)
 	if !home && !p.recent.has(req.Prefix, t, now) {
-		tokens += cacheMissWeight * float64(req.Prompt.Shared)
+		tokens += p.missWeight(now) * float64(req.Prompt.Shared)
 	}
 	c := (tokens/p.policy.TokensPerMs + t.load()*p.policy.RequestMs) * (1 + t.slowdown.valueAt(now, slowdownDecay))
 	c += t.waiting * waitingCostMs
@@ -273,7 +285,9 @@
 	t.prefillTokens = max(0, t.prefillTokens-a.prefillTokens)
 	if ok {
 		took := float64(now.Sub(a.startedAt).Microseconds()) / 1000
-		t.excessLatency.add(now, excessDecay, max(0, took-a.expectedMs))
+		late := max(0, took-a.expectedMs)
+		t.excessLatency.add(now, excessDecay, late)
+		p.excess.add(now, excessDecay, late)
 		if t.notice != nil {
 			t.notice.rest.responded(now)
 		}
--- a/pkg/route/picker.go
+++ b/pkg/route/picker.go
@@ -19,6 +19,8 @@
 	byName  map[string]*target
 	// recent holds the targets that read each prefix recently.
 	recent prefixIndex
+	// excess is the average of target.excessLatency over all first tokens.
+	excess decayingMean
 	// notices holds what targets announced about themselves, including targets that
 	// are not listed now.
 	notices map[noticeKey]*notice
