--- a/cmd/beryl-edge/main.go
+++ b/cmd/beryl-edge/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/beryllanding/beryllanding/internal/edge"
 	"github.com/beryllanding/beryllanding/internal/logs"
+	"github.com/beryllanding/beryllanding/internal/trial"
 	"github.com/beryllanding/beryllanding/platform"
 )
 
@@ -24,6 +25,7 @@
 type options struct {
 	Settings string `long:"settings" value-name:"FILE" description:"settings file of the platform; if it is omitted, the file that the environment variable BERYLLANDING_BOOT names"`
 	ServeAll bool   `long:"serve-all" description:"serve all requests and forward each event at once also while the instance is overloaded"`
+	Off      string `long:"off" value-name:"NAMES" description:"mechanisms that are switched off for an experiment, separated by commas; beryl edge mechanisms lists them"`
 	LogLevel string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least severe level that is logged"`
 }
 
@@ -63,6 +65,10 @@
 	if err != nil {
 		return err
 	}
+	off, err := trial.Parse(opts.Off)
+	if err != nil {
+		return err
+	}
 	level, err := log.ParseLevel(opts.LogLevel)
 	if err != nil {
 		return err
@@ -77,7 +83,7 @@
 	store := platform.NewStore(settings.StoreAddress)
 	store.Logger = logger.WithPrefix("store")
 	nodeOptions := platform.Options(settings, store, logger)
-	nodeOptions.ServeAll = opts.ServeAll
+	nodeOptions.ServeAll, nodeOptions.Off = opts.ServeAll, off
 	nodeOptions.LogDropped = out.Dropped
 	node := edge.New(nodeOptions)
 	go reload(ctx, path, settings, store, logger)
--- a/cmd/beryl/edge.go
+++ b/cmd/beryl/edge.go
@@ -11,6 +11,7 @@
 	"github.com/beryllanding/beryllanding/internal/alloc"
 	"github.com/beryllanding/beryllanding/internal/audit"
 	"github.com/beryllanding/beryllanding/internal/cmds"
+	"github.com/beryllanding/beryllanding/internal/trial"
 	"github.com/beryllanding/beryllanding/pkg/acct"
 	"github.com/beryllanding/beryllanding/pkg/table"
 	"github.com/beryllanding/beryllanding/platform"
@@ -81,6 +82,14 @@
 				Examples: []cmds.Example{{Line: "beryl edge parts --boot settings.toml", Does: "suspected parts and requests, and those in quarantine"}},
 				New:      func() cmds.Runner { return new(edgeParts) },
 			},
+			{
+				Name:  "mechanisms",
+				Short: "List the mechanisms that can be switched off for an experiment",
+				Long: `With --off, beryl-edge runs without some of them, which shows what each is worth.
+In service all of them are on.`,
+				Examples: []cmds.Example{{Line: "beryl edge mechanisms", Does: "the names that beryl-edge --off accepts"}},
+				New:      func() cmds.Runner { return new(edgeMechanisms) },
+			},
 			{
 				Name:  "release",
 				Short: "End the quarantine of a part of prompts, or of a request",
@@ -112,6 +121,17 @@
 	})
 }
 
+type edgeMechanisms struct{}
+
+// Run lists the mechanisms.
+func (c *edgeMechanisms) Run(_ context.Context, app *cmds.App) error {
+	return app.Print(trial.All, func(w io.Writer) {
+		for _, d := range trial.All {
+			_, _ = fmt.Fprintf(w, "%s\t%s\n", d.Name, d.Does)
+		}
+	})
+}
+
 // bootFile is the option that names the settings file.
 type bootFile struct {
 	Boot string `long:"boot" value-name:"FILE" description:"Settings file of the platform, which contains the store's address; if it is omitted, the file that the environment variable BERYLLANDING_BOOT names"`
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/beryllanding/beryllanding/internal/trial"
 	"github.com/beryllanding/beryllanding/pkg/origin"
 	"github.com/beryllanding/beryllanding/pkg/pool"
 	"github.com/beryllanding/beryllanding/pkg/roster"
@@ -73,6 +74,8 @@
 type fleet struct {
 	dataCentre string
 	retries    Retries
+	// off are mechanisms that are switched off.
+	off trial.Off
 	// wrap, if it is not nil, wraps the connections to targets.
 	wrap func(net.Conn) net.Conn
 
@@ -87,10 +90,11 @@
 	cold          coldState
 }
 
-func newFleet(dataCentre string, retries Retries) *fleet {
+func newFleet(dataCentre string, retries Retries, off trial.Off) *fleet {
 	return &fleet{
 		dataCentre: dataCentre,
 		retries:    retries,
+		off:        off,
 		start:      time.Now(),
 		groups:     make(map[string]*group),
 		rnd:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -103,7 +107,7 @@
 	if g == nil {
 		g = &group{
 			name:    service,
-			picker:  route.Picker{DataCentre: f.dataCentre, Policy: route.Policy{Cost: true}},
+			picker:  route.Picker{DataCentre: f.dataCentre, Policy: f.routePolicy()},
 			retries: route.RetryWindow{Length: f.retries.Window, Share: f.retries.Share, Burst: f.burst()},
 			byName:  make(map[string]*target),
 		}
@@ -118,6 +122,14 @@
 	return g
 }
 
+// routePolicy returns the policy of the choice of targets, without what is switched off.
+func (f *fleet) routePolicy() route.Policy {
+	return route.Policy{
+		Cost: true, NoAffinity: f.off[trial.Affinity],
+		NoEasyWeight: f.off[trial.ReadWeight], NoEventPace: f.off[trial.EventPace],
+	}
+}
+
 // confirm records that the target list was the newest at the given time.
 func (f *fleet) confirm(at time.Time) {
 	f.mu.Lock()
@@ -210,7 +222,7 @@
 func (f *fleet) takeRetry(service string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.group(service).retries.Allow(time.Now())
+	return !f.off[trial.Retries] && f.group(service).retries.Allow(time.Now())
 }
 
 // attempt is one attempt in progress.
--- a/internal/edge/limit_test.go
+++ b/internal/edge/limit_test.go
@@ -162,7 +162,7 @@
 		}
 		retries := 0
 		for i := range n {
-			f := newFleet("here", Retries{Window: 10 * time.Second, Share: 0.2, Burst: burst})
+			f := newFleet("here", Retries{Window: 10 * time.Second, Share: 0.2, Burst: burst}, nil)
 			f.limits.self = fmt.Sprint("i", i)
 			f.join()
 			f.applyShared(keyed.Change{Entries: names, Full: true})
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -17,7 +17,9 @@
 	"github.com/beryllanding/beryllanding/internal/board"
 	"github.com/beryllanding/beryllanding/internal/meter"
 	"github.com/beryllanding/beryllanding/internal/peers"
+	"github.com/beryllanding/beryllanding/internal/trial"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
+	"github.com/beryllanding/beryllanding/pkg/lease"
 	"github.com/beryllanding/beryllanding/pkg/room"
 	"github.com/beryllanding/beryllanding/pkg/roster"
 	"github.com/beryllanding/beryllanding/pkg/table"
@@ -88,6 +90,8 @@
 	// ServeAll switches off what an overloaded instance does otherwise: it refuses a part of
 	// its requests, forwards events in groups and leaves the rotation.
 	ServeAll bool
+	// Off are mechanisms that are switched off for an experiment.
+	Off trial.Off
 	// Cold bounds the requests at cold targets. The zero value is no bound.
 	Cold    ColdBound
 	Dialect Dialect
@@ -146,14 +150,17 @@
 		Store: opts.Store, Topic: opts.Budgets,
 		Pledges: opts.Pledges, PledgePartitions: opts.PledgePartitions, Instance: opts.Instance, Machine: opts.Machine, Boot: bootID(),
 		PeerAddr: opts.PeerListen, Dial: n.peers.Client,
-		Policy: alloc.Policy, Clock: bootClock, Logger: opts.Logger.WithPrefix("budgets"),
+		Policy: budgetPolicy(opts.Off), Clock: bootClock, Logger: opts.Logger.WithPrefix("budgets"),
 	})
 	n.engine = &Engine{
 		Dialect: opts.Dialect, Budgets: budgets, Logger: opts.Logger.WithPrefix("requests"), Meter: &meter.Meter{},
-		fleet: newFleet(opts.DataCentre, opts.Retries), loaded: make(chan struct{}), started: time.Now(),
+		fleet: newFleet(opts.DataCentre, opts.Retries, opts.Off), loaded: make(chan struct{}), started: time.Now(),
+	}
+	if !opts.Off[trial.ColdPace] {
+		n.engine.fleet.cold.bound = opts.Cold
 	}
-	n.engine.fleet.cold.bound = opts.Cold
 	n.engine.room.linkRate, n.engine.room.hold, n.engine.room.logger = opts.LinkRate, opts.EventDelay/holdDivisor, n.logger("node")
+	n.engine.room.off, n.engine.quarantine.off = opts.Off, opts.Off[trial.Quarantine]
 	n.engine.room.self, n.engine.room.dataCentre = opts.Instance, opts.DataCentre
 	n.engine.room.share = func(out bool) {
 		n.board.Write(room.Key(opts.Instance), room.Value(opts.DataCentre, out), 0)
@@ -341,3 +348,19 @@
 	}
 	return s
 }
+
+// budgetPolicy returns the policy of budgets without what is switched off.
+func budgetPolicy(off trial.Off) lease.Policy {
+	p := alloc.Policy
+	p.NoTransfer = off[trial.Transfers]
+	if off[trial.Pledges] {
+		p.PledgeEvery = 0
+	}
+	if off[trial.Pacing] {
+		p.PaceTime = 0
+	}
+	if off[trial.UrgentTokens] {
+		p.UrgentTime = 0
+	}
+	return p
+}
--- a/internal/edge/notice.go
+++ b/internal/edge/notice.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/beryllanding/beryllanding/internal/trial"
 	"github.com/beryllanding/beryllanding/pkg/http1"
 )
 
@@ -117,6 +118,9 @@
 // rest records that the target of an attempt asked for a rest. It returns the end of the
 // rest, and whether the target did not rest before.
 func (f *fleet) rest(service string, a *attempt, wish time.Duration) (until time.Time, news bool) {
+	if f.off[trial.Resting] {
+		return time.Time{}, false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.group(service).picker.Rest(time.Now(), a.target.name, wish)
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -33,6 +33,8 @@
 	board  *board.Board
 	logger *log.Logger
 	meter  *meter.Meter
+	// off is set if nothing is refused.
+	off bool
 
 	mu      sync.Mutex
 	tracker poison.Tracker
@@ -226,7 +228,7 @@
 // checkQuarantine returns why the request must not be sent to a target, or "", and the time
 // until it may be. If begin is set and it may be, the request counts as sent.
 func (x *exchange) checkQuarantine(begin bool) (reason string, left time.Duration) {
-	if !x.e.quarantine.suspected.Load() {
+	if x.e.quarantine.off || !x.e.quarantine.suspected.Load() {
 		return "", 0
 	}
 	reason, left, _ = x.e.quarantine.check(x.suspect(), begin)
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/beryllanding/beryllanding/internal/trial"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
 	"github.com/beryllanding/beryllanding/pkg/pause"
 	"github.com/beryllanding/beryllanding/pkg/room"
@@ -51,6 +52,8 @@
 	// hold is the longest time for which events of a stream are held back.
 	hold   time.Duration
 	logger *log.Logger
+	// off are mechanisms that are switched off.
+	off trial.Off
 
 	// in and out count the bytes on the link since the last sample.
 	in, out atomic.Int64
@@ -96,9 +99,11 @@
 		r.sample = s
 		changed, refused, link := r.gate.Observe(s), r.gate.Refused(), r.link
 		others := r.peers.Others(now, r.self, r.dataCentre)
-		moved := r.rotation.Observe(s, link, others)
+		moved := !r.off[trial.Rotation] && r.rotation.Observe(s, link, others)
 		out := r.rotation.Out()
-		r.eventHold.Store(int64(r.gate.Hold(r.hold)))
+		if !r.off[trial.EventGroups] {
+			r.eventHold.Store(int64(r.gate.Hold(r.hold)))
+		}
 		r.mu.Unlock()
 		if moved {
 			r.share(out)
@@ -187,7 +192,7 @@
 func (r *ownRoom) refuses(left time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.gate.Refuses(rand.Float64(), left, returnTime)
+	return !r.off[trial.Refusals] && r.gate.Refuses(rand.Float64(), left, returnTime)
 }
 
 // holdEvents waits as long as events of a stream are to be held back, so that those that
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -103,7 +103,7 @@
 	go budgets.Run(ctx)
 	w.engine = &Engine{
 		Dialect: testDialect, Budgets: budgets, Logger: logger, Meter: &meter.Meter{},
-		fleet: newFleet("here", Retries{Window: 10 * time.Second, Share: 1, Burst: 1000}), started: time.Now(),
+		fleet: newFleet("here", Retries{Window: 10 * time.Second, Share: 1, Burst: 1000}, nil), started: time.Now(),
 	}
 	w.engine.loaded = make(chan struct{})
 	close(w.engine.loaded)
--- a/pkg/route/cost.go
+++ b/pkg/route/cost.go
@@ -195,6 +195,9 @@
 // missWeight returns the weight of prefix tokens that a target has to read although another one
 // has them in its cache. It falls with the delay of first tokens at all targets.
 func (p *Picker) missWeight(now time.Time) float64 {
+	if p.policy.NoEasyWeight {
+		return cacheMissWeight
+	}
 	easy := max(0, 1-p.excess.valueAt(now, excessDecay)/slackMs)
 	return cacheMissWeight + (easyMissWeight-cacheMissWeight)*easy
 }
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -104,8 +104,9 @@
 	EjectMax  time.Duration
 	// NoAffinity disables prefix affinity.
 	NoAffinity bool
-	// NoEventPace disables the use of the pace of events.
-	NoEventPace bool
+	// NoEventPace disables the use of the pace of events, and NoEasyWeight the higher weight of
+	// reading a prefix again while first tokens come early.
+	NoEventPace, NoEasyWeight bool
 	// Cost compares targets by the estimated time to the first token instead of
 	// the number of requests.
 	Cost bool
