--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -16,7 +16,6 @@
 	"github.com/beryllanding/beryllanding/pkg/http1"
 	"github.com/beryllanding/beryllanding/pkg/origin"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
-	"github.com/beryllanding/beryllanding/pkg/room"
 	"github.com/beryllanding/beryllanding/pkg/route"
 	"github.com/beryllanding/beryllanding/pkg/table"
 )
@@ -59,13 +58,11 @@
 
 	// staleAfter replaces the constant if it is not 0.
 	staleAfter time.Duration
-	// configBound and drainBound are those of Options.
-	configBound, drainBound time.Duration
-	fleet                   *fleet
-	room                    ownRoom
-	quarantine              quarantine
-	origins                 origins
-	buffers                 buffers
+	fleet      *fleet
+	room       ownRoom
+	quarantine quarantine
+	origins    origins
+	buffers    buffers
 	// loaded is closed once the configuration and the targets were read for the first
 	// time.
 	loaded chan struct{}
@@ -172,11 +169,6 @@
 		x.respondError(statusUnavailable, returnLeast+rand.N(returnSpread), "instance is overloaded; others may have room")
 		return false
 	}
-	if e.inputsHeldUp() {
-		e.Meter.OverloadRefusal()
-		x.respondError(statusUnavailable, returnLeast+rand.N(returnSpread), "instance is overloaded, and its list of targets or configuration is old; others may have newer ones")
-		return false
-	}
 	e.awaitLoaded(x.ctx)
 	x.table, x.tableAge = e.view.Load(), e.age()
 	if x.table == nil {
@@ -203,12 +195,6 @@
 	return true
 }
 
-// inputsHeldUp reports whether the instance is overloaded and can't tell in time that targets
-// leave or the configuration changes.
-func (e *Engine) inputsHeldUp() bool {
-	return e.room.holdsUp(room.Input{Age: e.fleet.listAge(), Bound: e.drainBound}, room.Input{Age: e.age(), Bound: e.configBound})
-}
-
 // statedTime returns the time that the caller is left with by its own field, or maxDeadline if
 // there is none. Whether the field is valid is checked later.
 func (x *exchange) statedTime() time.Duration {
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -137,17 +137,6 @@
 	f.listConfirmed = at
 }
 
-// listAge returns the time since the target list was last known to be the newest, or 0 before it
-// was read.
-func (f *fleet) listAge() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.listConfirmed.IsZero() {
-		return 0
-	}
-	return time.Since(f.listConfirmed)
-}
-
 // update replaces the targets. It returns how many were added, were removed and began
 // to drain, and which left the list without having said that they leave.
 func (f *fleet) update(list []roster.Target) (added, removed, draining int, gone []*target) {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -82,9 +82,6 @@
 	// ConfigBound is the time within which a new configuration is in force; 0 if it is not
 	// known.
 	ConfigBound time.Duration
-	// DrainBound is the time after which a target that leaves gets no new requests; 0 if it is
-	// not known.
-	DrainBound time.Duration
 	// LinkRate is the rate of the machine's link in bytes a second; 0 if it is not known.
 	LinkRate float64
 	// EventDelay is the longest time for which an event of a stream may be under way in an
@@ -170,7 +167,6 @@
 	}
 	n.engine.fleet.wrap = n.engine.room.counted
 	n.engine.staleAfter = min(staleAfter, time.Duration(staleShare*float64(opts.ConfigBound)))
-	n.engine.configBound, n.engine.drainBound = opts.ConfigBound, opts.DrainBound
 	n.engine.origins.dial = n.peers.Client
 	n.setUpBoard()
 	n.server = &Server{Engine: n.engine, Logger: opts.Logger.WithPrefix("callers")}
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -62,7 +62,6 @@
 
 	mu     sync.Mutex
 	gate   room.Gate
-	over   room.Overload
 	sample room.Sample
 	// rotation decides whether the instance takes new connections, by what it knows of its
 	// peers. share makes a change known to them.
@@ -99,7 +98,6 @@
 		}
 		r.sample = s
 		changed, refused, link := r.gate.Observe(s), r.gate.Refused(), r.link
-		r.over.Observe(s, link)
 		others := r.peers.Others(now, r.self, r.dataCentre)
 		moved := !r.off[trial.Rotation] && r.rotation.Observe(s, link, others)
 		out := r.rotation.Out()
@@ -197,14 +195,6 @@
 	return !r.off[trial.Refusals] && r.gate.Refuses(rand.Float64(), left, returnTime)
 }
 
-// holdsUp reports whether new requests are refused since the instance is overloaded and what it
-// has read is old.
-func (r *ownRoom) holdsUp(inputs ...room.Input) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return !r.off[trial.Refusals] && r.over.HoldsUp(time.Now(), inputs...)
-}
-
 // holdEvents waits as long as events of a stream are to be held back, so that those that
 // arrive meanwhile are forwarded together.
 func (r *ownRoom) holdEvents() {
--- a/internal/edge/room_test.go
+++ b/internal/edge/room_test.go
@@ -154,30 +154,3 @@
 		t.Errorf("use of the link is %v, want 0 or more", link)
 	}
 }
-
-// TestOverloadedInstanceWithOldList guards against an overloaded instance that sends requests to
-// targets that have left, since its own requests hold up its reads of the list: new requests are
-// refused at once, as not run, with a short time for a retry at another instance.
-func TestOverloadedInstanceWithOldList(t *testing.T) {
-	w := newTestEnv(t, respondOK)
-	w.engine.drainBound = 3 * time.Second
-	w.engine.fleet.confirm(time.Now().Add(-2 * time.Second))
-	if got := w.ask("/once/", fields, "x"); got.status != 200 {
-		t.Errorf("not overloaded: status %d, want 200", got.status)
-	}
-	w.engine.room.mu.Lock()
-	w.engine.room.over.Observe(room.Sample{At: time.Now()}, 1)
-	w.engine.room.mu.Unlock()
-	before := len(w.received())
-	got := w.ask("/once/", fields, "x")
-	if after, _ := strconv.ParseFloat(string(got.head.Get("Retry-After")), 64); got.status != 503 || after <= 0 || after > 0.1 {
-		t.Errorf("status %d with Retry-After %v, want 503 and a retry within 0.1 s", got.status, after)
-	}
-	if n := len(w.received()) - before; n > 0 {
-		t.Errorf("targets got %d requests, want none", n)
-	}
-	w.engine.fleet.confirm(time.Now())
-	if got := w.ask("/once/", fields, "x"); got.status != 200 {
-		t.Errorf("current list: status %d, want 200", got.status)
-	}
-}
