--- a/internal/emul/version_test.go
+++ b/internal/emul/version_test.go
@@ -10,7 +10,9 @@
 
 // TestStreamOnTwoVersions guards against streams that go on at another software version than
 // the one that began them, in one answer or when the caller takes them up at any instance,
-// and against streams that are lost although targets of their version serve.
+// and against streams that are lost although targets of their version serve. Instances stop in
+// order here; those that are killed and know nothing any more are in TestInstancesThatForgot of
+// internal/edge.
 func TestStreamOnTwoVersions(t *testing.T) {
 	breaks := emul.Fault{At: 0, For: time.Minute, Target: &modeld.Switches{Break: 2}, Count: 4}
 	for _, c := range []struct {
@@ -24,6 +26,13 @@
 		{name: "instances that start again", instances: 6, targets: 1, takeUps: 6, faults: []emul.Fault{
 			breaks, {At: time.Second, For: 500 * time.Millisecond, Stop: true, Count: 2},
 		}},
+		{name: "all instances start again", instances: 4, targets: 1, takeUps: 6, faults: []emul.Fault{
+			breaks, {At: time.Second, For: 300 * time.Millisecond, Stop: true, Count: 4},
+		}},
+		{name: "one starts again, cut off from the store", instances: 4, targets: 1, takeUps: 6, faults: []emul.Fault{
+			breaks, {At: time.Second, For: 300 * time.Millisecond, Stop: true, Count: 1},
+			{At: 2 * time.Second, For: time.Minute, Cut: true, Count: 1},
+		}},
 		{name: "instances without the store", instances: 4, targets: 1, takeUps: 6, faults: []emul.Fault{
 			breaks, {At: time.Second, For: time.Minute, Cut: true, Count: 2},
 		}},
