--- a/internal/emul/version_test.go
+++ b/internal/emul/version_test.go
@@ -30,7 +30,8 @@
 			breaks, {At: time.Second, For: 300 * time.Millisecond, Stop: true, Count: 4},
 		}},
 		{name: "one starts again, cut off from the store", instances: 4, targets: 1, takeUps: 6, faults: []emul.Fault{
-			breaks, {At: time.Second, For: 300 * time.Millisecond, Stop: true, Count: 1},
+			breaks,
+			{At: time.Second, For: 300 * time.Millisecond, Stop: true, Count: 1},
 			{At: 2 * time.Second, For: time.Minute, Cut: true, Count: 1},
 		}},
 		{name: "instances without the store", instances: 4, targets: 1, takeUps: 6, faults: []emul.Fault{
