--- a/review/drive/restore.go
+++ b/review/drive/restore.go
@@ -54,9 +54,10 @@
 
 	var mu sync.Mutex
 	used, served := 0, 0
+	at := w.edges[0]
 	depot := func(length time.Duration) {
 		every(30*time.Millisecond, length, func() {
-			a := ask(w.recorder, w.edges[0].frontend, request{path: "/chat/a", key: "key-a", prompt: restorePrompt, output: restoreOutput, deadline: 5 * time.Second})
+			a := ask(w.recorder, at.frontend, request{path: "/chat/a", key: "key-a", prompt: restorePrompt, output: restoreOutput, deadline: 5 * time.Second})
 			mu.Lock()
 			defer mu.Unlock()
 			if a.status == 200 {
@@ -72,6 +73,9 @@
 		if err := w.drill(old); err != nil {
 			return err
 		}
+		if os.Getenv("ONLY") == "dead" {
+			at = w.edges[1]
+		}
 	}
 	time.Sleep(3 * time.Second)
 	depot(9 * time.Second)
@@ -88,7 +92,8 @@
 // drill lets the store go away and come back from a copy, while the first machine's process
 // ends and starts again. ONLY in the environment leaves a part out: with "drill" the process
 // goes on, with "kill" the store stays. With "term" the process is stopped with SIGTERM, as in
-// planned work, and the store goes away before the process ends.
+// planned work, and the store goes away before the process ends. With "dead" it does not start
+// again, and depot-a's clients go to the second machine.
 func (w *world) drill(old image) error {
 	only, e := os.Getenv("ONLY"), w.edges[0]
 	if only == "term" {
@@ -107,7 +112,7 @@
 		e.kill()
 	}
 	time.Sleep(time.Second)
-	if only != "drill" {
+	if only != "drill" && only != "dead" {
 		if err := e.start(); err != nil {
 			return err
 		}
@@ -116,5 +121,8 @@
 		w.store.restore(old)
 		w.linef("store: back, as it was when the copy was made")
 	}
+	if only == "dead" {
+		return nil
+	}
 	return e.awaitReady(10 * time.Second)
 }
