review: case 2, two machines use the same tokens after the store's history was dropped

A pending grant that is settled by the newest accounts also gets what was returned after its place in the order.

--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -43,7 +43,7 @@
 
 // play runs the case that the arguments name, with the path of its record.
 func play(args []string) error {
-	cases := map[string]func(*world) error{"restore": playRestore, "takeup": playTakeUp, "stop": playStop, "blind": playBlind}
+	cases := map[string]func(*world) error{"restore": playRestore, "takeup": playTakeUp, "stop": playStop, "blind": playBlind, "history": playHistory}
 	if len(args) != 3 || cases[args[1]] == nil {
 		return errors.New("usage: drive CASE RECORD")
 	}
--- a/review/drive/replica.go
+++ b/review/drive/replica.go
@@ -17,6 +17,9 @@
 	eventTime   = 4 * time.Millisecond
 	// workTime is how long a request without a stream takes.
 	workTime = 30 * time.Millisecond
+	// Streams under shortPath end after shortOutput tokens, whatever their bound.
+	shortPath   = "/chat/short"
+	shortOutput = 80
 	// heartbeat is the time between two entries of a replica.
 	heartbeat = 1200 * time.Millisecond
 )
@@ -100,6 +103,9 @@
 // stream sends the events of a stream after the one with a number.
 func (p *replica) stream(w http.ResponseWriter, r *http.Request, after int) {
 	_, output := parseTokens(r.Header.Get(name("tokens")))
+	if r.URL.Path == shortPath {
+		output = min(output, shortOutput)
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(w)
 	for n := after + 1; n <= (output+eventTokens-1)/eventTokens; n++ {
--- a/review/drive/store.go
+++ b/review/drive/store.go
@@ -32,7 +32,9 @@
 
 // part is one partition of a topic.
 type part struct {
-	records   [][]byte
+	records [][]byte
+	// first is the first offset that can be read.
+	first     int
 	producers map[string]producer
 	changed   chan struct{}
 }
@@ -170,18 +172,18 @@
 	for {
 		s.mu.Lock()
 		p := s.part(q.Get("topic"), q.Get("part"))
-		away, changed, records := s.away, p.changed, p.records
+		away, changed, records, first := s.away, p.changed, p.records, p.first
 		s.mu.Unlock()
 		if away {
 			panic(http.ErrAbortHandler)
 		}
-		if from > len(records) {
-			reply(w, http.StatusGone, map[string]any{name("start"): 0})
+		if from < first || from > len(records) {
+			reply(w, http.StatusGone, map[string]any{name("start"): first})
 			return
 		}
 		if from < len(records) || !await(r.Context(), changed, timeout) {
 			body := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
-			body = binary.BigEndian.AppendUint64(body, 0)
+			body = binary.BigEndian.AppendUint64(body, uint64(first))
 			for _, record := range records[from:] {
 				body = binary.BigEndian.AppendUint32(body, uint32(len(record)))
 				body = append(body, record...)
@@ -261,11 +263,20 @@
 	defer s.mu.Unlock()
 	copied := make(image)
 	for id, p := range s.parts {
-		copied[id] = &part{records: slices.Clone(p.records), producers: maps.Clone(p.producers)}
+		copied[id] = &part{records: slices.Clone(p.records), first: p.first, producers: maps.Clone(p.producers)}
 	}
 	return copied
 }
 
+// forget drops the history of all topics. The newest record of each key stays.
+func (s *store) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.parts {
+		p.first = len(p.records)
+	}
+}
+
 // setAway takes the store away: its connections are reset, and nothing is done.
 func (s *store) setAway() {
 	s.mu.Lock()
@@ -293,7 +304,7 @@
 		if old == nil {
 			old = newPart()
 		}
-		p.records, p.producers = slices.Clone(old.records), maps.Clone(old.producers)
+		p.records, p.first, p.producers = slices.Clone(old.records), old.first, maps.Clone(old.producers)
 		p.add(again...)
 	}
 	s.era++
