--- a/review/drive/restore.go
+++ b/review/drive/restore.go
@@ -93,7 +93,8 @@
 // ends and starts again. ONLY in the environment leaves a part out: with "drill" the process
 // goes on, with "kill" the store stays. With "term" the process is stopped with SIGTERM, as in
 // planned work, and the store goes away before the process ends. With "dead" it does not start
-// again, and depot-a's clients go to the second machine.
+// again, and depot-a's clients go to the second machine. With "all" the processes of all machines
+// are killed.
 func (w *world) drill(old image) error {
 	only, e := os.Getenv("ONLY"), w.edges[0]
 	if only == "term" {
@@ -108,11 +109,23 @@
 	case "drill":
 	case "term":
 		<-e.done
+	case "all":
+		for _, e := range w.edges {
+			e.kill()
+		}
 	default:
 		e.kill()
 	}
 	time.Sleep(time.Second)
-	if only != "drill" && only != "dead" {
+	switch only {
+	case "drill", "dead":
+	case "all":
+		for _, e := range w.edges {
+			if err := e.start(); err != nil {
+				return err
+			}
+		}
+	default:
 		if err := e.start(); err != nil {
 			return err
 		}
