--- a/review/drive/client.go
+++ b/review/drive/client.go
@@ -73,6 +73,7 @@
 	if q.resumes != "" {
 		req.Header.Set("Resumes", q.resumes)
 	}
+	rec.linef("client: %s %s after event %d: sent to %s, tokens %d,%d", a.attempt, q.path, q.after, frontend, q.prompt, q.output)
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
@@ -135,6 +136,7 @@
 func reserve(rec *recorder, conn net.Conn) (id string, status int) {
 	id = newAttempt()
 	began := time.Now()
+	rec.linef("client: %s /reserve/part: sent to %s", id, conn.RemoteAddr())
 	_ = conn.SetDeadline(began.Add(5 * time.Second)) // It fails on a closed connection only.
 	_, err := fmt.Fprintf(conn, "POST /reserve/part HTTP/1.1\r\nHost: desk.example\r\n%s: %s\r\n%s: key-b\r\n%s: 1500\r\nContent-Length: %d\r\n\r\n%s",
 		name("attempt"), id, name("key"), name("deadline"), reserveBytes, strings.Repeat("x", reserveBytes))
