pkg/acct: an instance that starts after a restore asks the others

Cause: an account that was written since the restore counted as known. But a process that has not lived through the restore has only the copy: it granted itself what it did not know to be used, and the living instances dropped what they knew of its predecessor's account.

Change: such an instance asks in its first account, the others answer in theirs with what the copy lacks, and it is granted nothing until then. Its account counts as unconfirmed meanwhile. Those that know more than the store shows say so, even without an account of their own. Related path: a predecessor's account that only the reader knew, and not the copy, was not closed.

--- a/internal/alloc/alloc.go
+++ b/internal/alloc/alloc.go
@@ -63,6 +63,9 @@
 	// to write their accounts again. Until then, tokens that are withheld do not count as
 	// spent.
 	confirmTime = 2 * time.Second
+	// restoredTime is how long after a restore the accounts are read as often as those of
+	// scarce budgets. Instances that start meanwhile ask the others.
+	restoredTime = 10 * time.Second
 	// unreachableRetryAfter is the retry time given to a request whose tokens this
 	// instance cannot get now.
 	unreachableRetryAfter = 500 * time.Millisecond
@@ -257,7 +260,7 @@
 	if !known || age <= refreshScarce {
 		return false
 	}
-	if age > refreshIdle {
+	if age > refreshIdle || s.asks(p) || p.sinceRestore() < restoredTime {
 		return true
 	}
 	return slices.ContainsFunc(p.list(), func(b *budgetState) bool {
@@ -420,7 +423,7 @@
 		if errors.Is(err, lease.ErrPaced) {
 			return Reservation{}, s.rationedRefusal(t.Budget, tokens, releasedSlowly)
 		}
-		if b.partition.worker.isFailed() || s.pledger.worker.isFailed() {
+		if b.partition.worker.isFailed() || s.pledger.worker.isFailed() || s.asks(b.partition) {
 			if !s.requestTransfers(waiting, b, tokens-s.holder.Allowed(t.Budget, time.Now())) {
 				return Reservation{}, s.budgetUnreachable(t.Budget, tokens)
 			}
@@ -469,7 +472,7 @@
 		return false, false
 	}
 	// Tokens that are withheld since a restore may become free within moments.
-	spent = b.isSpent(time.Now()) && (view.Free+view.Withheld < missing || b.partition.sinceRestore() > confirmTime)
+	spent = b.isSpent(time.Now()) && !s.asks(b.partition) && (view.Free+view.Withheld < missing || b.partition.sinceRestore() > confirmTime)
 	if spent {
 		began = began.Add(-spentReadAge)
 	}
--- a/internal/alloc/history_test.go
+++ b/internal/alloc/history_test.go
@@ -36,6 +36,8 @@
 	// both at any time.
 	restores bool
 	apart    time.Duration
+	// single leaves out kills of all instances, so that some live through each restore.
+	single bool
 	// frozenClock stops the machines' clocks, which breaks the rule that they continue
 	// after a restart.
 	frozenClock bool
@@ -216,7 +218,7 @@
 		m.kill(sim.rnd.IntN(3) == 0)
 		time.Sleep(time.Duration(sim.rnd.Int64N(int64(time.Second))))
 		m.boot()
-	case n < 8:
+	case n < 8 && !sim.single:
 		for _, m := range fleet {
 			m.kill(false)
 		}
@@ -261,7 +263,16 @@
 // TestHistoriesWithRestores is TestHistories with a store that comes back from older
 // copies, several times in a history. All holders live through a restore.
 func TestHistoriesWithRestores(t *testing.T) {
-	historiesWithRestores(t, 6*time.Second, nil)
+	historiesWithRestores(t, func(s *simulation) { s.apart = 6 * time.Second }, nil)
+}
+
+// TestHistoriesWithRestoresAndRestarts is TestHistoriesWithRestores with kills and power
+// losses of one instance after the other at any time. It guards against an instance that
+// starts on a copy and is granted tokens that others know to be used.
+func TestHistoriesWithRestoresAndRestarts(t *testing.T) {
+	// These seeds overspent when instances that start did not ask the others.
+	overspent := []uint64{75, 83, 166, 331}
+	historiesWithRestores(t, func(s *simulation) { s.single = true }, overspent)
 }
 
 // TestHistoriesWithRestoresAndDeaths is TestHistoriesWithRestores with kills and power
@@ -271,12 +282,12 @@
 	// In these histories, holders die without having written their accounts again, and
 	// had used more in the lost seconds than the margin of an unconfirmed account.
 	overspending := []uint64{72, 75, 166, 186, 276}
-	historiesWithRestores(t, 0, overspending)
+	historiesWithRestores(t, func(*simulation) {}, overspending)
 }
 
-// historiesWithRestores runs histories in which kills and restores are at least some time
-// apart, for the usual seeds and for more of them.
-func historiesWithRestores(t *testing.T, apart time.Duration, more []uint64) {
+// historiesWithRestores runs configured histories with restores, for the usual seeds and for
+// more of them.
+func historiesWithRestores(t *testing.T, configure func(*simulation), more []uint64) {
 	served, refused, restored := 0, 0, 0
 	seeds := more
 	for seed := range uint64(historySeeds) {
@@ -285,7 +296,10 @@
 	for _, seed := range seeds {
 		overspend := ""
 		synctest.Test(t, func(t *testing.T) {
-			sim := history(t, seed, func(s *simulation) { s.restores, s.apart = true, apart })
+			sim := history(t, seed, func(s *simulation) {
+				s.restores = true
+				configure(s)
+			})
 			served, refused, restored = served+sim.served, refused+sim.refused, restored+sim.restored
 			overspend = sim.overspend
 		})
--- a/internal/alloc/part.go
+++ b/internal/alloc/part.go
@@ -49,6 +49,9 @@
 	pending *pendingWrite
 	// epoch is the lowest epoch that the next account may have.
 	epoch int64
+	// asked is when this incarnation wrote an account that asks the others for what the
+	// store lacks; zero if it does not ask.
+	asked time.Time
 	// written is when this instance's account was last written.
 	written time.Time
 }
@@ -153,9 +156,12 @@
 	if !s.isPredecessorClosed(p) {
 		return s.pledger.isKnown()
 	}
-	if p.isUnconfirmed() {
+	if p.isUnconfirmed() || s.mustAsk(p) || s.mustAnswer(p) {
 		return true
 	}
+	if s.asks(p) {
+		return false // Until the others have answered, there is nothing to write.
+	}
 	if s.isStopped() {
 		s.returnFree() // Requests that ended since have freed tokens.
 		return slices.ContainsFunc(p.list(), func(b *budgetState) bool { return b.pendingReturn() > 0 })
@@ -171,12 +177,13 @@
 }
 
 // plan returns the changes to write. Once any change is due, those that are not urgent
-// are included, because they cost no further call. An account that is not confirmed is
-// written as it is: what is free is known only once the other holders have written theirs.
+// are included, because they cost no further call. An account that is not confirmed, or that
+// asks, is written as it is: what is free is known only once the other holders have written
+// theirs.
 func (s *Service) plan(p *partition) []acct.Change {
 	now := time.Now()
 	stopped := s.isStopped()
-	confirming := p.isUnconfirmed()
+	confirming := p.isUnconfirmed() || s.asks(p)
 	var changes []acct.Change
 	for _, b := range p.list() {
 		total, known := b.knownTotal()
@@ -248,17 +255,21 @@
 		p.state.Reset()
 	}
 	s.apply(p, accounts, full)
+	if !p.known {
+		p.state.Join(s.key)
+	}
 	p.end, p.known, p.read, p.refresh = page.End, true, at, false
 	own, newest := p.own, p.state.Account(s.key)
 	// An account of an earlier epoch may be one from before this incarnation started.
 	takenOver := own != nil && (newest == nil || newest.Holder != own.Holder)
-	if takenOver && p.unconfirmed() && (newest == nil || !p.state.Confirmed(newest)) {
+	if takenOver && p.unconfirmed() && (newest == nil || !p.state.Current(newest)) {
 		takenOver = false
 	}
 	p.mu.Unlock()
 	if takenOver {
 		s.fence(newest)
 	}
+	s.endAsking(p)
 	s.sync(p)
 	return s.settle(p)
 }
@@ -415,9 +426,7 @@
 	p.mu.Lock()
 	p.pending, p.written = &pendingWrite{account: next, base: base, changes: changes}, time.Now()
 	p.mu.Unlock()
-	if base == nil && before != nil {
-		s.logClosing(before, next)
-	}
+	s.noteWritten(p, base, before, next)
 	return nil
 }
 
--- a/internal/alloc/restore.go
+++ b/internal/alloc/restore.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	"github.com/beryllanding/beryllanding/pkg/acct"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
 )
 
@@ -62,7 +64,7 @@
 
 // unconfirmed reports whether the store was restored since this instance wrote its
 // account. The caller holds p.mu.
-func (p *partition) unconfirmed() bool { return p.own != nil && !p.state.Confirmed(p.own) }
+func (p *partition) unconfirmed() bool { return p.own != nil && !p.state.Current(p.own) }
 
 // logEpoch returns the epoch of the log that was read last.
 func (p *partition) logEpoch() keyed.LogEpoch {
@@ -84,3 +86,72 @@
 	defer p.mu.Unlock()
 	return time.Since(p.restored)
 }
+
+// asks reports whether this incarnation asks the others what the store lacks, or has to. It is
+// granted nothing until they have answered.
+func (s *Service) asks(p *partition) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.own == nil {
+		return p.state.Asks()
+	}
+	return p.own.Asks
+}
+
+// mustAsk reports whether an account that asks, or the one after the answers, has to be
+// written.
+func (s *Service) mustAsk(p *partition) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.own == nil {
+		return p.state.Asks()
+	}
+	return p.own.Asks && !p.state.Asks()
+}
+
+// mustAnswer reports whether another instance expects an answer of this one.
+func (s *Service) mustAnswer(p *partition) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.known && p.state.MustAnswer(s.key, p.own)
+}
+
+// endAsking stops asking once no more answers are expected.
+func (s *Service) endAsking(p *partition) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.own == nil || !p.own.Asks || !p.state.Current(p.own) || !p.state.Asks() {
+		return
+	}
+	asked := time.Since(p.asked)
+	unanswered, done := p.state.Unanswered(s.key, s.holder.ID(), asked)
+	if !done {
+		return
+	}
+	p.state.EndAsking()
+	level := log.InfoLevel
+	if len(unanswered) > 0 {
+		level = log.WarnLevel
+	}
+	s.logf(level, "asked the other instances what the restored store lacks", "part", p.id.Index, "took", asked, "without-answer", unanswered)
+}
+
+// noteWritten records and logs that this incarnation wrote next, after its account base and
+// the account before of an earlier incarnation. Both may be nil.
+func (s *Service) noteWritten(p *partition, base, before, next *acct.Account) {
+	if next.Asks {
+		p.mu.Lock()
+		p.asked = time.Now()
+		p.mu.Unlock()
+		s.logf(log.InfoLevel, "asking the other instances what the restored store lacks", "part", p.id.Index, "epoch", next.LogEpoch)
+		return
+	}
+	if len(next.Answers) > 0 && (base == nil || !slices.Equal(next.Answers, base.Answers)) {
+		s.logf(log.InfoLevel, "answered what the restored store lacks", "part", p.id.Index, "asked-by", next.Answers, "accounts", len(next.Known))
+	}
+	if base != nil && base.Assumed {
+		s.logClosing(base, next)
+	} else if base == nil && before != nil {
+		s.logClosing(before, next)
+	}
+}
--- a/pkg/acct/acct.go
+++ b/pkg/acct/acct.go
@@ -35,6 +35,27 @@
 	// LogEpoch is the epoch of the log that the holder had read when it wrote the
 	// account.
 	LogEpoch int64 `cbor:"6,keyasint,omitempty"`
+	// Asks is set by a holder that started after a restore of the store and asks the others
+	// what the copy lacks. It is granted nothing until they have answered.
+	Asks bool `cbor:"7,keyasint,omitempty"`
+	// Assumed is set if the lines rest on what the copy shows of an earlier holder. It is set
+	// only with Asks, and the account is not confirmed.
+	Assumed bool `cbor:"8,keyasint,omitempty"`
+	// Answers lists the holders that Known is an answer to, sorted.
+	Answers []ident.Incarnation `cbor:"9,keyasint,omitempty"`
+	// KnowsMore is set if the holder knows of more tokens in other accounts than the store
+	// shows, since it read them before a restore. Known holds these accounts, sorted by
+	// their keys, while others ask for them.
+	KnowsMore bool    `cbor:"10,keyasint,omitempty"`
+	Known     []Known `cbor:"11,keyasint,omitempty"`
+}
+
+// Known is what a holder knows of another account beyond what the store shows.
+type Known struct {
+	Key string `cbor:"1,keyasint"`
+	// Lines have only Spent, which is all that is committed, and PerSecond. They are sorted
+	// by the budgets' names.
+	Lines []Line `cbor:"2,keyasint"`
 }
 
 // Line is an account's part of one budget. Amounts are in tokens.
--- a/pkg/acct/codec.go
+++ b/pkg/acct/codec.go
@@ -23,16 +23,29 @@
 	if a.Holder == "" || a.Epoch < 1 || a.Serial < 0 {
 		return nil, fmt.Errorf("%w: holder %q, epoch %d, serial %d", ErrRecord, a.Holder, a.Epoch, a.Serial)
 	}
-	for i, l := range a.Lines {
+	if err := checkLines(a.Lines); err != nil {
+		return nil, err
+	}
+	for _, k := range a.Known {
+		if err := checkLines(k.Lines); err != nil {
+			return nil, fmt.Errorf("known account %q: %w", k.Key, err)
+		}
+	}
+	return a, nil
+}
+
+// checkLines returns ErrRecord if an amount of a line is invalid or the lines are not sorted.
+func checkLines(lines []Line) error {
+	for i, l := range lines {
 		if l.Spent < 0 || l.Lost < 0 || l.Returned < 0 || l.Granted < l.Returned || l.Total < 0 ||
 			l.Pending < 0 || l.Pending > l.Held() {
-			return nil, fmt.Errorf("%w: invalid amounts in line %+v", ErrRecord, l)
+			return fmt.Errorf("%w: invalid amounts in line %+v", ErrRecord, l)
 		}
-		if i > 0 && a.Lines[i-1].Budget >= l.Budget {
-			return nil, fmt.Errorf("%w: lines are not sorted: budget %q comes after %q", ErrRecord, l.Budget, a.Lines[i-1].Budget)
+		if i > 0 && lines[i-1].Budget >= l.Budget {
+			return fmt.Errorf("%w: lines are not sorted: budget %q comes after %q", ErrRecord, l.Budget, lines[i-1].Budget)
 		}
 	}
-	return a, nil
+	return nil
 }
 
 // Encode returns the CBOR encoding of the pledges.
--- a/pkg/acct/restore.go
+++ b/pkg/acct/restore.go
@@ -6,11 +6,12 @@
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 )
 
-// An account is confirmed if it was written in the present epoch of the log. After the
-// store was restored from an older copy, the accounts in it are from earlier epochs. Their
-// holders may have been granted more in the seconds that the copy lacks. Until a holder,
-// or its successor, writes the account again, it counts with the largest amount that is
-// known of it plus a margin.
+// An account is confirmed if it was written in the present epoch of the log by a holder that
+// knows what it has. After the store was restored from an older copy, the accounts in it are
+// from earlier epochs. Their holders may have been granted more in the seconds that the copy
+// lacks. Until a holder, or its successor, writes the account again, it counts with the
+// largest amount that is known of it plus a margin. What is known comes from what this reader
+// read before the restore and from what other holders answer; see ask.go.
 
 const (
 	// marginSeconds is the time for which the margin covers the demand of the holder, as
@@ -66,9 +67,10 @@
 	}
 }
 
-// closeUnconfirmed adds the margin to the lines of an ended holder's account that is not
-// confirmed, as used. The changes that the successor makes name the budgets and their totals.
-func (s *State) closeUnconfirmed(lines []Line, before *Account, changes []Change) []Line {
+// closeUnconfirmed returns the lines of an ended holder's account that is not confirmed, with
+// the margin as used. The changes that the successor makes name the budgets and their totals.
+func (s *State) closeUnconfirmed(before *Account, closing Closing, changes []Change) []Line {
+	lines := before.Close(closing)
 	for _, c := range changes {
 		l := before.Line(c.Budget)
 		l.Total = c.Total.Tokens
@@ -91,7 +93,7 @@
 	evidence := make(map[string]*Account, len(s.accounts))
 	for key, a := range s.accounts {
 		evidence[key] = a
-		if a.LogEpoch != s.epoch {
+		if !s.Confirmed(a) {
 			evidence[key] = larger(a, s.evidence[key])
 		}
 	}
@@ -106,12 +108,19 @@
 // Reset drops all accounts before a new snapshot of the same epoch is set.
 func (s *State) Reset() { s.accounts, s.budgets = nil, nil }
 
-// Confirmed reports whether the account was written in the present epoch.
-func (s *State) Confirmed(a *Account) bool { return a.LogEpoch == s.epoch }
+// Current reports whether the account was written in the present epoch.
+func (s *State) Current(a *Account) bool { return a.LogEpoch == s.epoch }
+
+// Confirmed reports whether the account was written in the present epoch by a holder that
+// knew what it has.
+func (s *State) Confirmed(a *Account) bool { return s.Current(a) && !a.Assumed }
 
 // larger returns an account that has, for each budget, the line of a or b that commits
-// more. b may be nil.
+// more. Both may be nil.
 func larger(a, b *Account) *Account {
+	if a == nil {
+		return b
+	}
 	if b == nil {
 		return a
 	}
--- a/pkg/acct/state.go
+++ b/pkg/acct/state.go
@@ -16,6 +16,8 @@
 	// was known of accounts before the store was restored.
 	epoch    int64
 	evidence map[string]*Account
+	// asks is set while this process lacks what other processes knew at the last restore.
+	asks bool
 	// budgets holds the sums over the accounts. It is nil if they have to be recomputed.
 	budgets map[string]*sums
 }
@@ -67,6 +69,7 @@
 	}
 	s.accounts[key] = a
 	s.budgets = nil
+	s.learn(a)
 }
 
 // Drop removes the account under a key.
@@ -183,25 +186,15 @@
 // base is what Settled returned for the holder's previous account. It is nil for the
 // first account of a holder, which closes the earlier holder's account under the key.
 func (s *State) Next(key string, holder ident.Incarnation, base *Account, closing Closing, changes []Change) *Account {
-	next := &Account{Holder: holder, Epoch: 1, LogEpoch: s.epoch}
-	switch before := s.accounts[key]; {
-	case base != nil:
-		next.Epoch, next.Serial = base.Epoch, base.Serial+1
-		next.Lines = slices.Clone(base.Lines)
-		if !s.Confirmed(base) {
-			// The store may not know the numbers of the epoch before. A higher epoch of
-			// the writer also invalidates writes of it that are still in progress.
-			next.Epoch, next.Serial = max(base.Epoch, before.epochOrZero())+1, 0
-		}
-	case before != nil:
-		next.Epoch = before.Epoch + 1
-		closing.LogEpoch = s.epoch
-		if s.Confirmed(before) {
-			next.Lines = before.Close(closing)
-			break
-		}
-		known := larger(before, s.evidence[key])
-		next.Lines = s.closeUnconfirmed(known.Close(closing), known, changes)
+	next := &Account{Holder: holder, LogEpoch: s.epoch}
+	closing.LogEpoch = s.epoch
+	if base != nil {
+		s.continueAccount(key, next, base, closing, changes)
+	} else {
+		s.takeOver(key, next, closing, changes)
+	}
+	if !next.Asks {
+		s.answer(key, next)
 	}
 	for _, c := range changes {
 		next.change(c, s.Budget(c.Budget, c.Total).Total)
@@ -210,6 +203,44 @@
 	return next
 }
 
+// continueAccount sets what the next account of a holder has from the one before it.
+func (s *State) continueAccount(key string, next, base *Account, closing Closing, changes []Change) {
+	next.Epoch, next.Serial = base.Epoch, base.Serial+1
+	if !s.Current(base) {
+		// The store may not know the numbers of the epoch before. A higher epoch of
+		// the writer also invalidates writes of it that are still in progress.
+		next.Epoch, next.Serial = max(base.Epoch, s.accounts[key].epochOrZero())+1, 0
+	}
+	next.Asks, next.Assumed = base.Asks && s.asks, base.Assumed && s.asks
+	next.Lines = slices.Clone(base.Lines)
+	if base.Assumed && !s.asks {
+		if known := larger(base, s.evidence[key]); len(known.Lines) > 0 {
+			next.Lines = s.closeUnconfirmed(known, closing, changes)
+		}
+	}
+}
+
+// takeOver sets what the first account of a holder has from earlier holders of the key.
+func (s *State) takeOver(key string, next *Account, closing Closing, changes []Change) {
+	next.Asks = s.asks
+	before := s.accounts[key]
+	if before != nil && s.Confirmed(before) {
+		next.Epoch, next.Lines = before.Epoch+1, before.Close(closing)
+		return
+	}
+	next.Epoch, next.Assumed = 1, s.asks
+	known := larger(before, s.evidence[key])
+	if known == nil {
+		return
+	}
+	next.Epoch = known.Epoch + 1
+	if s.asks {
+		next.Lines = known.spend()
+	} else {
+		next.Lines = s.closeUnconfirmed(known, closing, changes)
+	}
+}
+
 // epochOrZero returns the account's epoch, or 0 if there is no account.
 func (a *Account) epochOrZero() int64 {
 	if a == nil {
@@ -226,6 +257,10 @@
 		a.Lines = slices.Insert(a.Lines, i, Line{Budget: c.Budget})
 	}
 	l := &a.Lines[i]
+	if a.Assumed {
+		// The margin rests on the demand at the earlier holder.
+		c.PerSecond = max(c.PerSecond, l.PerSecond)
+	}
 	l.Version, l.Total, l.PerSecond = total.Version, total.Tokens, c.PerSecond
 	if c.Return > 0 && c.Return <= l.Held() {
 		l.Returned += c.Return
