internal/edge: requests that arrive at the end of a stop are refused

Cause: a stopping instance leaves its loop once no request is in progress and none came for a second. From then on it returns tokens and ends, 20 to 350 ms later, and waits for no request. But connections that had carried no request yet were open, and what they brought was still passed on to targets, since only streams were refused.

Change: before tokens are returned all new requests are refused (503, not run), and the instance waits for those that were admitted before. A request counts as busy before it is admitted, so none is between the two. At the very end each connection is closed once it has no response to write. The line "drained" says when, with the requests in progress and the open connections.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -53,6 +53,9 @@
 	// stopPoll is the interval at which a draining instance checks whether requests are
 	// in progress.
 	stopPoll = 50 * time.Millisecond
+	// closeTime bounds how long the end of the process waits for responses that are being
+	// written. With the return of tokens it fits into tokenReturnTime.
+	closeTime = 200 * time.Millisecond
 	// headerTimeout bounds reading the header of readiness and metrics requests.
 	headerTimeout = 2 * time.Second
 )
@@ -240,11 +243,16 @@
 	wg.Wait()
 	stopPeers()
 	closeStatus()
-	return <-served
+	err = <-served
+	if open := n.server.Close(closeTime); open > 0 {
+		n.logger("node").Warn("the process ends with requests in progress", "connections", open)
+	}
+	return err
 }
 
 // stop waits for the requests in progress, up to the grace period, and returns the
-// tokens.
+// tokens. While it returns them, unused connections may still bring requests, which are
+// refused: nothing would wait for their responses.
 func (n *Node) stop(l net.Listener) {
 	began := time.Now()
 	n.stopping.Store(true)
@@ -264,7 +272,11 @@
 		}
 		time.Sleep(stopPoll)
 	}
+	// A request that is not refused counted as busy before, so that awaitIdle waits for it.
+	n.engine.accepts.Store(acceptNone)
+	n.server.awaitIdle(end)
 	_ = l.Close() // No further connections are accepted.
+	n.logger("node").Info("drained", "took", time.Since(began), "busy", n.server.Busy(), "connections", n.server.open())
 	n.engine.fleet.depart()
 	n.board.Write(room.Key(n.opts.Instance), nil, 0)
 	ctx, cancel := context.WithTimeout(context.Background(), tokenReturnTime/2)
--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -52,6 +52,15 @@
 
 // newNode starts a node with one target for each script, and waits until it is ready.
 func newNode(t *testing.T, scripts ...script) *nodeEnv {
+	t.Helper()
+	n := prepareNode(t, scripts...)
+	n.start()
+	return n
+}
+
+// prepareNode fills a store with one target for each script, and returns a node that has
+// not been started.
+func prepareNode(t *testing.T, scripts ...script) *nodeEnv {
 	t.Helper()
 	w := newTestEnv(t, scripts...)
 	n := &nodeEnv{testEnv: w, store: &keyd.Store{}, ended: make(chan error, 1)}
@@ -75,7 +84,6 @@
 		Logger:   log.New(io.Discard),
 	}
 	w.addr = n.opts.Listen
-	n.start()
 	return n
 }
 
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -31,6 +31,9 @@
 	// acceptPause is the pause after a failed accept, for example for lack of file
 	// descriptors.
 	acceptPause = 10 * time.Millisecond
+	// closePoll is the interval at which Close looks for connections whose response has
+	// been written.
+	closePoll = 5 * time.Millisecond
 )
 
 // Server serves callers' connections.
@@ -94,10 +97,15 @@
 // CloseIdle closes the connections that wait for another request. Connections that have
 // not carried a request yet stay open, since their first request is about to arrive.
 func (s *Server) CloseIdle() {
+	s.closeIdle(func(c *callerConn) bool { return c.served.Load() })
+}
+
+// closeIdle closes the chosen connections that have no request in progress.
+func (s *Server) closeIdle(choose func(*callerConn) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.served.Load() && !c.busy.Load() {
+		if choose(c) && !c.busy.Load() {
 			_ = c.nc.Close() // The read fails and the reading goroutine ends.
 		}
 	}
@@ -115,6 +123,33 @@
 	return n
 }
 
+// open returns the number of open connections.
+func (s *Server) open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// awaitIdle waits until no request is in progress, up to a moment.
+func (s *Server) awaitIdle(until time.Time) {
+	for s.Busy() > 0 && time.Now().Before(until) {
+		time.Sleep(stopPoll)
+	}
+}
+
+// Close closes each connection as soon as it has no request in progress, for up to the
+// timeout, and returns the number of connections that are left. Serve must have returned.
+func (s *Server) Close(timeout time.Duration) (left int) {
+	end := time.Now().Add(timeout)
+	for {
+		s.closeIdle(func(*callerConn) bool { return true })
+		if left = s.open(); left == 0 || time.Now().After(end) {
+			return left
+		}
+		time.Sleep(closePoll)
+	}
+}
+
 // limits returns the limits of the active configuration, or the default ones.
 func (s *Server) limits() table.Limits {
 	if t := s.Engine.view.Load(); t != nil {
