internal/edge: a version is named only by a list read after the request

Cause: an instance that didn't know a stream took the only version of its list for the version that began it, if the list was at most two seconds old, and passed that on to instances that asked. A version can join and begin streams in less time. Its age says nothing: the list has to be read after the stream began.

Evidence: TestTakeUpDuringARelease got 200 for an instance that is cut off from the store, and for one whose reads stand still; want 503. TestPeerThatIsCutOffNamesNoVersion is the same at an instance that is asked.

Change: origin.Versions.Proven needs a list that was read after the request had arrived. An instance that needs it reads the changes of the list, in one call that requests at the same time share. Streams of a single version are taken up as before while the store can be read; in an outage 503 is what is true. The tests of origins now let an instance read its list where it is not cut off; otherwise they would pass for that reason alone.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -12,6 +14,10 @@
 	"github.com/beryllanding/beryllanding/pkg/table"
 )
 
+// errListBehind reports a read of the target list that leaves out records, or that is from
+// another epoch of the log than the list.
+var errListBehind = errors.New("the target list is behind the store")
+
 // Decoder decodes the platform's records.
 type Decoder interface {
 	// Table decodes a record of the configuration topic. It returns nil if the
@@ -131,9 +137,40 @@
 	// Entries that were replaced or removed since the read before are among the changes, unless
 	// the whole list had to be read.
 	n.engine.origins.read(c.RequestedAt, c.Full, versions)
+	n.listEnd, n.listEpoch = c.End, c.LogEpoch
 	n.publishTargets(now)
 }
 
+// refreshVersions reads the target list from where it was last read, for the versions in it.
+// The follower of the list reads the same records for everything else.
+func (n *Node) refreshVersions(ctx context.Context) {
+	n.listMu.Lock()
+	end, epoch, complete := n.listEnd, n.listEpoch, n.list.Complete()
+	n.listMu.Unlock()
+	if !complete {
+		return
+	}
+	at := time.Now()
+	page, err := n.opts.Store.Read(ctx, n.opts.Targets, end, 0)
+	if err == nil && (page.More || (page.LogEpoch != 0 && page.LogEpoch != epoch)) {
+		err = errListBehind
+	}
+	if err != nil {
+		n.logger("targets").Info("cannot read which versions serve; streams of unknown origin are refused", "err", err)
+		return
+	}
+	var versions []origin.Origin
+	for _, entry := range page.Entries {
+		if _, ok := n.opts.Decoder.TargetID(entry.Key); !ok || entry.Value == nil {
+			continue
+		}
+		if t, err := n.opts.Decoder.Target(entry); err == nil { // The follower logs invalid records.
+			versions = append(versions, origin.Origin{Service: t.Service, Version: t.Version})
+		}
+	}
+	n.engine.origins.read(at, false, versions)
+}
+
 // publishTargets updates the fleet with the current targets. It reschedules itself for
 // the time at which the next target expires.
 func (n *Node) publishTargets(now time.Time) {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -140,6 +140,9 @@
 	listMu     sync.Mutex
 	list       roster.Roster
 	graceTimer *time.Timer
+	// listEnd and listEpoch are the end and the epoch of the target list as it was last read.
+	listEnd   keyed.Offset
+	listEpoch keyed.LogEpoch
 
 	loadedOnce sync.Once
 	stopping   atomic.Bool
@@ -170,7 +173,7 @@
 	}
 	n.engine.fleet.wrap = n.engine.room.counted
 	n.engine.staleAfter = min(staleAfter, time.Duration(staleShare*float64(opts.ConfigBound)))
-	n.engine.origins.dial = n.peers.Client
+	n.engine.origins.dial, n.engine.origins.refresh = n.peers.Client, n.refreshVersions
 	n.setUpBoard()
 	n.server = &Server{Engine: n.engine, Logger: opts.Logger.WithPrefix("callers")}
 	n.tables = &keyed.Follower{
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -28,6 +28,10 @@
 	// tellTimeout and askTimeout bound a call to a peer.
 	tellTimeout = 300 * time.Millisecond
 	askTimeout  = 150 * time.Millisecond
+	// refreshTimeout bounds a read of what has changed in the target list. A peer that asks
+	// gets its answer within askTimeout.
+	refreshTimeout     = 400 * time.Millisecond
+	peerRefreshTimeout = 100 * time.Millisecond
 	// maxPending bounds the origins that wait to be told to one peer.
 	maxPending = 4096
 	// maxTellTries bounds the peers that are tried for each telling of an origin.
@@ -45,7 +49,10 @@
 // told. It is safe for concurrent use.
 type origins struct {
 	// dial returns the client of a peer by its address, or nil. It may be nil.
-	dial    func(addr string) wire.PeerClient
+	dial func(addr string) wire.PeerClient
+	// refresh reads what has changed in the target list, and calls read if it could. It may be
+	// nil.
+	refresh func(context.Context)
 	meter   *meter.Meter
 	silence peers.Silence
 
@@ -58,6 +65,14 @@
 	// pending are the origins to be told, by address.
 	pending map[string][]toldOrigin
 	wake    chan struct{}
+	// refreshing is the call of refresh in progress, or nil.
+	refreshing *refreshCall
+}
+
+// refreshCall is a call of origins.refresh. done is closed when it has ended.
+type refreshCall struct {
+	began time.Time
+	done  chan struct{}
 }
 
 // toldOrigin is an origin to be told to a peer. tries is the number of peers that did not take
@@ -123,18 +138,62 @@
 	}
 }
 
-// find returns where a stream of a service began, as far as this instance knows.
-func (o *origins) find(id, service string) (at origin.Origin, ok bool) {
+// find returns where a stream of a service began, as far as this instance knows: it has
+// forwarded the stream or was told of it, or only one version can have begun it. It reads the
+// target list if that may prove the latter.
+func (o *origins) find(ctx context.Context, id, service string) (at origin.Origin, ok bool) {
+	now := time.Now() // The stream has begun before.
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	now := time.Now()
-	if at, ok = o.memory.Find(now, id); ok {
-		return at, true
+	at, ok = o.memory.Find(now, id)
+	provable := o.versions.MayBeProven(now, service)
+	o.mu.Unlock()
+	if ok || !provable {
+		return at, ok
 	}
-	version, ok := o.versions.Single(now, service)
+	o.refreshSince(ctx, now)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	version, ok := o.versions.Proven(time.Now(), service, now)
 	return origin.Origin{Service: service, Version: version}, ok
 }
 
+// refreshSince waits for the end of a call of refresh that began at a moment or later, or until
+// the context ends. Requests that wait at the same time share the call.
+func (o *origins) refreshSince(ctx context.Context, since time.Time) {
+	if o.refresh == nil {
+		return
+	}
+	for {
+		o.mu.Lock()
+		call := o.refreshing
+		if call == nil {
+			call = &refreshCall{began: time.Now(), done: make(chan struct{})}
+			o.refreshing = call
+			go o.runRefresh(call)
+		}
+		o.mu.Unlock()
+		select {
+		case <-call.done:
+		case <-ctx.Done():
+			return
+		}
+		if !call.began.Before(since) {
+			return
+		}
+	}
+}
+
+// runRefresh makes a call of refresh.
+func (o *origins) runRefresh(call *refreshCall) {
+	ctx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
+	defer cancel()
+	o.refresh(ctx)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refreshing = nil
+	close(call.done)
+}
+
 // keepers returns the addresses of the instances that keep the origin of a stream, without
 // those that did not answer lately. o.mu must be held.
 func (o *origins) keepers(id string) []string {
@@ -242,7 +301,7 @@
 // ask returns where a stream of a service began, from this instance or from those that keep
 // it.
 func (o *origins) ask(ctx context.Context, id, service string) (at origin.Origin, ok bool) {
-	if at, ok = o.find(id, service); ok {
+	if at, ok = o.find(ctx, id, service); ok {
 		o.meter.OriginAsked(service, "here")
 		return at, true
 	}
--- a/internal/edge/origins_test.go
+++ b/internal/edge/origins_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -191,6 +192,11 @@
 	}
 }
 
+// followList lets an instance reach the store, which has no change of the target list.
+func (o *origins) followList() {
+	o.refresh = func(context.Context) { o.read(time.Now(), false, nil) }
+}
+
 // TestInstanceThatStartsLearnsOfOneVersion: an instance that can't know yet that a service has
 // one version only learns it from others; of several, it guesses none.
 func TestInstanceThatStartsLearnsOfOneVersion(t *testing.T) {
@@ -199,7 +205,7 @@
 	past := time.Now().Add(-45 * time.Second)
 	for _, p := range nodes[1:] {
 		p.versions.Read(past, past, true, []origin.Origin{v1})
-		p.read(time.Now(), false, nil)
+		p.followList()
 	}
 	if got, ok := nodes[0].ask(t.Context(), "o/1", "s"); !ok || got != v1 {
 		t.Errorf("one version: got %+v, known %v; want %+v", got, ok, v1)
@@ -224,7 +230,7 @@
 	time.Sleep(2 * tellInterval)
 	known := func() (n int) {
 		for _, p := range nodes[1:] {
-			if _, ok := p.find("o/1", "s"); ok {
+			if _, ok := p.find(t.Context(), "o/1", "s"); ok {
 				n++
 			}
 		}
@@ -292,6 +298,9 @@
 			w := newTestEnv(t, breakAfter(2), breakAfter(2))
 			w.setVersions("v2", "v2")
 			w.engine.origins.versions = origin.Versions{}
+			if !strings.HasPrefix(name, "cut off") {
+				w.engine.origins.followList()
+			}
 			prepare(&w.engine.origins)
 			got := w.ask("/resume/", fields+"Last-Event: 2\nResumes: first\n", "x")
 			if got.status != 503 || len(w.received()) > 0 || got.head.Get("Retry-After") == nil {
@@ -303,12 +312,53 @@
 	w.setVersions("v2")
 	w.engine.origins.versions = origin.Versions{}
 	w.engine.origins.versions.Read(ago(45), ago(45), true, []origin.Origin{v2})
-	w.engine.origins.read(time.Now(), false, nil)
+	w.engine.origins.followList()
 	if got := w.ask("/resume/", fields+"Last-Event: 2\nResumes: first\n", "x"); got.status != 200 {
 		t.Errorf("one version for 45 s: got status %d, want 200", got.status)
 	}
 }
 
+// TestPeerThatIsCutOffNamesNoVersion guards against a guess that an instance passes on as
+// knowledge: the list of the instance that is asked lacks the version that began the stream.
+func TestPeerThatIsCutOffNamesNoVersion(t *testing.T) {
+	nodes := newPeerNodes(t, 4)
+	v1 := origin.Origin{Service: "s", Version: "v1"}
+	past := time.Now().Add(-45 * time.Second)
+	for _, p := range nodes[1:] {
+		p.versions.Read(past, past, true, []origin.Origin{v1})
+		p.read(time.Now(), false, nil)
+	}
+	if got, ok := nodes[0].ask(t.Context(), "o/1", "s"); ok {
+		t.Errorf("got %+v, want it unknown", got)
+	}
+}
+
+// TestTakeUpsShareARefresh guards against a read of the target list for each request, when many
+// streams are taken up at the same time.
+func TestTakeUpsShareARefresh(t *testing.T) {
+	var o origins
+	calls := 0
+	o.refresh = func(context.Context) {
+		calls++
+		time.Sleep(50 * time.Millisecond)
+		o.read(time.Now().Add(-50*time.Millisecond), false, nil)
+	}
+	past := time.Now().Add(-45 * time.Second)
+	o.versions.Read(past, past, true, []origin.Origin{{Service: "s", Version: "v1"}})
+	var wg sync.WaitGroup
+	for range 100 {
+		wg.Go(func() {
+			if _, ok := o.find(t.Context(), "o/1", "s"); !ok {
+				t.Error("the version is unknown, want the only one")
+			}
+		})
+	}
+	wg.Wait()
+	if calls > 2 {
+		t.Errorf("%d reads of the list, want at most 2", calls)
+	}
+}
+
 // TestStartedInstanceCutOffFromPeers: an instance that started alone, beside others that know a
 // stream but can't be reached, rejects it. It doesn't go by the version that it sees.
 func TestStartedInstanceCutOffFromPeers(t *testing.T) {
@@ -318,6 +368,7 @@
 		p.note("o/1", v1)
 		p.server.Stop()
 	}
+	nodes[0].followList()
 	nodes[0].read(time.Now(), true, []origin.Origin{v2})
 	if got, ok := nodes[0].ask(t.Context(), "o/1", "s"); ok {
 		t.Errorf("got %+v, want it unknown", got)
--- a/internal/edge/peer.go
+++ b/internal/edge/peer.go
@@ -69,9 +69,11 @@
 }
 
 // FindOrigin returns where a stream began, as far as this instance knows.
-func (p *peerServer) FindOrigin(_ context.Context, req *wire.FindOriginRequest) (*wire.FindOriginReply, error) {
+func (p *peerServer) FindOrigin(ctx context.Context, req *wire.FindOriginRequest) (*wire.FindOriginReply, error) {
 	reply := &wire.FindOriginReply{}
-	if at, ok := p.origins.find(req.GetId(), req.GetService()); ok {
+	ctx, cancel := context.WithTimeout(ctx, peerRefreshTimeout)
+	defer cancel()
+	if at, ok := p.origins.find(ctx, req.GetId(), req.GetService()); ok {
 		reply.Origin = &wire.StreamOrigin{Id: req.GetId(), Service: at.Service, Version: at.Version}
 	}
 	return reply, nil
--- a/pkg/keyed/follow.go
+++ b/pkg/keyed/follow.go
@@ -34,8 +34,10 @@
 	// copy. Full is set too. Records that were passed on before may be missing or older
 	// in it, and their writers may not have written them again yet.
 	Restored bool
-	// LogEpoch is the epoch that the change is from.
+	// LogEpoch is the epoch that the change is from. End is the offset after the last record
+	// that was read.
 	LogEpoch LogEpoch
+	End      Offset
 	// RequestedAt is a time at which the store's state was no newer than the change: when the
 	// call that returned it was sent or, if the call returned only a part of the new records,
 	// that of an earlier change.
@@ -171,7 +173,7 @@
 		newer = append(newer, e)
 	}
 	f.end, f.current = max(f.end, page.End), at
-	f.OnChange(Change{Entries: newer, Full: full, Restored: full && f.restored, LogEpoch: f.epochs.Current, RequestedAt: at})
+	f.OnChange(Change{Entries: newer, Full: full, Restored: full && f.restored, LogEpoch: f.epochs.Current, End: f.end, RequestedAt: at})
 }
 
 // reportState calls OnReachability if the store's reachability has changed.
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -108,7 +108,9 @@
 	if gap {
 		v.first = now
 	}
-	v.confirmed = requested
+	if requested.After(v.confirmed) {
+		v.confirmed = requested
+	}
 	return mixed
 }
 
@@ -145,11 +147,32 @@
 	return n
 }
 
-// Single returns the only version of a service that serves, or served lately. ok is false if
-// there are several, if an earlier one may have served while the list was not read, or if the list
-// is not current.
+// Single returns the only version of a service that serves, or served lately, by a list that is
+// current to within maxListAge. ok is false if there are several, or if an earlier one may have
+// served while the list was not read. Another version may serve already; see Proven.
 func (v *Versions) Single(now time.Time, service string) (version string, ok bool) {
-	if v.last == nil || now.Sub(v.first) < minWatch || now.Sub(v.confirmed) > maxListAge {
+	return v.only(now, service, now.Add(-maxListAge))
+}
+
+// Proven returns the version of all streams of a service that began before a moment, and that
+// may still be taken up. ok is false if there are several, if an earlier one may have served
+// while the list was not read, or if the list was last read before that moment.
+func (v *Versions) Proven(now time.Time, service string, began time.Time) (version string, ok bool) {
+	return v.only(now, service, began)
+}
+
+// MayBeProven reports whether Proven would return a version if the list was read now without a
+// change.
+func (v *Versions) MayBeProven(now time.Time, service string) bool {
+	_, ok := v.only(now, service, time.Time{})
+	return ok
+}
+
+// only returns the only version of a service that serves, or served lately. ok is false if there
+// are several, if an earlier one may have served while the list was not read, or if the list was
+// last read before since.
+func (v *Versions) only(now time.Time, service string, since time.Time) (version string, ok bool) {
+	if v.last == nil || now.Sub(v.first) < minWatch || v.confirmed.Before(since) {
 		return "", false
 	}
 	n := 0
--- a/pkg/origin/origin_test.go
+++ b/pkg/origin/origin_test.go
@@ -161,6 +161,10 @@
 				if want := (n >= 30 && n <= 41) || (n >= c.until && n >= 50); single != want {
 					t.Errorf("second %d: a version is named: %v, want %v", n, single, want)
 				}
+				_, proven := v.Proven(second(n), "s", second(n))
+				if want := (n >= 30 && n < 40) || (n >= c.until && n >= 50); proven != want {
+					t.Errorf("second %d: a version is proven for streams until then: %v, want %v", n, proven, want)
+				}
 			}
 		})
 	}
