pkg/pool: a connection carries no request again that was refused on it

Cause: all attempts at a request have its id. Once all targets have refused, one of them is tried again, on the connection that carried the refusal. The copy of the refusal then stands where the response to the second attempt is expected, with the right id.

Change: a connection keeps hashes of the ids that were refused on it and is passed over for these; after 64 it is not kept.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -37,7 +37,7 @@
 
 // attempt sends the request to one target and forwards the response.
 func (x *exchange) attempt(a *attempt) attemptResult {
-	conn, err := a.target.pool.Get(x.ctx)
+	conn, err := a.target.pool.GetFor(x.ctx, x.id)
 	if err != nil {
 		if x.ctx.Err() != nil {
 			return uncertain{err: ErrCallerGone, forwarded: x.w.started}
@@ -56,6 +56,9 @@
 	})
 	result, reuse := x.containedRoundTrip(conn, a)
 	stopped := stop()
+	if _, refused := result.(notRun); refused {
+		conn.NoteRefused(x.id)
+	}
 	if x.ctx.Err() != nil {
 		if u, ok := result.(uncertain); ok {
 			u.err = errors.Join(ErrCallerGone, u.err)
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -8,9 +8,12 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // ErrConnect reports that no connection was made. Nothing was sent.
@@ -33,6 +36,8 @@
 	// readBufferSize is the size in bytes of the read buffer, which holds a response
 	// head.
 	readBufferSize = 4096
+	// maxRefused is the number of refused requests after which a connection is not kept.
+	maxRefused = 64
 	// tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
 	tcpUserTimeout = 18
 )
@@ -46,8 +51,15 @@
 	raw         syscall.RawConn
 	idleSince   time.Time
 	idleTimeout time.Duration
+	// refused holds the hashes of the ids of requests that the peer refused.
+	refused []uint64
 }
 
+// NoteRefused records that the peer refused the request with an id on this connection. A
+// faulty peer may send its refusal again, and it could not be told from the response to
+// another attempt at the request. See Pool.GetFor.
+func (c *Conn) NoteRefused(id []byte) { c.refused = append(c.refused, xxhash.Sum64(id)) }
+
 // SetIdleTimeout sets the idle timeout that the peer announced. If d is not positive,
 // the current timeout stays, which is DefaultIdleTimeout for a new connection.
 func (c *Conn) SetIdleTimeout(d time.Duration) {
@@ -90,15 +102,16 @@
 // TakeIdle removes the most recently used idle connection from the pool and returns
 // it, or nil if there is none. It closes the stale connections that it finds.
 func (p *Pool) TakeIdle(now time.Time) *Conn {
+	return p.takeIdle(now, func(*Conn) bool { return true })
+}
+
+// takeIdle is TakeIdle for the connections that fit.
+func (p *Pool) takeIdle(now time.Time, fits func(*Conn) bool) *Conn {
 	for {
-		p.mu.Lock()
-		if len(p.idle) == 0 {
-			p.mu.Unlock()
+		c := p.removeLast(fits)
+		if c == nil {
 			return nil
 		}
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		p.mu.Unlock()
 		if now.Sub(c.idleSince) < c.idleTimeout && c.reusable() {
 			return c
 		}
@@ -106,6 +119,29 @@
 	}
 }
 
+// removeLast removes the most recently used idle connection that fits, or returns nil.
+func (p *Pool) removeLast(fits func(*Conn) bool) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, c := range slices.Backward(p.idle) {
+		if fits(c) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+// GetFor is Get for the request with an id. It passes over connections on which the peer has
+// refused a request with this id.
+func (p *Pool) GetFor(ctx context.Context, id []byte) (*Conn, error) {
+	hash := xxhash.Sum64(id)
+	if c := p.takeIdle(time.Now(), func(c *Conn) bool { return !slices.Contains(c.refused, hash) }); c != nil {
+		return c, nil
+	}
+	return p.Dial(ctx)
+}
+
 // Get returns an idle connection, or dials a new one. The error matches
 // ErrConnect.
 func (p *Pool) Get(ctx context.Context) (*Conn, error) {
@@ -151,11 +187,12 @@
 
 // Put returns a connection to the pool. The last response must have been read to
 // its end. Put closes the connection if the pool is closed, if unread bytes
-// remain, or if the peer's idle timeout is at most idleMargin.
+// remain, if the peer's idle timeout is at most idleMargin, or if the peer has refused
+// maxRefused requests on it.
 func (p *Pool) Put(c *Conn) {
 	c.idleSince = time.Now()
 	p.mu.Lock()
-	keep := !p.closed && c.idleTimeout > 0 && c.Reader.Buffered() == 0
+	keep := !p.closed && c.idleTimeout > 0 && c.Reader.Buffered() == 0 && len(c.refused) < maxRefused
 	if keep {
 		p.idle = append(p.idle, c)
 	}
--- a/pkg/pool/pool_test.go
+++ b/pkg/pool/pool_test.go
@@ -137,3 +137,41 @@
 		t.Errorf("Get from a closed port: error is %v, want ErrConnect", err)
 	}
 }
+
+// TestRefusedRequest guards against a connection that carries a request again after the peer
+// has refused it there, and against a memory of refusals that grows without bound.
+func TestRefusedRequest(t *testing.T) {
+	addr, conns := listen(t)
+	p := &pool.Pool{Addr: addr}
+	get := func(id string) *pool.Conn {
+		t.Helper()
+		c, err := p.GetFor(t.Context(), []byte(id))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	first := get("a")
+	defer func() { _ = (<-conns).Close() }()
+	first.NoteRefused([]byte("a"))
+	p.Put(first)
+	second := get("a")
+	defer func() { _ = (<-conns).Close() }()
+	if second == first {
+		t.Error("the refused request got the same connection, want a new one")
+	}
+	p.Put(second)
+	if got := get("a"); got != second {
+		t.Error("the refused request did not get the other idle connection")
+	}
+	if got := get("b"); got != first {
+		t.Error("another request did not get the idle connection")
+	}
+	for i := range 64 {
+		first.NoteRefused([]byte{byte(i)})
+	}
+	p.Put(first)
+	if p.TakeIdle(time.Now()) != nil {
+		t.Error("a connection with many refused requests was kept, want it closed")
+	}
+}
