platform: an odd record among those of the targets costs only itself

Callers saw (report of other operators): one odd entry of another writer, and machines that ended or stopped following the list.

Cause: fields were checked for their types, and numbers of any size were converted to integers, with a result that depends on the machine. An entry born at 1e300, or of a service that doesn't exist, took the address of the sound target.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -183,7 +183,7 @@
 			n.publishTargets(time.Now())
 		})
 	}
-	added, removed, draining, gone := n.engine.fleet.update(n.list.Targets())
+	added, removed, draining, gone := n.engine.fleet.update(n.list.TargetsOf(n.hasService))
 	for _, t := range gone {
 		n.engine.quarantine.targetEnded(t)
 	}
@@ -194,6 +194,13 @@
 	}
 }
 
+// hasService reports whether a service exists by the active configuration. Without one, each
+// may exist.
+func (n *Node) hasService(name string) bool {
+	t := n.engine.view.Load()
+	return t == nil || t.HasService(name)
+}
+
 // logStoreState returns a callback for a follower's changes of state. The callback logs
 // whether the store is reachable. It then calls also, if that is not nil, with lost set
 // if the store is unreachable.
--- a/pkg/acct/codec.go
+++ b/pkg/acct/codec.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/beryllanding/beryllanding/pkg/ledger"
 )
 
 // ErrRecord reports a record that is not a valid account or not valid pledges.
@@ -34,11 +36,13 @@
 	return a, nil
 }
 
-// checkLines returns ErrRecord if an amount of a line is invalid or the lines are not sorted.
+// checkLines returns ErrRecord if an amount of a line is invalid or so large that sums over
+// accounts may overflow, or if the lines are not sorted.
 func checkLines(lines []Line) error {
 	for i, l := range lines {
 		if l.Spent < 0 || l.Lost < 0 || l.Returned < 0 || l.Granted < l.Returned || l.Total < 0 ||
-			l.Pending < 0 || l.Pending > l.Held() {
+			l.Pending < 0 || l.Pending > l.Held() || l.PerSecond < 0 ||
+			max(l.Spent, l.Lost, l.Granted, l.PerSecond) > ledger.MaxTokens {
 			return fmt.Errorf("%w: invalid amounts in line %+v", ErrRecord, l)
 		}
 		if i > 0 && lines[i-1].Budget >= l.Budget {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -172,6 +172,14 @@
 	r.gone[t.ID] = gone{Target: t, at: now}
 }
 
+// replaces reports whether the target is to be used in place of another one at its address.
+func (t Target) replaces(old Target, exists func(service string) bool) bool {
+	if known, oldKnown := exists(t.Service), exists(old.Service); known != oldKnown {
+		return known
+	}
+	return t.Born >= old.Born
+}
+
 // Remove removes an entry that was deleted from the store or that describes no
 // usable target. The target stays in use until the end of the grace if the entry
 // may have expired because of an outage and the target is not draining.
@@ -232,12 +240,16 @@
 
 // Targets returns the targets to use, sorted by ID. If several targets have the
 // same address, only the one that started last is returned.
-func (r *Roster) Targets() []Target {
+func (r *Roster) Targets() []Target { return r.TargetsOf(func(string) bool { return true }) }
+
+// TargetsOf is Targets for a reader that knows which services exist. An entry of a service
+// that does not exist takes no other one's address, since anybody may have written it.
+func (r *Roster) TargetsOf(exists func(service string) bool) []Target {
 	byAddress := make(map[string]Target, len(r.listed))
 	for _, list := range []map[string]Target{r.missing, r.listed} {
 		for _, id := range slices.Sorted(maps.Keys(list)) {
 			t := list[id]
-			if old, ok := byAddress[t.Address]; ok && old.Born > t.Born {
+			if old, ok := byAddress[t.Address]; ok && !t.replaces(old, exists) {
 				continue
 			}
 			byAddress[t.Address] = t
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -109,3 +109,20 @@
 	r.Set(roster.Target{ID: "old", Service: "s1", Address: "x:1", Born: 10})
 	wantTargets(t, r, "new")
 }
+
+// TestUnknownServiceTakesNoAddress guards against an odd entry that hides a sound target at its
+// address.
+func TestUnknownServiceTakesNoAddress(t *testing.T) {
+	r := &roster.Roster{}
+	sound, odd := entry("sound", 10, 1), entry("odd", 99, 1)
+	odd.Address, odd.Service = sound.Address, "none"
+	r.Set(sound)
+	r.Set(odd)
+	if got := r.TargetsOf(func(service string) bool { return service != "none" }); len(got) != 1 || got[0].ID != "sound" {
+		t.Errorf("got targets %+v, want the sound one", got)
+	}
+	// If the service exists, the target that started last has the address.
+	if got := r.Targets(); len(got) != 1 || got[0].ID != "odd" {
+		t.Errorf("got targets %+v, want the one that started last", got)
+	}
+}
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -124,6 +124,14 @@
 	}
 }
 
+// HasService reports whether the configuration has a service, or a route that leads to it.
+func (t *Table) HasService(name string) bool {
+	if _, ok := t.Services[name]; ok {
+		return true
+	}
+	return slices.ContainsFunc(t.Routes, func(r *Route) bool { return r.LeadsTo(name) })
+}
+
 // Match returns the route with the longest prefix that matches the host and path,
 // or nil. The query of the path, the port of the host and the case of the host do
 // not matter.
