internal/logs: a line that is written after Close is dropped

Cause: at the end of a planned stop the writer is closed while requests that outlast the grace period still write to it.

Change: Write and Close agree by a lock whether the queue is open; later lines count as dropped.

--- a/internal/logs/async.go
+++ b/internal/logs/async.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 )
 
@@ -17,6 +18,10 @@
 	lines   chan []byte
 	done    chan struct{}
 	dropped atomic.Int64
+
+	mu sync.RWMutex
+	// closed is set before lines is closed.
+	closed bool
 }
 
 // NewAsync returns a writer that writes queued lines to w. Close must be called at
@@ -27,9 +32,15 @@
 	return a
 }
 
-// Write queues a copy of the line, or drops it if the queue is full. It never
-// returns an error, and panics after Close.
+// Write queues a copy of the line, or drops it if the queue is full or closed. It never
+// returns an error.
 func (a *Async) Write(line []byte) (int, error) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	if a.closed {
+		a.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case a.lines <- append([]byte(nil), line...):
 	default:
@@ -41,10 +52,13 @@
 // Dropped returns the number of lines dropped so far.
 func (a *Async) Dropped() int64 { return a.dropped.Load() }
 
-// Close waits until the queued lines are written. It does not close the underlying
-// writer.
+// Close waits until the queued lines are written; later ones are dropped. It does not close
+// the underlying writer. It must be called once.
 func (a *Async) Close() {
+	a.mu.Lock()
+	a.closed = true
 	close(a.lines)
+	a.mu.Unlock()
 	<-a.done
 }
 
