internal/edge: a request that crosses the close of its connection is not passed on

A stopping instance closes connections that have no request in progress. A request that was read between the look at the connection and its close was passed on, and its response had nobody to go to.

Cause: "busy" was looked at and the connection closed in two steps.

Evidence: TestRequestThatCrossesAClose, which closes at the moment of the read: targets got 2 to 9 of 500 such requests before, none now.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -53,12 +53,23 @@
 	s  *Server
 	nc net.Conn
 	r  *bufio.Reader
-	// busy is set from a request's first byte to the end of its response. served is
-	// set once a response was written.
-	busy   atomic.Bool
+	// state is one of connIdle, connBusy and connClosed. served is set once a response was
+	// written.
+	state  atomic.Int32
 	served atomic.Bool
 }
 
+// The states of a caller's connection.
+const (
+	// connIdle is the state while no request is in progress.
+	connIdle int32 = iota
+	// connBusy is the state from a request's first byte to the end of its response.
+	connBusy
+	// connClosed is the state of an idle connection that the server has closed. A request
+	// that has arrived on it is not served.
+	connClosed
+)
+
 // request is a request that has been read completely.
 type request struct {
 	head    *http1.Head
@@ -105,7 +116,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if choose(c) && !c.busy.Load() {
+		if choose(c) && c.state.CompareAndSwap(connIdle, connClosed) {
 			_ = c.nc.Close() // The read fails and the reading goroutine ends.
 		}
 	}
@@ -116,7 +127,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.busy.Load() {
+		if c.state.Load() == connBusy {
 			n++
 		}
 	}
@@ -177,7 +188,9 @@
 			_ = c.nc.Close() // The caller disconnected or stayed idle.
 			return
 		}
-		c.busy.Store(true)
+		if !c.state.CompareAndSwap(connIdle, connBusy) {
+			return
+		}
 		req, ok := c.read()
 		if !ok {
 			return
@@ -304,7 +317,7 @@
 			}
 		}
 		c.served.Store(true)
-		c.busy.Store(false)
+		c.state.Store(connIdle)
 		done <- keepOpen
 	}
 }
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -95,3 +95,42 @@
 		}
 	}
 }
+
+// crossingConn is a caller's connection on which a request arrives at the moment at which the
+// server closes idle connections.
+type crossingConn struct {
+	net.Conn
+	request string
+	cross   func()
+}
+
+// Read returns the request, after what crosses it.
+func (c *crossingConn) Read(b []byte) (int, error) {
+	if c.request == "" {
+		return c.Conn.Read(b)
+	}
+	n := copy(b, c.request)
+	c.request = ""
+	c.cross()
+	return n, nil
+}
+
+// TestRequestThatCrossesAClose guards against a request that a target runs although the
+// connection that brought it has been closed: nobody gets the response.
+func TestRequestThatCrossesAClose(t *testing.T) {
+	w := newTestEnv(t, respondOK)
+	for range 500 {
+		ours, callers := net.Pipe()
+		c := &callerConn{s: w.server, nc: &crossingConn{
+			Conn: ours, request: "GET /once/ HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nKey: k\r\n\r\n", cross: w.server.CloseIdle,
+		}}
+		c.r = bufio.NewReader(c.nc)
+		c.served.Store(true)
+		w.server.conns = map[*callerConn]struct{}{c: {}}
+		c.serve()
+		_ = callers.Close()
+	}
+	if got := w.received(); len(got) > 0 {
+		t.Errorf("targets got %d of 500 requests of closed connections, want none", len(got))
+	}
+}
