internal/alloc: a pending grant whose place in the order is lost counts as rejected

Cause: an instance that was cut off between the write of its account and the answer, and whose history was dropped meanwhile, settled its pending grant by the newest accounts. Tokens that another one had returned after the grant's place in the order were free for it, and free for everybody who had read the order.

Change: such a grant counts as rejected and is asked for again. Others count at least as much for its holder until that writes its account, so no token is given twice.

--- a/internal/alloc/part.go
+++ b/internal/alloc/part.go
@@ -351,15 +351,10 @@
 }
 
 // apply applies records in their order, and settles the pending write at its position
-// among them. If newest is set, the records are a snapshot without order. All other
-// accounts then count as written before the pending write, with all that they ask for,
-// so the pending write cannot get too much. The caller holds p.mu.
+// among them. If newest is set, the records are a snapshot without order. What the pending
+// write got is then not known: others may have returned tokens after its place in the order.
+// Its grants count as rejected. The caller holds p.mu.
 func (s *Service) apply(p *partition, records []record, newest bool) {
-	if newest {
-		slices.SortStableFunc(records, func(x, y record) int {
-			return compareBool(x.key == s.key, y.key == s.key)
-		})
-	}
 	for _, r := range records {
 		if r.account == nil {
 			p.state.Drop(r.key)
@@ -367,7 +362,12 @@
 		}
 		if w := p.pending; r.key == s.key && w != nil && r.account.Holder == w.account.Holder &&
 			r.account.Epoch == w.account.Epoch && r.account.Serial == w.account.Serial {
-			p.own, w.seen = p.state.Settled(s.key, w.account), true
+			if newest {
+				p.own = w.account.Reject()
+			} else {
+				p.own = p.state.Settled(s.key, w.account)
+			}
+			w.seen = true
 		}
 		if newest {
 			p.state.Set(r.key, r.account)
@@ -377,16 +377,6 @@
 	}
 }
 
-func compareBool(x, y bool) int {
-	switch {
-	case x == y:
-		return 0
-	case x:
-		return 1
-	}
-	return -1
-}
-
 // sync passes the accounts to the holder first and to the budgets second. A request
 // that then sees accounts with too few free tokens also finds the tokens granted to
 // this instance.
--- a/pkg/acct/state.go
+++ b/pkg/acct/state.go
@@ -276,6 +276,19 @@
 // pending grant that is not settled counts as granted in full.
 func (s *State) Settled(key string, a *Account) *Account { return s.settle(key, a, true) }
 
+// Reject returns the account without its pending grants, as if they got nothing. A holder that
+// can't read the order up to its account any more goes on with it: readers of the order count
+// at least as much for it until it writes again.
+func (a *Account) Reject() *Account {
+	rejected := *a
+	rejected.Lines = slices.Clone(a.Lines)
+	for i := range rejected.Lines {
+		l := &rejected.Lines[i]
+		l.Granted, l.Pending = l.Granted-l.Pending, 0
+	}
+	return &rejected
+}
+
 // settle returns the account with its pending grants cut to what they get. A budget may
 // have other pending grants that are not settled. If always is set, these count as
 // granted in full. If always is not set, the pending grant of the account stays
