internal/edge: a take-up that names no stream shares no name with others

Cause: such requests were looked up and noted under the organisation's name and an empty id, so each went on at the version of the one before.

Evidence: TestTakeUpWithoutAName got 200 while two versions served; want 503.

Change: without a name, the version is known only if a single one can have begun the stream, as docs/PLATFORM.md already said.

--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -140,7 +140,7 @@
 
 // find returns where a stream of a service began, as far as this instance knows: it has
 // forwarded the stream or was told of it, or only one version can have begun it. It reads the
-// target list if that may prove the latter.
+// target list if that may prove the latter. An empty id stands for any stream.
 func (o *origins) find(ctx context.Context, id, service string) (at origin.Origin, ok bool) {
 	now := time.Now() // The stream has begun before.
 	o.mu.Lock()
--- a/internal/edge/release_test.go
+++ b/internal/edge/release_test.go
@@ -78,3 +78,32 @@
 		})
 	}
 }
+
+// TestTakeUpWithoutAName guards against streams that are joined from two versions because their
+// callers don't say which stream they take up: all of one organisation then share a name.
+// While two versions serve, such a request is refused; with one it is served.
+func TestTakeUpWithoutAName(t *testing.T) {
+	w := newTestEnv(t, breakAfter(2), breakAfter(2))
+	w.setVersions("v1", "v1")
+	past := time.Now().Add(-45 * time.Second)
+	o := &w.engine.origins
+	o.versions = origin.Versions{}
+	o.versions.Read(past, past, true, []origin.Origin{{Service: "s", Version: "v1"}})
+	o.followList()
+	for i := range 3 {
+		if got := w.ask("/resume/", fields+"Last-Event: 2\n", "x"); got.status != 200 {
+			t.Errorf("one version, take-up %d: got status %d, want 200", i, got.status)
+		}
+	}
+	w.setVersions("v1", "v2")
+	before := len(w.received())
+	for i := range 3 {
+		got := w.ask("/resume/", fields+"Last-Event: 2\n", "x")
+		if got.status != 503 || got.head.Get("Retry-After") == nil {
+			t.Errorf("two versions, take-up %d: got status %d, want 503 with a time for a retry", i, got.status)
+		}
+	}
+	if got := len(w.received()) - before; got > 0 {
+		t.Errorf("two versions: %d requests reached targets, want none", got)
+	}
+}
--- a/internal/edge/takeup.go
+++ b/internal/edge/takeup.go
@@ -12,12 +12,15 @@
 
 // bindVersion binds a request that takes up a stream to the service and version that began
 // it. If that can't be known, or the route leads elsewhere now, it rejects the request and
-// returns false.
+// returns false. If the request doesn't name the stream, any stream may be meant: the version
+// is known only if a single one can have begun them all.
 func (x *exchange) bindVersion() bool {
 	if !x.route.Stream || (x.resumes == "" && x.lastEvent <= 0) {
 		return true
 	}
-	x.streamID = x.streamName(x.resumes)
+	if x.resumes != "" {
+		x.streamID = x.streamName(x.resumes)
+	}
 	at, ok := x.e.origins.ask(x.ctx, x.streamID, x.service)
 	if !ok {
 		x.reject(errUnknownOrigin.Error())
