internal/audit: the test of a restored store waits until the instance may have tokens

On a store whose log has an epoch, an instance without an account asks the others for 2 s before it is granted anything. The test reserved at once on such a store. What it checks of the accounts after a restore is unchanged.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -89,6 +89,8 @@
 		s := alloc.New(alloc.Options{Store: store, Topic: "b", Instance: "a", Policy: alloc.Policy, Machine: "m"})
 		go s.Run(ctx)
 		s.SetTotals(4, []alloc.Total{{Budget: "desk", Tokens: 160_000}})
+		// The instance has no account and can't know that the log was restored before it had any.
+		time.Sleep(3 * time.Second)
 		reservation, err := s.Reserve(t.Context(), "desk", 5000)
 		if err != nil {
 			t.Fatal(err)
