internal/edge: large bodies of requests share memory

Cause: the sum of bodies had no bound, and each was held twice while it was sent.

Change: bodies above 64 KB share 32 MB, as large responses do. One that finds no room is refused with 503 before the rest of it is read. A body above 64 KB is written from where it was read, without a copy.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -143,23 +143,31 @@
 // write sends the request. A request above maxInlineRequest is written in its own
 // goroutine, since a target may respond before it has read the body.
 func (x *exchange) write(conn *pool.Conn, a *attempt) *requestWrite {
-	buf := x.encode(a)
-	if len(buf) <= maxInlineRequest {
-		n, err := conn.Write(buf)
+	parts := [][]byte{x.encodeHead(a), x.body}
+	if len(x.body) <= freeBuffer { // A large body is held once.
+		parts = [][]byte{append(parts[0], x.body...)}
+	}
+	if len(parts) == 1 && len(parts[0]) <= maxInlineRequest {
+		n, err := conn.Write(parts[0])
 		return &requestWrite{err: err, ended: true, noneWritten: n == 0}
 	}
 	w := &requestWrite{done: make(chan error, 1)}
 	go func() {
-		_, err := conn.Write(buf)
+		var err error
+		for _, part := range parts {
+			if _, err = conn.Write(part); err != nil {
+				break
+			}
+		}
 		w.done <- err
 	}()
 	return w
 }
 
-// encode returns the request in the form that is sent to the target.
-func (x *exchange) encode(a *attempt) []byte {
+// encodeHead returns the request up to its body in the form that is sent to the target.
+func (x *exchange) encodeHead(a *attempt) []byte {
 	d := &x.e.Dialect
-	buf := make([]byte, 0, 1024+len(x.body))
+	buf := make([]byte, 0, 1024+min(freeBuffer, len(x.body)))
 	buf = append(buf, x.head.Method...)
 	buf = append(buf, ' ')
 	buf = append(buf, x.head.Path...)
@@ -190,8 +198,7 @@
 		buf = strconv.AppendInt(buf, int64(len(x.body)), 10)
 		buf = append(buf, "\r\n"...)
 	}
-	buf = append(buf, "\r\n"...)
-	return append(buf, x.body...)
+	return append(buf, "\r\n"...)
 }
 
 // lowestPriority is the least urgent priority that targets accept.
--- a/internal/edge/buffer.go
+++ b/internal/edge/buffer.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"sync/atomic"
@@ -10,14 +11,19 @@
 	"github.com/beryllanding/beryllanding/pkg/pause"
 )
 
-// ErrBuffersFull reports that the large responses in progress leave no room for another one.
-var ErrBuffersFull = errors.New("large responses in progress take all memory for buffers")
+var (
+	// ErrBuffersFull reports that the large responses in progress leave no room for another one.
+	ErrBuffersFull = errors.New("large responses in progress take all memory for buffers")
+	// ErrBodiesFull reports that the large requests in progress leave no room for another one.
+	ErrBodiesFull = errors.New("large requests in progress take all memory for bodies")
+)
 
 const (
 	// freeBuffer is the size in bytes up to which a request buffers a response, or an event
 	// of a stream, without a reservation.
 	freeBuffer = 64 << 10
-	// maxBuffers bounds the memory for all buffers beyond that, in bytes.
+	// maxBuffers bounds the memory for all buffers of responses beyond that, and that for all
+	// bodies of requests, in bytes.
 	maxBuffers = 32 << 20
 	// bufferStep is the factor by which the reservation for a response grows.
 	bufferStep = 4
@@ -59,10 +65,13 @@
 
 // releaseBuffers releases what the request has reserved.
 func (x *exchange) releaseBuffers() {
-	x.e.buffers.reserved.Add(-x.reserved)
+	x.e.buffers.release(x.reserved)
 	x.reserved = 0
 }
 
+// release gives back n bytes.
+func (b *buffers) release(n int64) { b.reserved.Add(-n) }
+
 // readBody reads a whole body of at most maxResponseBody bytes.
 func (x *exchange) readBody(body *http1.Body) ([]byte, error) {
 	size := int64(freeBuffer)
@@ -77,3 +86,37 @@
 	}
 	return data, err
 }
+
+// readBody reads the request's body of at most limit bytes. Bodies above freeBuffer share
+// memory: if there is no room, the error is ErrBodiesFull, before the rest is read.
+func (r *request) readBody(in *bufio.Reader, limit int64, shared *buffers) error {
+	body := http1.NewBody(in, r.head)
+	size := min(limit, freeBuffer)
+	if r.head.Framing == http1.FramingLength && r.head.Length <= limit {
+		// The buffer has the size of the body from the start.
+		size = limit
+		if n := r.head.Length; n > freeBuffer && !r.reserve(shared, n) {
+			return ErrBodiesFull
+		}
+	}
+	var err error
+	r.body, err = body.ReadAll(nil, size)
+	for errors.Is(err, http1.ErrBodyTooLarge) && size < limit {
+		next := min(limit, bufferStep*size)
+		if !r.reserve(shared, bufferOverhead*(next-size)) {
+			return ErrBodiesFull
+		}
+		size = next
+		r.body, err = body.ReadAll(r.body, size)
+	}
+	return err
+}
+
+// reserve reserves n bytes for the request's body, and reports whether there was room.
+func (r *request) reserve(shared *buffers, n int64) bool {
+	if !shared.tryReserve(n) {
+		return false
+	}
+	r.reserved += n
+	return true
+}
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -63,6 +63,8 @@
 	quarantine quarantine
 	origins    origins
 	buffers    buffers
+	// bodies counts the memory for large bodies of requests.
+	bodies buffers
 	// loaded is closed once the configuration and the targets were read for the first
 	// time.
 	loaded chan struct{}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -75,6 +76,8 @@
 	head    *http1.Head
 	body    []byte
 	arrived time.Time
+	// reserved is the memory that is reserved for the body, in bytes.
+	reserved int64
 }
 
 // Serve accepts connections until the listener closes.
@@ -241,9 +244,10 @@
 				return req, false
 			}
 		}
-		req.body, err = http1.NewBody(c.r, req.head).ReadAll(nil, limits.BodyBytes)
+		err = req.readBody(c.r, limits.BodyBytes, &c.s.Engine.bodies)
 	}
 	if err != nil {
+		c.s.Engine.bodies.release(req.reserved)
 		c.reject(err, req)
 		return req, false
 	}
@@ -253,7 +257,7 @@
 // reject responds to a request that cannot be read, and closes the connection.
 func (c *callerConn) reject(err error, req request) {
 	defer func() { _ = c.nc.Close() }()
-	status := 0
+	status, retryAfter := 0, time.Duration(0)
 	switch {
 	case errors.Is(err, http1.ErrHeadTooLarge):
 		status = statusHeadTooLarge
@@ -261,6 +265,8 @@
 		status = statusContentTooLarge
 	case errors.Is(err, http1.ErrMalformed):
 		status = statusBadRequest
+	case errors.Is(err, ErrBodiesFull):
+		status, retryAfter = statusUnavailable, busyRetry+rand.N(retryJitter*busyRetry)
 	case isTimeout(err):
 		status = statusRequestTimeout
 	default:
@@ -270,7 +276,7 @@
 	c.s.Logger.Info("request cannot be read", "peer", c.nc.RemoteAddr().String(), "status", status, "err", err)
 	w := &responseWriter{nc: c.nc, close: true}
 	id := req.head.Get(c.s.Engine.Dialect.RequestID)
-	if werr := w.writeError(status, id, c.s.Engine.Dialect.RequestID, 0, err.Error()); werr != nil {
+	if werr := w.writeError(status, id, c.s.Engine.Dialect.RequestID, retryAfter, err.Error()); werr != nil {
 		return
 	}
 	c.linger()
@@ -306,6 +312,7 @@
 	for req := range requests {
 		*w = responseWriter{nc: c.nc, buf: w.buf[:0], close: req.head.Close || c.s.stopping.Load()}
 		c.s.Engine.Serve(ctx, req.head, req.body, w, req.arrived)
+		c.s.Engine.bodies.release(req.reserved)
 		keepOpen := w.err == nil && !w.close && !c.s.stopping.Load()
 		if keepOpen {
 			c.setDeadline(c.s.limits().IdleTimeout)
