internal/edge: an announced body beyond the limit is 413, whatever room is left

Found while reading the change: such a body went through the loop that reserves memory before its size was compared with the limit. No other change of behaviour.

--- a/internal/alloc/alloc.go
+++ b/internal/alloc/alloc.go
@@ -64,7 +64,7 @@
 	// spent.
 	confirmTime = 2 * time.Second
 	// restoredTime is how long after a restore the accounts are read as often as those of
-	// scarce budgets. Instances that start meanwhile ask the others.
+	// scarce budgets, so that instances that start meanwhile and ask get answers soon.
 	restoredTime = 10 * time.Second
 	// unreachableRetryAfter is the retry time given to a request whose tokens this
 	// instance cannot get now.
--- a/internal/alloc/part.go
+++ b/internal/alloc/part.go
@@ -49,8 +49,8 @@
 	pending *pendingWrite
 	// epoch is the lowest epoch that the next account may have.
 	epoch int64
-	// asked is when this incarnation wrote an account that asks the others for what the
-	// store lacks; zero if it does not ask.
+	// asked is when this incarnation last wrote an account that asks the others for what
+	// the store lacks.
 	asked time.Time
 	// written is when this instance's account was last written.
 	written time.Time
--- a/internal/edge/buffer.go
+++ b/internal/edge/buffer.go
@@ -91,15 +91,15 @@
 // memory: if there is no room, the error is ErrBodiesFull, before the rest is read.
 func (r *request) readBody(in *bufio.Reader, limit int64, shared *buffers) error {
 	body := http1.NewBody(in, r.head)
-	size := min(limit, freeBuffer)
-	if r.head.Framing == http1.FramingLength && r.head.Length <= limit {
-		// The buffer has the size of the body from the start.
-		size = limit
-		if n := r.head.Length; n > freeBuffer && !r.reserve(shared, n) {
+	var err error
+	if r.head.Framing == http1.FramingLength {
+		if n := r.head.Length; n > freeBuffer && n <= limit && !r.reserve(shared, n) {
 			return ErrBodiesFull
 		}
+		r.body, err = body.ReadAll(nil, limit)
+		return err
 	}
-	var err error
+	size := min(limit, freeBuffer)
 	r.body, err = body.ReadAll(nil, size)
 	for errors.Is(err, http1.ErrBodyTooLarge) && size < limit {
 		next := min(limit, bufferStep*size)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -275,7 +275,7 @@
 		}
 		time.Sleep(stopPoll)
 	}
-	// A request that is not refused counted as busy before, so that awaitIdle waits for it.
+	// From now on requests are refused. Those that were admitted before count as busy.
 	n.engine.accepts.Store(acceptNone)
 	n.server.awaitIdle(end)
 	_ = l.Close() // No further connections are accepted.
--- a/pkg/acct/ask.go
+++ b/pkg/acct/ask.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/beryllanding/beryllanding/pkg/ident"
-	"github.com/beryllanding/beryllanding/pkg/ledger"
 )
 
 // A process that starts after a restore does not know what the copy lacks, but processes
@@ -63,9 +62,9 @@
 	return keys, asked > maxAsk || (len(keys) == 0 && asked >= minAsk)
 }
 
-// MustAnswer reports whether the holder of a key has to write its account because another
-// holder asks, or because it knows more than the store shows and has no account there that
-// says so. own is the holder's account, or nil.
+// MustAnswer reports whether the holder of a key has to write its account: because another
+// holder asks, or because it knows more than the store shows, and no account of its own says
+// so. own is the holder's account, or nil.
 func (s *State) MustAnswer(key string, own *Account) bool {
 	if own == nil {
 		return !s.asks && len(s.knownBeyond(key)) > 0
@@ -138,7 +137,7 @@
 	lines := slices.Clone(a.Lines)
 	for i, l := range lines {
 		l.Spent, l.Lost = l.committed(), l.Lost+l.Held()
-		l.Granted, l.Returned, l.Pending = ledger.Tokens(0), 0, 0
+		l.Granted, l.Returned, l.Pending = 0, 0, 0
 		lines[i] = l
 	}
 	return lines
