internal/trace: the test waits for the handler before it reads the spans

Cause: the server's span ends with its handler, after the response has been sent. The test stopped the server without waiting for handlers and then shut its exporter down; a span that ends later is dropped. The product drains its servers before.

Change: GracefulStop in place of Stop. What is checked is unchanged.

--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -40,7 +40,7 @@
 func call(t *testing.T, p *peer, client, server *Tracing) trace.SpanContext {
 	s := grpc.NewServer(server.ServerOptions()...)
 	wire.RegisterPeerServer(s, p)
-	defer s.Stop()
+	defer s.GracefulStop() // The span of the call ends with its handler, after the response.
 	options := append(client.DialOptions(), memnet.ServeGRPC(s, nil)...)
 	conn, err := grpc.NewClient("passthrough:///buf", options...)
 	if err != nil {
