internal/edge: the tests' nodes get addresses that differ from each other

Cause: the three addresses of a node were found one after the other, and each was given back before the next.

What is checked is unchanged.

--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -31,14 +31,19 @@
 	ended chan error
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+// setAddresses gives the node addresses that are free and differ from each other: an address
+// that was given back could be found twice.
+func (n *nodeEnv) setAddresses() {
+	n.t.Helper()
+	for _, addr := range []*string{&n.opts.Listen, &n.opts.ReadyListen, &n.opts.MetricsListen} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			n.t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		*addr = l.Addr().String()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	n.addr = n.opts.Listen
 }
 
 func (n *nodeEnv) put(topic, key string, v any) {
@@ -74,8 +79,7 @@
 	}
 	n.put("tables", "config", &tbl)
 	n.opts = Options{
-		Instance: "i", DataCentre: "here", Machine: "m", Listen: freeAddress(t), ReadyListen: freeAddress(t),
-		MetricsListen: freeAddress(t), ReadyPath: "/ready", MetricsPath: "/metrics", Grace: 6 * time.Second,
+		Instance: "i", DataCentre: "here", Machine: "m", ReadyPath: "/ready", MetricsPath: "/metrics", Grace: 6 * time.Second,
 		Retries: Retries{Window: 10 * time.Second, Share: 0.2, Burst: 32}, Dialect: testDialect, Store: n.store, Decoder: keyd.Records{},
 		Tables: keyed.Partition{Topic: "tables"}, Targets: keyed.Partition{Topic: "targets"}, Budgets: "budgets", Pledges: "pledges",
 		Board: keyed.Partition{Topic: "board"},
@@ -83,7 +87,7 @@
 		ServeAll: true,
 		Logger:   log.New(io.Discard),
 	}
-	w.addr = n.opts.Listen
+	n.setAddresses()
 	return n
 }
 
@@ -94,7 +98,11 @@
 		if n.ready() == http.StatusOK {
 			return
 		}
-		time.Sleep(20 * time.Millisecond)
+		select {
+		case err := <-n.ended:
+			n.t.Fatalf("the node ended before it was ready: %v", err)
+		case <-time.After(20 * time.Millisecond):
+		}
 	}
 	n.t.Fatal("the node is not ready after 4 s")
 }
@@ -313,8 +321,7 @@
 	if len(before) != 1 || before[0].Free == 0 {
 		t.Fatalf("got holdings %+v, want one with free tokens", before)
 	}
-	n.opts.Listen, n.opts.ReadyListen, n.opts.MetricsListen = freeAddress(t), freeAddress(t), freeAddress(t)
-	n.addr = n.opts.Listen
+	n.setAddresses()
 	n.start() // Starts a new incarnation of the instance. The first one then counts as dead.
 	got := n.ask("/stream/", "Request-Id: again\nKey: p\nTokens: 100,50\n", "x")
 	if got.status != 200 {
