internal/edge: logs and metrics say who ended a response

The logs could not tell a stream that the instance gave up from one that its target broke off, nor how long after SIGTERM it was cut, and the requests that a process takes with it at its end had no line. 'request ended' has cut-by and stopping-ms, 'attempt ended' silent-ms and stopping-ms, the last line of a process the ids of its requests, and beryl_cuts_total counts by who ended them. No decision changes.

go test ./internal/meter ./internal/edge ./cmd/beryl: ok.

--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -76,6 +76,8 @@
 	started   time.Time
 	// accepts is one of acceptAll, acceptShort and acceptNone.
 	accepts atomic.Int32
+	// stopBegan is when the instance was told to stop, or nil.
+	stopBegan atomic.Pointer[time.Time]
 	// lastRequest is when the last request arrived, in ns since started by the
 	// monotonic clock.
 	lastRequest atomic.Int64
@@ -146,6 +148,10 @@
 	status      int
 	outcome     string
 	reason      string
+	// lastErr is the error of the last attempt, or nil. cutBy is who ended a response that
+	// had begun, or "" if it was not reset.
+	lastErr error
+	cutBy   string
 }
 
 // Serve processes one request and writes the response to w. The context must be
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -248,7 +248,7 @@
 	closeStatus()
 	err = <-served
 	if open := n.server.Close(closeTime); open > 0 {
-		n.logger("node").Warn("the process ends with requests in progress", "connections", open)
+		n.logger("node").Warn("the process ends with requests in progress", "connections", open, "request-ids", n.server.inProgress())
 	}
 	return err
 }
@@ -258,6 +258,7 @@
 // refused: nothing would wait for their responses.
 func (n *Node) stop(l net.Listener) {
 	began := time.Now()
+	n.engine.stopBegan.Store(&began)
 	n.stopping.Store(true)
 	n.server.Stop()
 	n.logger("node").Info("stopping", "grace", n.opts.Grace, "busy", n.server.Busy())
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"strings"
 	"time"
 )
@@ -22,6 +23,10 @@
 // recordRequest logs and counts the end of the request.
 func (x *exchange) recordRequest() {
 	took := time.Since(x.arrived)
+	if x.outcome == outcomeCut && x.w.started {
+		x.cutBy = endedBy(x.lastErr)
+		x.e.Meter.Cut(x.cutBy)
+	}
 	x.e.Meter.Request(x.service, x.outcome, x.status, took)
 	if x.firstByte > 0 {
 		x.e.Meter.FirstByte(x.service, x.firstByte)
@@ -68,9 +73,45 @@
 	if x.reason != "" {
 		fields = append(fields, "reason", x.reason)
 	}
+	if x.cutBy != "" {
+		fields = append(fields, "cut-by", x.cutBy)
+	}
+	fields = x.e.appendStopTime(fields)
 	x.e.Logger.Info("request ended", fields...)
 }
 
+// Who ended a response that had begun, in the log and the metrics.
+const (
+	cutByTarget   = "target"
+	cutBySilence  = "silence"
+	cutByNoTarget = "no-target"
+	cutByDeadline = "deadline"
+	cutByInstance = "instance"
+)
+
+// endedBy returns who ended a response, by the error of its last attempt.
+func endedBy(err error) string {
+	switch {
+	case errors.Is(err, ErrInternal), err == nil:
+		return cutByInstance
+	case errors.Is(err, ErrSilent):
+		return cutBySilence
+	case errors.Is(err, errNotTaken):
+		return cutByNoTarget
+	case isTimeout(err):
+		return cutByDeadline
+	}
+	return cutByTarget
+}
+
+// appendStopTime appends the time since the stop signal to the fields of a log line.
+func (e *Engine) appendStopTime(fields []any) []any {
+	if at := e.stopBegan.Load(); at != nil {
+		fields = append(fields, "stopping-ms", millis(time.Since(*at)))
+	}
+	return fields
+}
+
 // logIfSlow logs the attempt if it takes longer than slowAttempt. The caller must call
 // the returned function when the attempt ends.
 func (x *exchange) logIfSlow(a *attempt) (stop func() bool) {
@@ -90,6 +131,7 @@
 func (x *exchange) recordAttempt(a *attempt, result attemptResult) {
 	var err error
 	kind, status := outcomeAnswered, 0
+	x.lastErr = attemptError(result)
 	switch result := result.(type) {
 	case failed:
 		kind, status = "failed", result.response.status
@@ -105,8 +147,10 @@
 	fields := []any{
 		"request-id", string(x.id), "target", a.target.ID, "version", a.target.Version,
 		"address", a.target.Address, "outcome", kind, "status", status,
-		"targets-age-ms", millis(a.listAge), "open-here", a.open, "took-ms", millis(time.Since(a.began)), "events", x.events, "err", err,
+		"targets-age-ms", millis(a.listAge), "open-here", a.open, "took-ms", millis(time.Since(a.began)),
+		"silent-ms", millis(x.e.fleet.silentFor(a.target, a.began)), "events", x.events, "err", err,
 	}
+	fields = x.e.appendStopTime(fields)
 	if kind == "may-have-run" {
 		fields = append(fields, "identity", x.identity())
 	}
--- a/internal/edge/retry.go
+++ b/internal/edge/retry.go
@@ -28,6 +28,8 @@
 	// ErrWithdrawn reports a target that was withdrawn between its choice and the sending
 	// of the request, which was not sent.
 	ErrWithdrawn = errors.New("target was withdrawn before the request was sent")
+	// errNotTaken reports a request that the target did not take.
+	errNotTaken = errors.New("target did not take the request")
 	// ErrSilent reports a target that sent nothing for too long.
 	ErrSilent = errors.New("target sent nothing for too long")
 )
@@ -64,6 +66,17 @@
 func (failed) attemptResult()    {}
 func (uncertain) attemptResult() {}
 
+// attemptError returns the error of an attempt without a response, or nil.
+func attemptError(result attemptResult) error {
+	switch result := result.(type) {
+	case notRun:
+		return errors.Join(errNotTaken, result.err)
+	case uncertain:
+		return result.err
+	}
+	return nil
+}
+
 // action is what to do after an attempt: retryAction, finishAction, passFailure,
 // rejectAction, failAction or disconnect.
 type action interface{ action() }
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -58,6 +58,8 @@
 	// written.
 	state  atomic.Int32
 	served atomic.Bool
+	// requestID is the id of the latest request, or nil before the first.
+	requestID atomic.Pointer[string]
 }
 
 // The states of a caller's connection.
@@ -137,6 +139,21 @@
 	return n
 }
 
+// maxListed bounds the requests that inProgress returns.
+const maxListed = 32
+
+// inProgress returns the ids of requests in progress, at most maxListed.
+func (s *Server) inProgress() (ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if id := c.requestID.Load(); id != nil && c.state.Load() == connBusy && len(ids) < maxListed {
+			ids = append(ids, *id)
+		}
+	}
+	return ids
+}
+
 // open returns the number of open connections.
 func (s *Server) open() int {
 	s.mu.Lock()
@@ -311,6 +328,8 @@
 	w := &responseWriter{nc: c.nc}
 	for req := range requests {
 		*w = responseWriter{nc: c.nc, buf: w.buf[:0], close: req.head.Close || c.s.stopping.Load()}
+		id := string(req.head.Get(c.s.Engine.Dialect.RequestID))
+		c.requestID.Store(&id)
 		c.s.Engine.Serve(ctx, req.head, req.body, w, req.arrived)
 		c.s.Engine.bodies.release(req.reserved)
 		keepOpen := w.err == nil && !w.close && !c.s.stopping.Load()
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -64,7 +64,7 @@
 	handler http.Handler
 
 	requests, attempts, retries, notices               metric.Int64Counter
-	wrongResponses, connections                        metric.Int64Counter
+	wrongResponses, connections, cuts                  metric.Int64Counter
 	ended, quarantines, refusals, limited, told, asked metric.Int64Counter
 	coldAttempts, overloadRefusals                     metric.Int64Counter
 	requestTime, firstByte, reserveTime                metric.Float64Histogram
@@ -114,6 +114,9 @@
 	}
 }
 
+// Cut counts a response that began and was reset, by who ended it.
+func (m *Meter) Cut(by string) { m.add(m.cuts, attribute.String("by", by)) }
+
 // FirstByte records the time from a request to the first byte of its response.
 func (m *Meter) FirstByte(service string, d time.Duration) {
 	m.record(m.firstByte, d, attribute.String("service", service))
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -43,6 +43,7 @@
 	m.Request("s", "answered", 200, 20*time.Millisecond)
 	m.Request("s", "answered", 200, 40*time.Millisecond)
 	m.Request("", "denied", 404, time.Millisecond)
+	m.Cut("silence")
 	m.FirstByte("s", 10*time.Millisecond)
 	m.Reserve(time.Millisecond)
 	m.Attempt("s", "may-have-run")
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -35,6 +35,7 @@
 var (
 	requestsMetric       = definition{"beryl.requests", counter, "", "outcome, status", "Requests that ended. `cut` rises: targets die with streams open. `denied` with 402 or 503: budgets; with 502: targets; with 504: slow targets"}
 	requestTimeMetric    = definition{"beryl.request.time", histogram, seconds, "service", "Time from a request to its end"}
+	cutsMetric           = definition{"beryl.cuts", counter, "", "by", "Responses that began and were reset, by who ended them: `target`, `silence` (the instance gave up a target that sent nothing), `no-target` (no other target took the rest), `deadline`, `stop`, `instance`. Above 0 for `silence` or `no-target`: see the lines `attempt ended` of the same request"}
 	firstByteMetric      = definition{"beryl.first.byte", histogram, seconds, "service", "Time from a request to the first byte of its answer"}
 	reserveTimeMetric    = definition{"beryl.reserve", histogram, seconds, "", "Time that a request waited for its tokens. It rises: the store is slow"}
 	attemptsMetric       = definition{"beryl.attempts", counter, "", "service, outcome", "Attempts at targets: `answered`, `failed` (by the target's own status), `not-run` (proved), `may-have-run`"}
@@ -70,7 +71,7 @@
 	logDroppedMetric     = definition{"beryl.log.dropped", counter, "", "", "Log lines that the output did not take in time"}
 
 	definitions = []definition{
-		requestsMetric, requestTimeMetric, firstByteMetric, reserveTimeMetric, attemptsMetric, retriesMetric, noticesMetric, wrongResponsesMetric, connectionsMetric, openMetric,
+		requestsMetric, cutsMetric, requestTimeMetric, firstByteMetric, reserveTimeMetric, attemptsMetric, retriesMetric, noticesMetric, wrongResponsesMetric, connectionsMetric, openMetric,
 		endedMetric, quarantinesMetric, refusalsMetric, limitedMetric, coldAttemptsMetric, overloadMetric, overloadShareMetric, runDelayMetric, linkUseMetric, toldMetric, askedMetric, suspectedMetric, quarantinedMetric,
 		targetsMetric, leavingMetric, restingMetric, targetsLimitedMetric, targetsColdMetric, evacuatedMetric, freeMetric, reservedMetric, versionMetric, ageMetric, epochMetric, logDroppedMetric,
 	}
@@ -97,7 +98,7 @@
 	}
 	m.requests, m.attempts, m.retries = newCounter(requestsMetric), newCounter(attemptsMetric), newCounter(retriesMetric)
 	m.wrongResponses, m.connections = newCounter(wrongResponsesMetric), newCounter(connectionsMetric)
-	m.notices = newCounter(noticesMetric)
+	m.notices, m.cuts = newCounter(noticesMetric), newCounter(cutsMetric)
 	m.ended, m.quarantines, m.refusals = newCounter(endedMetric), newCounter(quarantinesMetric), newCounter(refusalsMetric)
 	m.limited, m.told, m.asked = newCounter(limitedMetric), newCounter(toldMetric), newCounter(askedMetric)
 	m.coldAttempts, m.overloadRefusals = newCounter(coldAttemptsMetric), newCounter(overloadMetric)
