internal/edge: a silent target is given up only once another one has answered

Cause: a target that sent nothing for the route's goal was abandoned first. The quarantine, the budget of retries, the choice of a target of the right version, the connection and the next target's own answer were asked only afterwards, and each of them could say no. Class: a resource is given back before its replacement is held.

It is closed when the standby has sent its first event or a whole response; the standby is closed when the silent target goes on. If no target takes the request, the silent one is waited for until the deadline. Why this works: the caller's only source is never given up before another one produces. A silence counts as evidence for the quarantine at once, as before, and no longer once the target has gone on.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -35,77 +35,143 @@
 // expiredDeadline makes blocked reads and writes return immediately.
 var expiredDeadline = time.Unix(1, 0)
 
-// attempt sends the request to one target and forwards the response.
-func (x *exchange) attempt(a *attempt) attemptResult {
-	conn, err := a.target.pool.GetFor(x.ctx, x.id)
+// leg is an attempt on its connection.
+type leg struct {
+	*attempt
+	conn *pool.Conn
+	// ctx ends the leg.
+	ctx  context.Context
+	sent *requestWrite
+	// head and body are the response's, or nil before it has begun. whole is the whole
+	// response, or nil if its body has not been read.
+	head  *http1.Head
+	body  *http1.Body
+	whole *response
+	// asked is when another target was last looked for because this one was silent.
+	asked time.Time
+	// err is the error of the connection if it ended while a standby was waited for.
+	err error
+	// unwatch stops the function that ends the connection's reads and writes with ctx.
+	unwatch func() bool
+}
+
+// connect returns a leg of the attempt, or the attempt's result.
+func (x *exchange) connect(ctx context.Context, a *attempt) (*leg, attemptResult) {
+	conn, err := a.target.pool.GetFor(ctx, x.id)
 	if err != nil {
 		if x.ctx.Err() != nil {
-			return uncertain{err: ErrCallerGone, forwarded: x.w.started}
+			return nil, uncertain{err: ErrCallerGone, forwarded: x.w.started}
 		}
-		return notRun{err: err}
+		return nil, notRun{err: err}
 	}
 	// Connecting takes up to pool.DefaultDialTimeout, and longer at an instance that is slow
 	// or was frozen.
 	if !x.e.fleet.accepts(x.service, a) {
 		a.target.pool.Put(conn)
-		return notRun{err: ErrWithdrawn}
+		return nil, notRun{err: ErrWithdrawn}
 	}
-	stop := context.AfterFunc(x.ctx, func() {
+	l := &leg{attempt: a, conn: conn}
+	l.watch(ctx)
+	return l, nil
+}
+
+// watch makes the leg end with the context.
+func (l *leg) watch(ctx context.Context) {
+	l.ctx = ctx
+	l.unwatch = context.AfterFunc(ctx, func() {
 		// The goroutine that reads from the connection closes it.
-		_ = conn.SetDeadline(expiredDeadline)
+		_ = l.conn.SetDeadline(expiredDeadline)
 	})
-	result, reuse := x.containedRoundTrip(conn, a)
-	stopped := stop()
+}
+
+// release gives the connection back to its pool, or closes it.
+func (x *exchange) release(l *leg, result attemptResult) {
+	stopped := l.unwatch()
 	if _, refused := result.(notRun); refused {
-		conn.NoteRefused(x.id)
+		l.conn.NoteRefused(x.id)
+	}
+	if l.reusable() && stopped {
+		l.target.pool.Put(l.conn)
+	} else {
+		_ = l.conn.Close() // The connection is discarded either way.
 	}
+}
+
+// reusable reports whether the response was read to its end, and the connection can carry
+// another request.
+func (l *leg) reusable() bool {
+	return l.head != nil && l.body != nil && l.body.Complete() && !l.head.Close && l.sent.complete()
+}
+
+// attempt sends the request to one target and forwards the response.
+func (x *exchange) attempt(a *attempt) attemptResult {
+	l, result := x.connect(x.ctx, a)
+	if l == nil {
+		return result
+	}
+	return x.finish(l, x.containedRoundTrip(l))
+}
+
+// finish releases a leg and returns its result.
+func (x *exchange) finish(l *leg, result attemptResult) attemptResult {
+	x.release(l, result)
 	if x.ctx.Err() != nil {
 		if u, ok := result.(uncertain); ok {
 			u.err = errors.Join(ErrCallerGone, u.err)
-			result = u
+			return u
 		}
 	}
-	if reuse && stopped {
-		a.target.pool.Put(conn)
-	} else {
-		_ = conn.Close() // The connection is discarded either way.
+	return result
+}
+
+// roundTrip sends the request on the leg's connection and forwards the response.
+func (x *exchange) roundTrip(l *leg) attemptResult {
+	if l.head == nil {
+		if result := x.begin(l); result != nil {
+			return result
+		}
+	}
+	result := x.forward(l)
+	if _, ok := result.(notRun); !ok {
+		x.mayHaveStarted = true
 	}
 	return result
 }
 
-// roundTrip sends the request on the connection and forwards the response. It
-// returns whether the connection can be reused.
-func (x *exchange) roundTrip(conn *pool.Conn, a *attempt) (attemptResult, bool) {
-	if err := conn.SetWriteDeadline(x.deadline); err != nil {
-		return notRun{err: err}, false
+// begin sends the request and reads the head of the response. It returns nil if the response
+// may be forwarded, and else the attempt's result.
+func (x *exchange) begin(l *leg) attemptResult {
+	if err := l.conn.SetWriteDeadline(x.deadline); err != nil {
+		return notRun{err: err}
 	}
-	if err := x.setReadDeadline(conn, x.deadline); err != nil {
-		return notRun{err: err}, false
+	if err := l.setReadDeadline(x.deadline); err != nil {
+		return notRun{err: err}
 	}
-	sent := x.write(conn, a)
-	if err := sent.earlyErr(); err != nil {
-		if sent.noneWritten {
-			return notRun{err: err}, false
+	l.sent = x.write(l)
+	if err := l.sent.earlyErr(); err != nil {
+		if l.sent.noneWritten {
+			return notRun{err: err}
 		}
 		x.mayHaveStarted = true
-		return uncertain{err: err, forwarded: x.w.started}, false
+		return uncertain{err: err, forwarded: x.w.started}
 	}
-	head, err := x.readHead(conn, a)
+	head, err := x.readHead(l)
 	if err == nil {
-		err = x.setReadDeadline(conn, x.deadline)
+		err = l.setReadDeadline(x.deadline)
 	}
 	if err != nil {
 		x.mayHaveStarted = true
-		return uncertain{err: err, forwarded: x.w.started}, false
+		return uncertain{err: err, forwarded: x.w.started}
 	}
+	l.head, l.body = head, http1.NewBody(l.conn.Reader, head)
 	if n := keepAliveTimeout(head.Get("Keep-Alive")); n > 0 {
-		conn.SetIdleTimeout(n)
+		l.conn.SetIdleTimeout(n)
 	}
-	result, body := x.handleResponse(conn, a, head)
+	result := x.checkHead(l)
 	if _, ok := result.(notRun); !ok {
 		x.mayHaveStarted = true
 	}
-	return result, body.Complete() && !head.Close && sent.complete()
+	return result
 }
 
 // requestWrite is the write of a request, which may still be in progress.
@@ -142,8 +208,8 @@
 
 // write sends the request. A request above maxInlineRequest is written in its own
 // goroutine, since a target may respond before it has read the body.
-func (x *exchange) write(conn *pool.Conn, a *attempt) *requestWrite {
-	parts := [][]byte{x.encodeHead(a), x.body}
+func (x *exchange) write(l *leg) *requestWrite {
+	conn, parts := l.conn, [][]byte{x.encodeHead(l.attempt), x.body}
 	if len(x.body) <= freeBuffer { // A large body is held once.
 		parts = [][]byte{append(parts[0], x.body...)}
 	}
@@ -232,45 +298,59 @@
 // request fails over to another target. Short requests take a tenth of this time.
 const minSilence = 250 * time.Millisecond
 
-// awaitData waits for the next byte from the target without consuming it. If the
-// request may fail over, awaitData returns ErrSilent once the target has sent nothing
-// on any of its connections for the allowed time. A target that is silent for that long
-// is dead rather than slow. awaitData only peeks, so a wait that times out loses no
-// data.
-func (x *exchange) awaitData(conn *pool.Conn, a *attempt) error {
-	if conn.Reader.Buffered() > 0 {
+// awaitData waits for the next byte from the target without consuming it. If the target has
+// sent nothing on any of its connections for the allowed time, and the request may fail over,
+// awaitData looks for another target. It returns ErrSilent once that one has taken the request,
+// and waits on otherwise. awaitData only peeks, so a wait that times out loses no data.
+func (x *exchange) awaitData(l *leg) error {
+	if l.conn.Reader.Buffered() > 0 {
 		return nil
 	}
 	maxSilence := max(minSilence, x.route.Goal)
 	for {
 		deadline := x.deadline
 		if x.mayFailOver() {
-			deadline = earlier(deadline, time.Now().Add(maxSilence-x.e.fleet.silentFor(a.target, a.began)))
+			deadline = earlier(deadline, x.patience(l, maxSilence))
 		}
-		if err := x.setReadDeadline(conn, deadline); err != nil {
+		if err := l.setReadDeadline(deadline); err != nil {
 			return err
 		}
-		_, err := conn.Reader.Peek(1)
-		if err == nil || errors.Is(err, io.EOF) {
+		_, err := l.conn.Reader.Peek(1)
+		if err == nil {
+			l.attempt.spoke()
+			return nil
+		}
+		if errors.Is(err, io.EOF) {
 			return nil // The next read returns the same EOF and handles it.
 		}
-		if !isTimeout(err) || x.ctx.Err() != nil || !time.Now().Before(x.deadline) {
+		if !isTimeout(err) || l.ctx.Err() != nil || !time.Now().Before(x.deadline) {
 			return err
 		}
-		if x.mayFailOver() && x.e.fleet.silentFor(a.target, a.began) >= maxSilence {
-			return ErrSilent
+		if x.mayFailOver() && !time.Now().Before(x.patience(l, maxSilence)) {
+			if err := x.standBy(l); err != nil {
+				return err
+			}
 		}
 	}
 }
 
-// setReadDeadline sets the read deadline of a connection. If the caller has
-// disconnected, it returns ErrCallerGone, since the new deadline may have replaced the
-// expired one that stops reads after a disconnect.
-func (x *exchange) setReadDeadline(conn *pool.Conn, t time.Time) error {
-	if err := conn.SetReadDeadline(t); err != nil {
+// patience returns when another target is to be looked for if the target stays silent.
+func (x *exchange) patience(l *leg, maxSilence time.Duration) time.Time {
+	at := time.Now().Add(maxSilence - x.e.fleet.silentFor(l.target, l.began))
+	if again := l.asked.Add(maxSilence); again.After(at) {
+		return again
+	}
+	return at
+}
+
+// setReadDeadline sets the read deadline of the connection. If the leg has ended, it returns
+// ErrCallerGone, since the new deadline may have replaced the expired one that stops reads
+// then.
+func (l *leg) setReadDeadline(t time.Time) error {
+	if err := l.conn.SetReadDeadline(t); err != nil {
 		return err
 	}
-	if x.ctx.Err() != nil {
+	if l.ctx.Err() != nil {
 		return ErrCallerGone
 	}
 	return nil
@@ -291,21 +371,21 @@
 
 // readHead reads the header of the response to this request. It skips late responses
 // to earlier requests.
-func (x *exchange) readHead(conn *pool.Conn, a *attempt) (*http1.Head, error) {
+func (x *exchange) readHead(l *leg) (*http1.Head, error) {
 	head := &http1.Head{}
 	for range maxWrongResponses {
-		if err := x.awaitData(conn, a); err != nil {
+		if err := x.awaitData(l); err != nil {
 			return nil, err
 		}
-		if err := head.ReadResponse(conn.Reader, maxResponseHead, x.head.Method); err != nil {
+		if err := head.ReadResponse(l.conn.Reader, maxResponseHead, x.head.Method); err != nil {
 			return nil, err
 		}
-		x.e.fleet.markHeard(a.target)
-		x.recordNotices(a, head)
+		x.e.fleet.markHeard(l.target)
+		x.recordNotices(l.attempt, head)
 		id := head.Get(x.e.Dialect.RequestID)
 		if bytes.Equal(id, x.id) {
 			if head.Status != statusMisdirected {
-				x.recordLimit(a, head)
+				x.recordLimit(l.attempt, head)
 			}
 			return head, nil
 		}
@@ -313,53 +393,53 @@
 		if id == nil || head.Framing == http1.FramingClose {
 			break
 		}
-		if err := http1.NewBody(conn.Reader, head).Discard(maxResponseBody); err != nil {
+		if err := http1.NewBody(l.conn.Reader, head).Discard(maxResponseBody); err != nil {
 			return nil, err
 		}
 	}
 	return nil, ErrWrongResponse
 }
 
-// handleResponse classifies a response by its header and forwards it if it is valid.
-func (x *exchange) handleResponse(conn *pool.Conn, a *attempt, head *http1.Head) (attemptResult, *http1.Body) {
-	d := &x.e.Dialect
-	body := http1.NewBody(conn.Reader, head)
+// checkHead classifies a response by its head. It returns nil if the response may be forwarded.
+func (x *exchange) checkHead(l *leg) attemptResult {
+	d, head := &x.e.Dialect, l.head
 	if load, ok := d.ParseLoad(head.Get(d.Load)); ok {
-		x.e.fleet.reportLoad(x.service, a, load)
+		x.e.fleet.reportLoad(x.service, l.attempt, load)
 	}
 	if head.Get(d.NotRun) != nil || head.Status == statusMisdirected {
-		err := body.Discard(maxRefusalBody)
-		return notRun{sent: true, status: head.Status, err: err}, body
+		err := l.body.Discard(maxRefusalBody)
+		return notRun{sent: true, status: head.Status, err: err}
 	}
 	switch head.Status {
 	case statusRequestTimeout, 429, statusUnavailable:
-		return uncertain{err: fmt.Errorf("%w: status %d", ErrNotRunUnproven, head.Status), forwarded: x.w.started}, body
+		return uncertain{err: fmt.Errorf("%w: status %d", ErrNotRunUnproven, head.Status), forwarded: x.w.started}
 	}
 	if head.Status/100 == 2 {
 		if len(head.Get(d.Signature)) == 0 {
-			return uncertain{err: ErrUnsigned, forwarded: x.w.started}, body
+			return uncertain{err: ErrUnsigned, forwarded: x.w.started}
 		}
 		if head.Get("Content-Encoding") != nil {
-			return uncertain{err: ErrEncoded, forwarded: x.w.started}, body
-		}
-		if x.route.Stream {
-			return x.forwardStream(conn, a, head, body), body
+			return uncertain{err: ErrEncoded, forwarded: x.w.started}
 		}
 	}
-	x.e.fleet.firstByte(x.service, a)
-	return x.bufferResponse(head, body), body
+	return nil
 }
 
-// bufferResponse reads the whole response before it forwards any of it.
-func (x *exchange) bufferResponse(head *http1.Head, body *http1.Body) attemptResult {
-	data, err := x.readBody(body)
-	if err != nil {
+// isStream reports whether the response's body is forwarded as a stream of events.
+func (x *exchange) isStream(l *leg) bool { return x.route.Stream && l.head.Status/100 == 2 }
+
+// forward forwards a response.
+func (x *exchange) forward(l *leg) attemptResult {
+	if x.isStream(l) {
+		return x.forwardStream(l)
+	}
+	if err := x.readWhole(l); err != nil {
 		return uncertain{err: err, forwarded: x.w.started}
 	}
-	resp := &response{status: head.Status, fields: x.responseFields(head), body: data}
-	if head.Status/100 != 2 {
+	resp := l.whole
+	if resp.status/100 != 2 {
 		if x.w.started {
-			return uncertain{err: fmt.Errorf("target responded with status %d during a stream", head.Status), forwarded: true}
+			return uncertain{err: fmt.Errorf("target responded with status %d during a stream", resp.status), forwarded: true}
 		}
 		return failed{response: resp}
 	}
@@ -371,6 +451,20 @@
 	return responded{status: resp.status}
 }
 
+// readWhole reads the whole response before any of it is forwarded.
+func (x *exchange) readWhole(l *leg) error {
+	if l.whole != nil {
+		return nil
+	}
+	x.e.fleet.firstByte(x.service, l.attempt)
+	data, err := x.readBody(l.body)
+	if err != nil {
+		return err
+	}
+	l.whole = &response{status: l.head.Status, fields: x.responseFields(l.head), body: data}
+	return nil
+}
+
 func (x *exchange) recordFirstByte() {
 	if x.firstByte == 0 {
 		x.firstByte = time.Since(x.arrived)
--- a/internal/edge/blame.go
+++ b/internal/edge/blame.go
@@ -34,6 +34,8 @@
 type brokenAttempt struct {
 	request poison.Request
 	end     poison.End
+	// silence is the target's silence, or nil if the answer broke off.
+	silence *silence
 }
 
 // brokenAttempts holds attempts by target until it is known whether the target has ended. It
@@ -70,8 +72,12 @@
 	return recent
 }
 
-// expired reports whether a sign that the target has ended comes too late to count.
+// expired reports whether a sign that the target has ended comes too late to count, or the
+// target has gone on.
 func (b brokenAttempt) expired(now time.Time) bool {
+	if b.silence != nil && b.silence.over.Load() {
+		return true
+	}
 	memory := restartMemory
 	if b.end.Dark {
 		memory = darkMemory
@@ -104,9 +110,12 @@
 func (q *quarantine) brokeOff(x *exchange, a *attempt, dark bool) {
 	request, id := x.suspect(), x.identity()
 	request.Identity = func() string { return id }
-	broken := brokenAttempt{request, poison.End{
+	broken := brokenAttempt{request: request, end: poison.End{
 		Run: a.target.name, Sent: a.began, At: time.Now(), Inside: x.events-a.events > beginEvents, Dark: dark,
 	}}
+	if dark {
+		broken.silence = a.silence
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if a.target.gone.Load() {
--- a/internal/edge/contain.go
+++ b/internal/edge/contain.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"runtime/debug"
-
-	"github.com/beryllanding/beryllanding/pkg/pool"
 )
 
 // containedServe serves the request. A panic ends this request only: its caller's
@@ -24,15 +22,25 @@
 
 // containedRoundTrip is roundTrip. A panic ends this attempt only: the request may have
 // run, and the connection is not used again.
-func (x *exchange) containedRoundTrip(conn *pool.Conn, a *attempt) (result attemptResult, reuse bool) {
+func (x *exchange) containedRoundTrip(l *leg) attemptResult {
+	return x.contained(l, x.roundTrip)
+}
+
+// containedAnswer is answer, in the same way.
+func (x *exchange) containedAnswer(l *leg) attemptResult {
+	return x.contained(l, x.answer)
+}
+
+func (x *exchange) contained(l *leg, step func(*leg) attemptResult) (result attemptResult) {
 	defer func() {
 		if r := recover(); r != nil {
 			x.recordPanic(r)
 			x.mayHaveStarted = true
-			result, reuse = uncertain{err: fmt.Errorf("%w: %v", ErrInternal, r), forwarded: x.w.started}, false
+			l.head = nil // The connection is not used again.
+			result = uncertain{err: fmt.Errorf("%w: %v", ErrInternal, r), forwarded: x.w.started}
 		}
 	}()
-	return x.roundTrip(conn, a)
+	return step(l)
 }
 
 // recordPanic logs a panic with its stack.
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -124,6 +124,8 @@
 	pickRequest            route.Request
 
 	retry retryState
+	// standby is the leg that took over from a silent target, until it goes on.
+	standby *leg
 	// resumes is the id of the try that brought the first event of the stream that the
 	// request takes up, or "" if it takes up none.
 	resumes string
@@ -371,6 +373,9 @@
 		case retryAction:
 			next = x.makeAttempt(act)
 			continue
+		case takeOverAction:
+			next = x.continueStandby()
+			continue
 		case finishAction:
 			x.outcome = outcomeAnswered
 		case passFailure:
@@ -407,9 +412,27 @@
 	if act.spendBudget {
 		x.e.Meter.Retry(x.service, true)
 	}
+	x.noteAttempt(a)
+	stopLog := x.logIfSlow(a)
+	result := x.attempt(a)
+	stopLog()
+	return x.afterAttempt(a, result)
+}
+
+// continueStandby goes on with the standby that took over.
+func (x *exchange) continueStandby() action {
+	l := x.standby
+	x.standby = nil
+	stopLog := x.logIfSlow(l.attempt)
+	result := x.finish(l, x.containedRoundTrip(l))
+	stopLog()
+	return x.afterAttempt(l.attempt, result)
+}
+
+// noteAttempt records the choice of a target.
+func (x *exchange) noteAttempt(a *attempt) {
 	x.targets = append(x.targets, a.target.ID)
 	x.pickRequest.Exclude = append(x.pickRequest.Exclude, a.target.name)
-	stopLog := x.logIfSlow(a)
 	if a.limited {
 		x.e.Meter.LimitedAttempt(x.service)
 	}
@@ -417,13 +440,23 @@
 		x.e.Meter.ColdAttempt(x.service)
 	}
 	a.events = x.events
-	result := x.attempt(a)
-	stopLog()
+}
+
+// endAttempt records the end of an attempt.
+func (x *exchange) endAttempt(a *attempt, result attemptResult) {
 	x.recordBlame(a, result)
 	x.renoteOrigin()
 	x.e.fleet.done(x.service, a, result)
 	x.recordAttempt(a, result)
+}
+
+// afterAttempt records the end of the current attempt and returns the action that follows.
+func (x *exchange) afterAttempt(a *attempt, result attemptResult) action {
+	x.endAttempt(a, result)
 	x.retry.forwarded = x.w.started
+	if x.standby != nil {
+		return x.retry.takeOver()
+	}
 	left := time.Until(x.deadline)
 	if lacksResponse(result) && left <= 0 {
 		x.retry.mayHaveRun = x.retry.mayHaveRun || x.mayHaveStarted
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -242,6 +242,19 @@
 	events int64
 	// answered is set once the target has answered the prompt beyond its beginning.
 	answered bool
+	// silence is the target's silence for which the request is suspected, or nil.
+	silence *silence
+}
+
+// silence is a time without a byte from a target. over is set once the target has sent one.
+type silence struct{ over atomic.Bool }
+
+// spoke records a byte of the attempt's target.
+func (a *attempt) spoke() {
+	if a.silence != nil {
+		a.silence.over.Store(true)
+		a.silence = nil
+	}
 }
 
 // pick chooses a target and records the start of an attempt at it.
@@ -339,7 +352,7 @@
 		g.picker.RecordResult(now, name, true)
 	case uncertain:
 		g.picker.AttemptEnded(name, route.Unknown)
-		if !isCallerGone(result.err) {
+		if !isCallerGone(result.err) && !errors.Is(result.err, errNotNeeded) {
 			g.picker.RecordConnectFailure(now, name)
 			g.picker.RecordResult(now, name, true)
 			f.mayHaveRestarted(now, g, name)
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -248,14 +248,24 @@
 		}
 	case uncertain:
 		switch gone := isCallerGone(result.err); {
+		case errors.Is(result.err, errNotNeeded):
 		case !gone && isConnectionEnd(result.err):
 			q.brokeOff(x, a, false)
 		case errors.Is(result.err, ErrSilent), (gone || isTimeout(result.err)) && x.e.fleet.silentFor(a.target, a.began) > suspectAfter:
-			q.brokeOff(x, a, true)
+			x.suspectSilent(a)
 		}
 	}
 }
 
+// suspectSilent tells the quarantine that a target fell silent. It takes that back if the
+// target sends a byte.
+func (x *exchange) suspectSilent(a *attempt) {
+	if a.silence == nil {
+		a.silence = &silence{}
+		x.e.quarantine.brokeOff(x, a, true)
+	}
+}
+
 // recordAnswered tells the quarantine, once for each attempt, that the target answered the
 // prompt beyond its beginning.
 func (x *exchange) recordAnswered(a *attempt) {
--- a/internal/edge/retry.go
+++ b/internal/edge/retry.go
@@ -77,7 +77,7 @@
 	return nil
 }
 
-// action is what to do after an attempt: retryAction, finishAction, passFailure,
+// action is what to do after an attempt: retryAction, takeOverAction, finishAction, passFailure,
 // rejectAction, failAction or disconnect.
 type action interface{ action() }
 
@@ -85,6 +85,9 @@
 // budget must allow it.
 type retryAction struct{ spendBudget bool }
 
+// takeOverAction goes on with the standby that took over from a silent target.
+type takeOverAction struct{}
+
 // finishAction ends a request whose response the caller has.
 type finishAction struct{}
 
@@ -104,12 +107,13 @@
 // disconnect resets the caller's connection in the middle of the response.
 type disconnect struct{ reason string }
 
-func (retryAction) action()  {}
-func (finishAction) action() {}
-func (passFailure) action()  {}
-func (rejectAction) action() {}
-func (failAction) action()   {}
-func (disconnect) action()   {}
+func (retryAction) action()    {}
+func (takeOverAction) action() {}
+func (finishAction) action()   {}
+func (passFailure) action()    {}
+func (rejectAction) action()   {}
+func (failAction) action()     {}
+func (disconnect) action()     {}
 
 // retryState decides the next action of a request.
 type retryState struct {
@@ -124,6 +128,8 @@
 	// all attempts.
 	sent     int
 	attempts int
+	// standbys is the number of standbys in progress, which sent and attempts don't count yet.
+	standbys int
 	// mayHaveRun is set once an attempt ended without proof that the request did not
 	// run.
 	mayHaveRun bool
@@ -207,7 +213,37 @@
 	if forwarded && !c.resumable {
 		return false
 	}
-	return c.repeatable && c.sent+1 < c.maxTargets && c.attempts+1 < maxAttempts
+	open := 1 + c.standbys
+	return c.repeatable && c.sent+open < c.maxTargets && c.attempts+open < maxAttempts
+}
+
+// standbyOpened records the begin of a standby.
+func (c *retryState) standbyOpened() { c.standbys++ }
+
+// standbyEnded records a standby that did not take over. The current attempt goes on.
+func (c *retryState) standbyEnded(result attemptResult) {
+	c.standbys--
+	c.attempts++
+	switch result := result.(type) {
+	case notRun:
+		if result.sent {
+			c.sent++
+		}
+		return
+	case failed:
+		c.targetFailure = result.response
+	}
+	c.sent++
+	c.mayHaveRun = true
+}
+
+// takeOver returns the action that follows when a standby takes over from the current attempt.
+func (c *retryState) takeOver() action {
+	c.standbys--
+	c.attempts++
+	c.sent++
+	c.mayHaveRun = true
+	return takeOverAction{}
 }
 
 // giveUp returns the action that ends a request without a further attempt, for example
--- a/internal/edge/retry_test.go
+++ b/internal/edge/retry_test.go
@@ -135,3 +135,115 @@
 		t.Errorf("with a target's error response: got action %+v, want passFailure with that response", c.expired())
 	}
 }
+
+// silencePolicy is what a request does with its events; see replaySilence.
+type silencePolicy interface {
+	play(c *retryState, event byte) action
+}
+
+// abandons is the policy that leaves a silent target before another one has the request.
+type abandons struct{}
+
+// standsBy is the policy of retryState.
+type standsBy struct{}
+
+// Events of a request at a target that lives: its target is silent, and then another target
+// refuses (r), fails (f), breaks off (b), is silent too (s), can't be chosen (n) or answers (a).
+const silenceEvents = "rfbsna"
+
+// resultOf returns the result of an attempt at the other target, or nil if it answers.
+func resultOf(event byte) attemptResult {
+	switch event {
+	case 'r':
+		return notRun{sent: true, status: 503}
+	case 'f':
+		return failed{response: &response{status: 500}}
+	case 'b':
+		return uncertain{err: errors.New("reset")}
+	case 's':
+		return uncertain{err: ErrSilent}
+	}
+	return nil
+}
+
+func (abandons) play(c *retryState, event byte) action {
+	act := c.next(uncertain{err: ErrSilent}, time.Second)
+	if _, ok := act.(retryAction); !ok {
+		return act
+	}
+	switch event {
+	case 'a':
+		return c.next(responded{status: 200}, time.Second)
+	case 'n':
+		return c.giveUp("no other target")
+	}
+	return c.next(withinResponse(resultOf(event), c.forwarded), time.Second)
+}
+
+func (standsBy) play(c *retryState, event byte) action {
+	if !c.mayFailOver(c.forwarded) || event == 'n' {
+		return nil // The current target is waited for.
+	}
+	c.standbyOpened()
+	switch event {
+	case 's': // A further standby may be opened beside it.
+	case 'a':
+		for c.standbys > 1 {
+			c.standbyEnded(uncertain{err: ErrSilent})
+		}
+		c.takeOver()
+		return c.next(responded{status: 200}, time.Second)
+	default:
+		c.standbyEnded(resultOf(event))
+	}
+	return nil
+}
+
+// replaySilence plays a sequence of silences at a target that goes on after the last one. It
+// reports whether the caller gets a whole response, and the number of targets that got the request.
+func replaySilence(p silencePolicy, c retryState, events string) (served bool, sent int) {
+	for i := range len(events) {
+		switch p.play(&c, events[i]).(type) {
+		case nil, retryAction:
+		case finishAction:
+			return true, c.sent
+		default:
+			return false, c.sent
+		}
+	}
+	for c.standbys > 0 {
+		c.standbyEnded(uncertain{err: errNotNeeded})
+	}
+	_, served = c.next(responded{status: 200}, time.Second).(finishAction)
+	return served, c.sent + 1
+}
+
+// TestSilenceLosesNoRequest guards against a policy that cuts off a request while its target
+// lives and no other one has taken it: all sequences of up to five silences.
+func TestSilenceLosesNoRequest(t *testing.T) {
+	lost, sequences := 0, 0
+	var play func(c retryState, events string)
+	play = func(c retryState, events string) {
+		sequences++
+		if served, sent := replaySilence(standsBy{}, c, events); !served || sent > c.maxTargets {
+			t.Errorf("%+v, events %q: served %v at %d targets, want true at %d at most", c, events, served, sent, c.maxTargets)
+		}
+		if served, _ := replaySilence(abandons{}, c, events); !served {
+			lost++
+		}
+		if len(events) < 5 {
+			for i := range len(silenceEvents) {
+				play(c, events+silenceEvents[i:i+1])
+			}
+		}
+	}
+	for maxTargets := 1; maxTargets <= 3; maxTargets++ {
+		for _, forwarded := range []bool{false, true} {
+			play(retryState{repeatable: true, resumable: true, maxTargets: maxTargets, forwarded: forwarded}, "")
+		}
+	}
+	if lost == 0 {
+		t.Error("the policy that abandons silent targets loses no request in any sequence: the test shows nothing")
+	}
+	t.Logf("%d sequences; the policy that abandons silent targets loses the request in %d", sequences, lost)
+}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -7,7 +7,6 @@
 	"strconv"
 
 	"github.com/beryllanding/beryllanding/pkg/http1"
-	"github.com/beryllanding/beryllanding/pkg/pool"
 )
 
 const (
@@ -23,7 +22,8 @@
 // forwardStream forwards events as they arrive. It forwards complete events only, so
 // that another target can resume after the last one. It forwards the end of the stream
 // only if the target's framing shows that the stream is complete.
-func (x *exchange) forwardStream(conn *pool.Conn, a *attempt, head *http1.Head, body *http1.Body) attemptResult {
+func (x *exchange) forwardStream(l *leg) attemptResult {
+	a, head, body := l.attempt, l.head, l.body
 	pending := make([]byte, 0, streamReadBytes)
 	first := true
 	for {
@@ -39,7 +39,7 @@
 			pending = grown
 		}
 		var n int
-		err := x.awaitEvent(conn, a)
+		err := x.awaitEvent(l)
 		if err == nil {
 			n, err = body.Read(pending[len(pending):cap(pending)])
 		}
@@ -83,14 +83,14 @@
 
 // awaitEvent waits for more data of a stream. For a stream that cannot fail over it
 // returns at once, and the read that follows waits instead.
-func (x *exchange) awaitEvent(conn *pool.Conn, a *attempt) error {
+func (x *exchange) awaitEvent(l *leg) error {
 	if !x.mayFailOver() {
 		return nil
 	}
-	if err := x.awaitData(conn, a); err != nil {
+	if err := x.awaitData(l); err != nil {
 		return err
 	}
-	return x.setReadDeadline(conn, x.deadline)
+	return l.setReadDeadline(x.deadline)
 }
 
 // endStream forwards the rest of a stream whose framing is complete. rest[:complete]
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -72,8 +72,6 @@
 	scripts  map[string]script
 	// listeners holds the listener of each target.
 	listeners map[string]net.Listener
-	// all are the targets before keepOnly.
-	all []roster.Target
 }
 
 // end closes the listener of a target, as if its process had ended.
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -64,7 +64,7 @@
 	handler http.Handler
 
 	requests, attempts, retries, notices               metric.Int64Counter
-	wrongResponses, connections, cuts                  metric.Int64Counter
+	wrongResponses, connections, cuts, standbys        metric.Int64Counter
 	ended, quarantines, refusals, limited, told, asked metric.Int64Counter
 	coldAttempts, overloadRefusals                     metric.Int64Counter
 	requestTime, firstByte, reserveTime                metric.Float64Histogram
@@ -135,6 +135,11 @@
 	m.add(m.retries, attribute.String("service", service), attribute.Bool("allowed", allowed))
 }
 
+// Standby counts what became of the look for another target while one was silent.
+func (m *Meter) Standby(service, outcome string) {
+	m.add(m.standbys, attribute.String("service", service), attribute.String("outcome", outcome))
+}
+
 // Notice counts a notice of a target: "leaving", "rest", "limit" for a limit that it named
 // or changed, and "no-limit" for the end of one.
 func (m *Meter) Notice(service, kind string) {
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -48,6 +48,7 @@
 	m.Reserve(time.Millisecond)
 	m.Attempt("s", "may-have-run")
 	m.Retry("s", false)
+	m.Standby("s", "took-over")
 	m.Notice("s", "rest")
 	m.TargetEnded("s")
 	m.Quarantine("s", "begun")
--- a/internal/meter/names.go
+++ b/internal/meter/names.go
@@ -40,6 +40,7 @@
 	reserveTimeMetric    = definition{"beryl.reserve", histogram, seconds, "", "Time that a request waited for its tokens. It rises: the store is slow"}
 	attemptsMetric       = definition{"beryl.attempts", counter, "", "service, outcome", "Attempts at targets: `answered`, `failed` (by the target's own status), `not-run` (proved), `may-have-run`"}
 	retriesMetric        = definition{"beryl.repeats", counter, "", "service, allowed", "Attempts after the first. `allowed` is `false`: the budget of repeats is used up"}
+	standbysMetric       = definition{"beryl.standbys", counter, "", "service, outcome", "Times that another target was looked for because one was silent: it `took-over`; it was `not-needed`, as the silent one went on; `not-taken`, `failed`, `broken` or `silent` at the other target; `none` was left; `no-retries`. In all but the first case the silent one is waited for"}
 	noticesMetric        = definition{"beryl.target.notices", counter, "", "service, kind", "Notices of targets about themselves: `leaving`, `rest`, `limit` (a limit of requests a second was named or changed), `no-limit` (it ended)"}
 	endedMetric          = definition{"beryl.targets.ended", counter, "", "service", "Targets that ended under requests of this instance. It rises by many: a request or a part of prompts may crash them; see the lines of the layer `quarantine`"}
 	quarantinesMetric    = definition{"beryl.quarantine.changes", counter, "", "service, change", "Quarantines of prompt parts and requests that have `begun`, were `cleared` by an answer, another instance or an operator, or `expired`. `cleared`: a sound one was held for a while"}
@@ -71,7 +72,7 @@
 	logDroppedMetric     = definition{"beryl.log.dropped", counter, "", "", "Log lines that the output did not take in time"}
 
 	definitions = []definition{
-		requestsMetric, cutsMetric, requestTimeMetric, firstByteMetric, reserveTimeMetric, attemptsMetric, retriesMetric, noticesMetric, wrongResponsesMetric, connectionsMetric, openMetric,
+		requestsMetric, cutsMetric, requestTimeMetric, firstByteMetric, reserveTimeMetric, attemptsMetric, retriesMetric, standbysMetric, noticesMetric, wrongResponsesMetric, connectionsMetric, openMetric,
 		endedMetric, quarantinesMetric, refusalsMetric, limitedMetric, coldAttemptsMetric, overloadMetric, overloadShareMetric, runDelayMetric, linkUseMetric, toldMetric, askedMetric, suspectedMetric, quarantinedMetric,
 		targetsMetric, leavingMetric, restingMetric, targetsLimitedMetric, targetsColdMetric, evacuatedMetric, freeMetric, reservedMetric, versionMetric, ageMetric, epochMetric, logDroppedMetric,
 	}
@@ -98,7 +99,7 @@
 	}
 	m.requests, m.attempts, m.retries = newCounter(requestsMetric), newCounter(attemptsMetric), newCounter(retriesMetric)
 	m.wrongResponses, m.connections = newCounter(wrongResponsesMetric), newCounter(connectionsMetric)
-	m.notices, m.cuts = newCounter(noticesMetric), newCounter(cutsMetric)
+	m.notices, m.cuts, m.standbys = newCounter(noticesMetric), newCounter(cutsMetric), newCounter(standbysMetric)
 	m.ended, m.quarantines, m.refusals = newCounter(endedMetric), newCounter(quarantinesMetric), newCounter(refusalsMetric)
 	m.limited, m.told, m.asked = newCounter(limitedMetric), newCounter(toldMetric), newCounter(askedMetric)
 	m.coldAttempts, m.overloadRefusals = newCounter(coldAttemptsMetric), newCounter(overloadMetric)
