internal/edge: the rest of a stream is the same kind of stream

Cause: after a stream broke off, any signed response with a status of 2xx counted as its rest. Fix: the rest has the status and type of the first response, its events have ids, an empty rest is chunked. Why it works: what continues a stream is compared with what it continues; all else is an attempt that broke off, with its usual way to another target.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -11,6 +11,7 @@
 
 // Status codes of responses that the instance generates itself.
 const (
+	statusNoContent       = 204
 	statusBadRequest      = 400
 	statusUnauthorized    = 401
 	statusPaymentRequired = 402
@@ -108,9 +109,12 @@
 		return w.err
 	}
 	w.startHead(r.status, r.fields)
-	w.buf = append(w.buf, "Content-Length: "...)
-	w.buf = strconv.AppendInt(w.buf, int64(len(r.body)), 10)
-	w.buf = append(w.buf, "\r\n\r\n"...)
+	if r.status != statusNoContent {
+		w.buf = append(w.buf, "Content-Length: "...)
+		w.buf = strconv.AppendInt(w.buf, int64(len(r.body)), 10)
+		w.buf = append(w.buf, "\r\n"...)
+	}
+	w.buf = append(w.buf, "\r\n"...)
 	if withBody {
 		w.buf = append(w.buf, r.body...)
 	}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -421,13 +421,13 @@
 		if head.Get("Content-Encoding") != nil {
 			return uncertain{err: ErrEncoded, forwarded: x.w.started}
 		}
+		if err := x.checkRest(head); err != nil {
+			return uncertain{err: err, forwarded: true}
+		}
 	}
 	return nil
 }
 
-// isStream reports whether the response's body is forwarded as a stream of events.
-func (x *exchange) isStream(l *leg) bool { return x.route.Stream && l.head.Status/100 == 2 }
-
 // forward forwards a response.
 func (x *exchange) forward(l *leg) attemptResult {
 	if x.isStream(l) {
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -134,6 +134,8 @@
 	streamID    string
 	origin      origin.Origin
 	originNoted time.Time
+	// kind is the kind of the stream's first response, once it was forwarded.
+	kind streamKind
 	// versions are the versions of targets, in the order of their events in the response.
 	versions []string
 	// events is the number of stream events forwarded. lastEvent is the id of the last
@@ -439,7 +441,7 @@
 	if a.cold {
 		x.e.Meter.ColdAttempt(x.service)
 	}
-	a.events = x.events
+	a.events, a.after, a.lastID = x.events, x.lastEvent, -1
 }
 
 // endAttempt records the end of an attempt.
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -240,6 +240,9 @@
 	cold bool
 	// events is the number of events that the caller had when the attempt began.
 	events int64
+	// after is the id of the last event that the caller had when the attempt began, or -1.
+	// lastID is the highest id of the attempt's events, or -1.
+	after, lastID int64
 	// answered is set once the target has answered the prompt beyond its beginning.
 	answered bool
 	// silence is the target's silence for which the request is suspected, or nil.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -63,9 +63,13 @@
 			return x.endStream(a, head, pending, complete)
 		}
 		if complete > 0 {
-			if werr := x.forwardEvents(a, head, pending[:complete]); werr != nil {
+			rest, rerr := a.checkRestEvents(pending[:complete])
+			if werr := x.forwardEvents(a, head, rest); werr != nil {
 				return uncertain{err: errors.Join(ErrCallerGone, werr), forwarded: true}
 			}
+			if rerr != nil {
+				return uncertain{err: rerr, forwarded: x.w.started}
+			}
 			pending = append(pending[:0], pending[complete:]...)
 			if x.events-a.events > beginEvents {
 				x.recordAnswered(a)
@@ -100,14 +104,19 @@
 	if head.Framing == http1.FramingClose && len(rest) == 0 && x.events == a.events {
 		return uncertain{err: ErrEmptyStream, forwarded: x.w.started}
 	}
-	if complete < len(rest) {
+	events, wrong := a.checkRestEvents(rest[:complete])
+	if wrong == nil {
+		wrong = a.checkRestEnd(head)
+	}
+	if wrong == nil && complete < len(rest) {
 		// The framing is complete but the last event is not: the target aborted.
-		if complete > 0 {
-			if err := x.forwardEvents(a, head, rest[:complete]); err != nil {
-				return uncertain{err: errors.Join(ErrCallerGone, err), forwarded: true}
-			}
+		wrong = ErrPartialEvent
+	}
+	if wrong != nil {
+		if err := x.forwardEvents(a, head, events); err != nil {
+			return uncertain{err: errors.Join(ErrCallerGone, err), forwarded: true}
 		}
-		return uncertain{err: ErrPartialEvent, forwarded: x.w.started}
+		return uncertain{err: wrong, forwarded: x.w.started}
 	}
 	x.startStream(head)
 	known := x.events
@@ -148,7 +157,7 @@
 	if x.w.started {
 		return
 	}
-	x.status = head.Status
+	x.status, x.kind = head.Status, kindOf(head)
 	x.recordFirstByte()
 	x.w.startChunked(head.Status, x.responseFields(head))
 }
@@ -170,6 +179,8 @@
 		}
 		if ok {
 			x.lastEvent = id
+		} else if !isComment(events[start:end]) {
+			x.retry.resumable = false // No target could go on after this event.
 		}
 		x.events++
 		start = end
