internal/edge: a test that cuts heads of responses at each byte

TestCutHead cuts six heads (length, empty, chunked, to the end, after an interim response, after a late response) at each byte on four routes and as the rest of a stream.

--- /dev/null
+++ b/internal/edge/head_test.go
@@ -0,0 +1,52 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+)
+
+// TestCutHead guards against a success that a caller gets although its target stopped within
+// the head of its response and closed: each cut of each head, on each route, alone and as the
+// rest of a stream.
+func TestCutHead(t *testing.T) {
+	heads := map[string]string{
+		"length":        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\nContent-Length: 10\r\n\r\n",
+		"empty":         "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\nContent-Length: 0\r\n\r\n",
+		"chunked":       streamHead("r1"),
+		"to the end":    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\n\r\n",
+		"interim":       "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\n\r\n",
+		"late response": "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 4\r\n\r\nlateHTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\n\r\n",
+	}
+	for name, head := range heads {
+		for _, path := range []string{"/once/", "/idem/", "/stream/", "/resume/", "rest"} {
+			t.Run(fmt.Sprintf("%s %s", name, path), func(t *testing.T) {
+				cut, n := 0, 0
+				s := func(a receivedRequest, w io.Writer) bool {
+					if n++; path == "rest" && n == 1 {
+						write(w, streamHead(a.id)+chunk(events(1, 2)))
+						return false
+					}
+					write(w, head[:cut])
+					return false
+				}
+				w := newTestEnv(t, s)
+				w.setMaxTargets(1)
+				route, want := path, ""
+				if path == "rest" {
+					w = newTestEnv(t, s, s)
+					w.setMaxTargets(2)
+					route, want = "/resume/", events(1, 2)
+				}
+				for cut = range len(head) {
+					n = 0
+					got := w.ask(route, "Request-Id: r1\nDeadline: 1500\nKey: k\n", "x")
+					if got.status/100 == 2 && (got.err == nil || !strings.HasPrefix(want, got.body)) || (want == "" && got.status == 200) {
+						t.Fatalf("head cut after %q: got response %+v, want no success", head[:cut], got)
+					}
+				}
+			})
+		}
+	}
+}
