pkg/drain: a stopping instance takes what fits by its own deadline

Cause: requests were refused in the last 2 s only, as if none took longer. Fix: a pure decision per request: its deadline has to lie before the end of the wait; while connections still arrive, a request that may be repeated counts by the longest duration of its route. What is left at the end gets 502 or 503, or a reset within a response. Why it works: nothing that may run once only is started without the time that it may take.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -59,7 +59,7 @@
 func (x *exchange) connect(ctx context.Context, a *attempt) (*leg, attemptResult) {
 	conn, err := a.target.pool.GetFor(ctx, x.id)
 	if err != nil {
-		if x.ctx.Err() != nil {
+		if isCallerGone(endCause(x.ctx)) {
 			return nil, uncertain{err: ErrCallerGone, forwarded: x.w.started}
 		}
 		return nil, notRun{err: err}
@@ -115,9 +115,9 @@
 // finish releases a leg and returns its result.
 func (x *exchange) finish(l *leg, result attemptResult) attemptResult {
 	x.release(l, result)
-	if x.ctx.Err() != nil {
+	if cause := endCause(x.ctx); cause != nil {
 		if u, ok := result.(uncertain); ok {
-			u.err = errors.Join(ErrCallerGone, u.err)
+			u.err = errors.Join(cause, u.err)
 			return u
 		}
 	}
@@ -344,16 +344,13 @@
 }
 
 // setReadDeadline sets the read deadline of the connection. If the leg has ended, it returns
-// ErrCallerGone, since the new deadline may have replaced the expired one that stops reads
+// endCause, since the new deadline may have replaced the expired one that stops reads
 // then.
 func (l *leg) setReadDeadline(t time.Time) error {
 	if err := l.conn.SetReadDeadline(t); err != nil {
 		return err
 	}
-	if l.ctx.Err() != nil {
-		return ErrCallerGone
-	}
-	return nil
+	return endCause(l.ctx)
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -13,6 +13,7 @@
 
 	"github.com/beryllanding/beryllanding/internal/alloc"
 	"github.com/beryllanding/beryllanding/internal/meter"
+	"github.com/beryllanding/beryllanding/pkg/drain"
 	"github.com/beryllanding/beryllanding/pkg/http1"
 	"github.com/beryllanding/beryllanding/pkg/origin"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
@@ -74,26 +75,17 @@
 	// started by the monotonic clock.
 	confirmed atomic.Int64
 	started   time.Time
-	// accepts is one of acceptAll, acceptShort and acceptNone.
-	accepts atomic.Int32
-	// stopBegan is when the instance was told to stop, or nil.
-	stopBegan atomic.Pointer[time.Time]
+	// stop is the planned stop in progress, or nil. closed is set once all new requests are
+	// refused.
+	stop   atomic.Pointer[drain.Plan]
+	closed atomic.Bool
+	// durations are those of answered requests, by route.
+	durations drain.Durations
 	// lastRequest is when the last request arrived, in ns since started by the
 	// monotonic clock.
 	lastRequest atomic.Int64
 }
 
-// The requests that the instance still accepts, by stage of its shutdown.
-const (
-	// acceptAll applies in normal operation and while the balancer still sends callers
-	// to a draining instance.
-	acceptAll int32 = iota
-	// acceptShort excludes streams, which might not end in time.
-	acceptShort
-	// acceptNone rejects all new requests. Those in progress continue.
-	acceptNone
-)
-
 // exchange is one request in progress.
 type exchange struct {
 	e *Engine
@@ -190,15 +182,15 @@
 	if x.route == nil {
 		return x.denyMissing(statusNotFound, "no route matches")
 	}
-	if stage := e.accepts.Load(); stage == acceptNone || (stage == acceptShort && x.route.Stream) {
-		return x.deny(statusUnavailable, startRetry, "instance is draining")
-	}
 	if !x.identify() {
 		return false
 	}
 	if !x.setDeadline() {
 		return false
 	}
+	if !x.fitsStop() {
+		return x.deny(statusUnavailable, startRetry, "instance is draining")
+	}
 	x.service = x.route.Choose(rand.Float64())
 	if !x.parseFields() || !x.bindVersion() {
 		return false
@@ -281,6 +273,20 @@
 	return true
 }
 
+// fitsStop reports whether the instance takes the request on: it isn't stopping, or the request
+// fits into what is left.
+func (x *exchange) fitsStop() bool {
+	plan := x.e.stop.Load()
+	if plan == nil {
+		return true
+	}
+	now := time.Now()
+	return !x.e.closed.Load() && plan.Takes(now, drain.Request{
+		Deadline: x.deadline, Repeatable: x.route.MayRepeat(), Stream: x.route.Stream,
+		Usual: x.e.durations.Longest(now, x.route.Name),
+	})
+}
+
 // parseFields parses the header fields with token bounds, prefix and last event.
 func (x *exchange) parseFields() bool {
 	d := &x.e.Dialect
@@ -356,6 +362,8 @@
 func (x *exchange) denyReservation(err error) {
 	r, ok := refuse.As(err)
 	switch {
+	case !ok && errors.Is(endCause(x.ctx), ErrStopping):
+		x.reject(ErrStopping.Error())
 	case !ok:
 		x.outcome, x.reason = outcomeGone, err.Error()
 	case r.Code == refuse.CodeBudgetSpent:
@@ -380,6 +388,8 @@
 			continue
 		case finishAction:
 			x.outcome = outcomeAnswered
+			now := time.Now()
+			x.e.durations.Note(now, x.route.Name, now.Sub(x.arrived))
 		case passFailure:
 			x.outcome, x.status, x.reason = outcomeFailed, act.response.status, "target responded with an error status"
 			x.recordCallerGone(x.w.writeResponse(act.response, !x.isHead()))
@@ -389,7 +399,7 @@
 			x.deny(act.status, 0, act.reason)
 		case disconnect:
 			x.outcome, x.reason = outcomeCut, act.reason
-			if x.ctx.Err() != nil {
+			if isCallerGone(endCause(x.ctx)) {
 				x.outcome = outcomeGone
 			}
 			x.w.err = ErrCallerGone
@@ -400,6 +410,9 @@
 
 // makeAttempt makes one attempt and returns the action that follows.
 func (x *exchange) makeAttempt(act retryAction) action {
+	if errors.Is(endCause(x.ctx), ErrStopping) {
+		return x.retry.giveUp(ErrStopping.Error())
+	}
 	if reason, _ := x.checkQuarantine(true); reason != "" {
 		return x.retry.giveUp(reason)
 	}
@@ -547,3 +560,15 @@
 func (e *Engine) confirm(at time.Time) { e.confirmed.Store(int64(at.Sub(e.started))) }
 
 func isCallerGone(err error) bool { return errors.Is(err, ErrCallerGone) }
+
+// endCause returns why the context of a request ended, ErrCallerGone or ErrStopping, or nil if
+// it has not.
+func endCause(ctx context.Context) error {
+	switch {
+	case ctx.Err() == nil:
+		return nil
+	case errors.Is(context.Cause(ctx), ErrStopping):
+		return ErrStopping
+	}
+	return ErrCallerGone
+}
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -355,7 +355,7 @@
 		g.picker.RecordResult(now, name, true)
 	case uncertain:
 		g.picker.AttemptEnded(name, route.Unknown)
-		if !isCallerGone(result.err) && !errors.Is(result.err, errNotNeeded) {
+		if !isCallerGone(result.err) && !errors.Is(result.err, errNotNeeded) && !errors.Is(result.err, ErrStopping) {
 			g.picker.RecordConnectFailure(now, name)
 			g.picker.RecordResult(now, name, true)
 			f.mayHaveRestarted(now, g, name)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -18,6 +18,7 @@
 	"github.com/beryllanding/beryllanding/internal/meter"
 	"github.com/beryllanding/beryllanding/internal/peers"
 	"github.com/beryllanding/beryllanding/internal/trial"
+	"github.com/beryllanding/beryllanding/pkg/drain"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
 	"github.com/beryllanding/beryllanding/pkg/lease"
 	"github.com/beryllanding/beryllanding/pkg/room"
@@ -36,25 +37,19 @@
 	// must take effect within 2 s.
 	targetsWait = 400 * time.Millisecond
 	tablesWait  = 800 * time.Millisecond
-	// deregisterDelay is how long new connections still arrive after the instance becomes
-	// unready: the time for two readiness probes, a second apart, and their responses.
-	// If no other instance is ready, connections arrive for longer.
-	deregisterDelay = 2500 * time.Millisecond
 	// idleTime is the time without a new request after which a draining instance
-	// stops, once deregisterDelay is over. The instance is then no longer in use.
+	// stops, once no new connections arrive. The instance is then no longer in use.
 	idleTime = time.Second
-	// finalTime is the part of the grace period that ends where tokenReturnTime begins.
-	// In it, all new requests are refused. Before it, from deregisterDelay on, only new
-	// streams are refused. No short request takes longer than finalTime.
-	finalTime = 2 * time.Second
-	// tokenReturnTime is the last part of the grace period, right after finalTime. It
-	// is kept for returning tokens; no new connections are accepted.
-	tokenReturnTime = 700 * time.Millisecond
+	// endTime bounds how long the callers whose requests are ended at the end of the grace
+	// period are told so.
+	endTime = 100 * time.Millisecond
+	// tokenReturnTime bounds the return of tokens.
+	tokenReturnTime = 350 * time.Millisecond
 	// stopPoll is the interval at which a draining instance checks whether requests are
 	// in progress.
 	stopPoll = 50 * time.Millisecond
 	// closeTime bounds how long the end of the process waits for responses that are being
-	// written. With the return of tokens it fits into tokenReturnTime.
+	// written. With endTime and the return of tokens it fits into drain.ReturnTime.
 	closeTime = 200 * time.Millisecond
 	// headerTimeout bounds reading the header of readiness and metrics requests.
 	headerTimeout = 2 * time.Second
@@ -253,37 +248,38 @@
 	return err
 }
 
-// stop waits for the requests in progress, up to the grace period, and returns the
-// tokens. While it returns them, unused connections may still bring requests, which are
-// refused: nothing would wait for their responses.
+// stop waits for the requests in progress, up to the end of the plan, ends those that are left,
+// and returns the tokens. While it returns them, unused connections may still bring requests,
+// which are refused: nothing would wait for their responses.
 func (n *Node) stop(l net.Listener) {
-	began := time.Now()
-	n.engine.stopBegan.Store(&began)
+	plan := drain.Plan{Began: time.Now(), Grace: n.opts.Grace}
+	began := plan.Began
+	n.engine.stop.Store(&plan)
 	n.stopping.Store(true)
 	n.server.Stop()
 	n.logger("node").Info("stopping", "grace", n.opts.Grace, "busy", n.server.Busy())
-	end := began.Add(n.opts.Grace - tokenReturnTime)
-	for time.Now().Before(end) {
-		if time.Since(began) > deregisterDelay {
-			n.engine.accepts.Store(acceptShort)
+	for time.Now().Before(plan.End()) {
+		if plan.Late(time.Now()) {
 			n.server.CloseIdle()
 			if n.server.Busy() == 0 && n.engine.idleFor() > idleTime {
 				break
 			}
 		}
-		if time.Until(end) < finalTime {
-			n.engine.accepts.Store(acceptNone)
-		}
 		time.Sleep(stopPoll)
 	}
 	// From now on requests are refused. Those that were admitted before count as busy.
-	n.engine.accepts.Store(acceptNone)
-	n.server.awaitIdle(end)
+	n.engine.closed.Store(true)
+	n.server.awaitIdle(plan.End())
+	if busy := n.server.Busy(); busy > 0 {
+		n.logger("node").Warn("requests are ended before they are complete: the grace period is over", "busy", busy, "request-ids", n.server.inProgress())
+		n.server.End(ErrStopping)
+		n.server.awaitIdle(time.Now().Add(endTime))
+	}
 	_ = l.Close() // No further connections are accepted.
 	n.logger("node").Info("drained", "took", time.Since(began), "busy", n.server.Busy(), "connections", n.server.open())
 	n.engine.fleet.depart()
 	n.board.Write(room.Key(n.opts.Instance), nil, 0)
-	ctx, cancel := context.WithTimeout(context.Background(), tokenReturnTime/2)
+	ctx, cancel := context.WithTimeout(context.Background(), tokenReturnTime)
 	defer cancel()
 	defer n.board.Flush(ctx)
 	if err := n.engine.Budgets.Stop(ctx); err != nil {
--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/beryllanding/beryllanding/internal/stand/keyd"
 	"github.com/beryllanding/beryllanding/pkg/acct"
+	"github.com/beryllanding/beryllanding/pkg/drain"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
 	"github.com/beryllanding/beryllanding/pkg/poison"
 	"github.com/beryllanding/beryllanding/pkg/roster"
@@ -248,7 +249,7 @@
 }
 
 // TestNodeStops: a stopping instance becomes unready at once, lets a stream end and
-// still serves new requests. After deregisterDelay it denies new streams. It returns its
+// still serves new requests. After drain.DeregisterDelay it denies new streams. It returns its
 // tokens and ends within the grace period.
 func TestNodeStops(t *testing.T) {
 	begun, finish := make(chan struct{}), make(chan struct{})
@@ -276,9 +277,9 @@
 	if got := n.ask("/once/", fields, "x"); got.status != 200 || !got.head.Close {
 		t.Errorf("request while stopping: got response %+v, want status 200 and Connection: close", got)
 	}
-	time.Sleep(deregisterDelay)
+	time.Sleep(drain.DeregisterDelay)
 	if got := n.ask("/stream/", fields, "x"); got.status != 503 || len(got.head.Get("Retry-After")) == 0 {
-		t.Errorf("new stream after deregisterDelay: got response %+v, want status 503 with Retry-After", got)
+		t.Errorf("new stream after DeregisterDelay: got response %+v, want status 503 with Retry-After", got)
 	}
 	close(finish)
 	if got := <-stream; got.err != nil || got.body != events(1, 2) {
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -248,7 +248,7 @@
 		}
 	case uncertain:
 		switch gone := isCallerGone(result.err); {
-		case errors.Is(result.err, errNotNeeded):
+		case errors.Is(result.err, errNotNeeded), errors.Is(result.err, ErrStopping):
 		case !gone && isConnectionEnd(result.err):
 			q.brokeOff(x, a, false)
 		case errors.Is(result.err, ErrSilent), (gone || isTimeout(result.err)) && x.e.fleet.silentFor(a.target, a.began) > suspectAfter:
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -86,6 +86,7 @@
 	cutBySilence  = "silence"
 	cutByNoTarget = "no-target"
 	cutByDeadline = "deadline"
+	cutByStop     = "stop"
 	cutByInstance = "instance"
 )
 
@@ -94,6 +95,8 @@
 	switch {
 	case errors.Is(err, ErrInternal), err == nil:
 		return cutByInstance
+	case errors.Is(err, ErrStopping):
+		return cutByStop
 	case errors.Is(err, ErrSilent):
 		return cutBySilence
 	case errors.Is(err, errNotTaken):
@@ -106,8 +109,8 @@
 
 // appendStopTime appends the time since the stop signal to the fields of a log line.
 func (e *Engine) appendStopTime(fields []any) []any {
-	if at := e.stopBegan.Load(); at != nil {
-		fields = append(fields, "stopping-ms", millis(time.Since(*at)))
+	if plan := e.stop.Load(); plan != nil {
+		fields = append(fields, "stopping-ms", millis(time.Since(plan.Began)))
 	}
 	return fields
 }
--- a/internal/edge/retry.go
+++ b/internal/edge/retry.go
@@ -23,6 +23,8 @@
 	ErrEmptyStream = errors.New("stream ended with its connection, without an event")
 	// ErrCallerGone reports that the caller disconnected.
 	ErrCallerGone = errors.New("caller has disconnected")
+	// ErrStopping reports that the instance ended the request at the end of its grace period.
+	ErrStopping = errors.New("instance is stopping")
 	// ErrInternal reports a panic in the code of the instance.
 	ErrInternal = errors.New("internal error")
 	// ErrWithdrawn reports a target that was withdrawn between its choice and the sending
@@ -190,6 +192,8 @@
 	switch {
 	case errors.Is(result.err, ErrCallerGone):
 		return disconnect{reason: "caller has disconnected"}
+	case errors.Is(result.err, ErrStopping):
+		return c.giveUp(ErrStopping.Error())
 	case c.forwarded && c.resumable && c.canRetry(left):
 		return retryAction{spendBudget: true}
 	case c.forwarded:
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -58,6 +58,8 @@
 	// written.
 	state  atomic.Int32
 	served atomic.Bool
+	// leave ends the request in progress, with its cause.
+	leave context.CancelCauseFunc
 	// requestID is the id of the latest request, or nil before the first.
 	requestID atomic.Pointer[string]
 }
@@ -139,6 +141,17 @@
 	return n
 }
 
+// End ends the requests in progress, with a cause. Their callers get what response is left to them.
+func (s *Server) End(cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.state.Load() == connBusy && c.leave != nil {
+			c.leave(cause)
+		}
+	}
+}
+
 // maxListed bounds the requests that inProgress returns.
 const maxListed = 32
 
@@ -191,12 +204,15 @@
 
 // serve reads requests and passes them to the responding goroutine.
 func (c *callerConn) serve() {
-	ctx, leave := context.WithCancel(context.Background())
+	ctx, leave := context.WithCancelCause(context.Background())
+	c.s.mu.Lock()
+	c.leave = leave
+	c.s.mu.Unlock()
 	requests := make(chan request)
 	done := make(chan bool, 1)
 	go c.serveRequests(ctx, requests, done)
 	defer func() {
-		leave()
+		leave(ErrCallerGone)
 		close(requests)
 		c.s.mu.Lock()
 		delete(c.s.conns, c)
@@ -222,7 +238,7 @@
 		_, err := c.r.Peek(1)
 		if err != nil && !isTimeout(err) {
 			// The caller disconnected or closed its side: nobody waits for the response.
-			leave()
+			leave(ErrCallerGone)
 		}
 		if keepOpen := <-done; !keepOpen || err != nil {
 			_ = c.nc.Close() // The response was written, or nobody waits for it.
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/beryllanding/beryllanding/internal/stand/keyd"
+	"github.com/beryllanding/beryllanding/pkg/drain"
 	"github.com/beryllanding/beryllanding/pkg/keyed"
 )
 
@@ -66,7 +67,7 @@
 	before := len(n.received())
 	gate := make(chan struct{})
 	n.stop()
-	time.Sleep(deregisterDelay)
+	time.Sleep(drain.DeregisterDelay)
 	store.gate.Store(&gate)
 	<-store.writes // The instance returns its tokens.
 	replies := make([]reply, unused)
