internal/entry: a silent run is joined again if no other target takes the request

Fix: after two silences the request still goes to another target if it may and one takes it (the engine may have stopped); else the run is joined again, up to maxResumes. TestSilentRunIsNotGivenUp: 'a part was sent' failed before; the other three cases held. go test ./internal/entry: ok, steps.golden is unchanged.

--- a/internal/entry/do.go
+++ b/internal/entry/do.go
@@ -168,19 +168,29 @@
 // error that ends the request.
 func (r *run) prepareRetry(ctx context.Context, s Retry) (bool, error) {
 	if s.Join {
-		r.e.Counts.Resumes.Add(1)
-		r.disp.recordSent(r.target.Name)
-		r.join = true
+		r.joinRun()
 		return false, nil
 	}
-	if !s.Free && !r.disp.mayRetry() {
-		return true, r.withRequestOutcome(&s.Refusal)
+	err := error(&s.Refusal)
+	if s.Free || r.disp.mayRetry() {
+		r.e.Counts.Retries.Add(1)
+		if err = r.acquireTarget(ctx); err == nil {
+			return false, nil
+		}
 	}
-	r.e.Counts.Retries.Add(1)
-	if err := r.acquireTarget(ctx); err != nil {
-		return true, r.withRequestOutcome(err)
+	if s.OrJoin && ctx.Err() == nil {
+		r.flow.joinAgain()
+		r.joinRun()
+		return false, nil
 	}
-	return false, nil
+	return true, r.withRequestOutcome(err)
+}
+
+// joinRun prepares an attempt that joins the run at the same target.
+func (r *run) joinRun() {
+	r.e.Counts.Resumes.Add(1)
+	r.disp.recordSent(r.target.Name)
+	r.join = true
 }
 
 // reserveAgain reports the closed holder and makes a new reservation. The old one is
--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -17,10 +17,10 @@
 	maxAttempts = 5
 	// maxResumes limits the attempts that rejoin a run at the same target.
 	maxResumes = 3
-	// maxSilences is the number of silent attempts after which a target is given up
-	// even if its side process responds to queries. The first silence may be caused by
-	// the connection. A second one, on a new connection, shows that the engine has
-	// stopped.
+	// maxSilences is the number of silent attempts after which a target is left for
+	// another one even if its side process responds to queries. The first silence may be
+	// caused by the connection. A second one, on a new connection, shows that the engine
+	// has stopped, or pauses.
 	maxSilences = 2
 	// interruptedRetryAfter is the Retry-After of a request that was interrupted.
 	interruptedRetryAfter = time.Second
@@ -161,20 +161,29 @@
 func (f *Flow) AfterProbe(report OutcomeReport) Step {
 	a := f.last()
 	f.Record(a, report)
-	if f.mayResume(a, report.State) {
-		f.resumes++
-		return Retry{Join: true, Free: true, Refusal: f.Interrupted("the run could not be joined")}
+	if !f.TooManySilences() && f.mayJoin(a, report.State) {
+		return f.joinAgain()
 	}
+	mayJoin := f.mayJoin(a, report.State)
 	if f.mayTryElsewhere() {
-		return Retry{Refusal: f.Interrupted("the target did not respond")}
+		return Retry{OrJoin: mayJoin, Refusal: f.Interrupted("the target did not respond")}
+	}
+	if mayJoin {
+		return f.joinAgain()
 	}
 	return Refuse{Refusal: f.Interrupted("the target stopped responding before the response was complete")}
 }
 
-// mayResume reports whether the run can be joined at the target of attempt a. The run
+// joinAgain returns the step that joins the run at the same target.
+func (f *Flow) joinAgain() Retry {
+	f.resumes++
+	return Retry{Join: true, Free: true, Refusal: f.Interrupted("the run could not be joined")}
+}
+
+// mayJoin reports whether the run can be joined at the target of attempt a. The run
 // was started by a, or by an earlier attempt at that target that a was meant to join.
-func (f *Flow) mayResume(a *Attempt, state State) bool {
-	if f.resumes >= maxResumes || f.TooManySilences() || !f.attemptsLeft() {
+func (f *Flow) mayJoin(a *Attempt, state State) bool {
+	if f.resumes >= maxResumes || !f.attemptsLeft() {
 		return false
 	}
 	switch state {
--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -154,3 +154,40 @@
 func (oneTarget) Targets(string) []route.Target {
 	return []route.Target{{Name: "t1", DataCentre: "dc", Address: "t1"}}
 }
+
+// TestSilentRunIsNotGivenUp guards against a run that is given up because its connection was
+// silent twice, although its side process says that it goes on and no other target can take the
+// request: the caller has a part of the response, there is no other target, or no retry is left.
+func TestSilentRunIsNotGivenUp(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		after int
+		kind  string
+		set   func(*Engine)
+	}{
+		{name: "a part was sent", after: 2, kind: "chat"},
+		{name: "run once at most", after: 0, kind: "once"},
+		{name: "no other target", after: 1, kind: "chat", set: func(e *Engine) { e.Targets = oneTarget{} }},
+		{name: "no retry left", after: 1, kind: "chat", set: func(e *Engine) {
+			e.dispatcher("s").retry.Burst = 0.5 // It never holds a whole retry.
+		}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			silent := fault{Kind: "silent", After: tt.after}
+			fc := newFakeCluster([]fault{silent, silent})
+			e := newEngine(fc, route.Policy{}, Timeouts{})
+			if tt.set != nil {
+				tt.set(e)
+			}
+			e.dispatcher("s").lockAndRefresh(fc)
+			e.watchOnce(t.Context(), 3)
+			caller := &fakeCaller{}
+			_, err := e.Do(t.Context(), plannedRequest{ID: "org/a", Kind: tt.kind, Keyed: true}.request(), caller)
+			if err != nil || !slices.Contains(fc.responses["org/a"], caller.got.String()) || fc.runs["org/a"] != 1 {
+				t.Errorf("%s: got %q, error %v, %d runs; want a complete response from 1 run", tt.name, caller.got.String(), err, fc.runs["org/a"])
+			}
+			_ = e.Drain(t.Context())
+			time.Sleep(time.Hour)
+		})
+	}
+}
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -42,10 +42,13 @@
 
 // Retry makes another attempt. If Join is set, the attempt joins the run at the same
 // target, else it goes to another target. A Free attempt adds no load to the targets
-// and is not taken from the retry budget. If that budget is empty, the refusal is sent.
+// and is not taken from the retry budget. If that budget is empty or no other target takes the
+// request, the run at the same target is joined again if OrJoin is set, and else the refusal is
+// sent.
 type Retry struct {
 	Join    bool
 	Free    bool
+	OrJoin  bool
 	Refusal refuse.Refusal
 }
 
