--- a/internal/edge/head_test.go
+++ b/internal/edge/head_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -52,3 +53,27 @@
 		}
 	}
 }
+
+// TestCutHeadOfHead guards against the same for HEAD, whose response ends with its head.
+func TestCutHeadOfHead(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\nContent-Length: 10\r\n\r\n"
+	var cut atomic.Int64
+	w := newTestEnv(t, func(_ receivedRequest, w io.Writer) bool {
+		write(w, head[:cut.Load()])
+		return false
+	})
+	w.setMaxTargets(1)
+	for i := range len(head) + 1 {
+		cut.Store(int64(i))
+		c, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		write(c, "HEAD /idem/ HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nKey: k\r\nConnection: close\r\n\r\n")
+		got, _ := io.ReadAll(c) // The connection may be reset.
+		_ = c.Close()
+		if served := strings.HasPrefix(string(got), "HTTP/1.1 200"); served != (i == len(head)) {
+			t.Fatalf("head cut after %q: got %q, want a success only for the whole head", head[:i], got)
+		}
+	}
+}
