--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/beryllanding/beryllanding/internal/stand/check"
 	"github.com/beryllanding/beryllanding/internal/stand/keyd"
 	"github.com/beryllanding/beryllanding/pkg/acct"
 	"github.com/beryllanding/beryllanding/pkg/drain"
@@ -32,18 +33,10 @@
 	ended chan error
 }
 
-// setAddresses gives the node addresses that are free and differ from each other: an address
-// that was given back could be found twice.
+// setAddresses gives the node free addresses.
 func (n *nodeEnv) setAddresses() {
 	n.t.Helper()
-	for _, addr := range []*string{&n.opts.Listen, &n.opts.ReadyListen, &n.opts.MetricsListen} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			n.t.Fatal(err)
-		}
-		defer func() { _ = l.Close() }()
-		*addr = l.Addr().String()
-	}
+	check.FreeAddresses(n.t, &n.opts.Listen, &n.opts.ReadyListen, &n.opts.MetricsListen)
 	n.addr = n.opts.Listen
 }
 
