pkg/drain: long streams are taken while new connections arrive, unless they usually end too late

Now a moving average decides, and an unknown duration is no reason to refuse a request that may be repeated. What may not be repeated still has to fit by its own deadline.

--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -283,7 +283,7 @@
 	now := time.Now()
 	return !x.e.closed.Load() && plan.Takes(now, drain.Request{
 		Deadline: x.deadline, Repeatable: x.route.MayRepeat(), Stream: x.route.Stream,
-		Usual: x.e.durations.Longest(now, x.route.Name),
+		Usual: x.e.durations.Usual(x.route.Name),
 	})
 }
 
@@ -388,8 +388,7 @@
 			continue
 		case finishAction:
 			x.outcome = outcomeAnswered
-			now := time.Now()
-			x.e.durations.Note(now, x.route.Name, now.Sub(x.arrived))
+			x.e.durations.Note(x.route.Name, time.Since(x.arrived))
 		case passFailure:
 			x.outcome, x.status, x.reason = outcomeFailed, act.response.status, "target responded with an error status"
 			x.recordCallerGone(x.w.writeResponse(act.response, !x.isHead()))
--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -31,8 +31,8 @@
 	// Repeatable is set if the request may run more than once.
 	Repeatable bool
 	Stream     bool
-	// Usual is how long answered requests of its kind took lately, at the most; 0 if that is
-	// not known.
+	// Usual is how long answered requests of its kind took lately, on average; 0 if that is not
+	// known.
 	Usual time.Duration
 }
 
@@ -44,9 +44,8 @@
 
 // Takes reports whether a request that arrives now is taken on. It is, if it ends by its own
 // deadline before End. While new connections still arrive, a request that may be repeated is also
-// taken if its kind usually ends before End: a refusal costs its caller one of few retries, and
-// a response that is cut off in spite of that can be asked for again. New streams are not taken
-// later.
+// taken unless its kind usually ends after End: a refusal costs its caller one of few retries, and
+// a response that is cut off can be asked for again. New streams are not taken later.
 func (p Plan) Takes(now time.Time, r Request) bool {
 	end := p.End()
 	switch late := p.Late(now); {
@@ -55,44 +54,37 @@
 	case !r.Deadline.After(end):
 		return true
 	default:
-		return !late && r.Repeatable && r.Usual > 0 && !now.Add(r.Usual).After(end)
+		return !late && r.Repeatable && !now.Add(r.Usual).After(end)
 	}
 }
 
-// durationWindow is the time for which a duration is kept at least. It is kept for twice that at
-// most.
-const durationWindow = 30 * time.Second
+// newShare is the share of a new duration in the average.
+const newShare = 0.125
 
-// Durations keeps the longest durations of late, by kind of request. The zero value has none. It
-// is safe for concurrent use.
+// Durations keeps the average duration of late, by kind of request: a moving average. The zero
+// value has none. It is safe for concurrent use.
 type Durations struct {
-	mu           sync.Mutex
-	last, before map[string]time.Duration
-	began        time.Time
+	mu       sync.Mutex
+	averages map[string]time.Duration
 }
 
 // Note records how long a request took that was answered.
-func (d *Durations) Note(now time.Time, kind string, took time.Duration) {
+func (d *Durations) Note(kind string, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.rotate(now)
-	d.last[kind] = max(d.last[kind], took)
+	if d.averages == nil {
+		d.averages = make(map[string]time.Duration)
+	}
+	before, known := d.averages[kind]
+	if !known {
+		before = took
+	}
+	d.averages[kind] = before + time.Duration(newShare*float64(took-before))
 }
 
-// Longest returns the longest duration of late, or 0 if there is none.
-func (d *Durations) Longest(now time.Time, kind string) time.Duration {
+// Usual returns the average duration, or 0 if none was noted.
+func (d *Durations) Usual(kind string) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.rotate(now)
-	return max(d.last[kind], d.before[kind])
-}
-
-// rotate drops what is too old. d.mu must be held.
-func (d *Durations) rotate(now time.Time) {
-	switch age := now.Sub(d.began); {
-	case age > 2*durationWindow || d.last == nil:
-		d.before, d.last, d.began = nil, make(map[string]time.Duration), now
-	case age > durationWindow:
-		d.before, d.last, d.began = d.last, make(map[string]time.Duration), now
-	}
+	return d.averages[kind]
 }
