pkg/duplex, internal/edge: a reset that a write has taken is not the end of a response

Cause: the operating system reports an error of a connection to one call. The goroutine that writes the upload takes the reset, the read that follows returns EOF, and a body that ends with its connection is whole at EOF. Evidence: of 400 such connections, 268 reads returned EOF and their writes 'connection reset by peer'; 132 reads returned the reset and their writes 'broken pipe'; none returned it twice. The same with ETIMEDOUT, which awaitData took for its own deadline: it waited again and read EOF.

Change: pkg/duplex keeps the first error that a call on the connection returned, and a read returns it in place of EOF. At EOF, a write in progress is ended by its deadline and waited for, so the answer does not depend on which goroutine runs first. pkg/pool dials such connections: attempts, standbys and the store's client have it. awaitData and listen tell deadlines from errors of the connection.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -323,7 +323,7 @@
 		if errors.Is(err, io.EOF) {
 			return nil // The next read returns the same EOF and handles it.
 		}
-		if !isTimeout(err) || l.ctx.Err() != nil || !time.Now().Before(x.deadline) {
+		if !isDeadline(err) || l.ctx.Err() != nil || !time.Now().Before(x.deadline) {
 			return err
 		}
 		if x.mayFailOver() && !time.Now().Before(x.patience(l, maxSilence)) {
--- a/internal/edge/record.go
+++ b/internal/edge/record.go
@@ -101,7 +101,7 @@
 		return cutBySilence
 	case errors.Is(err, errNotTaken):
 		return cutByNoTarget
-	case isTimeout(err):
+	case isDeadline(err):
 		return cutByDeadline
 	}
 	return cutByTarget
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -252,6 +253,12 @@
 	return errors.As(err, &ne) && ne.Timeout()
 }
 
+// isDeadline reports whether a deadline of this process has passed. Other timeouts, such as
+// ETIMEDOUT, are errors of the connection, which can't be used any more.
+func isDeadline(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded)
+}
+
 // setDeadline sets the read deadline to d from now; 0 means none.
 func (c *callerConn) setDeadline(d time.Duration) {
 	var at time.Time
--- a/internal/edge/standby.go
+++ b/internal/edge/standby.go
@@ -145,7 +145,7 @@
 			wake()
 		case closed:
 			l.err = http1.ErrTruncated
-		case !isTimeout(err):
+		case !isDeadline(err):
 			l.err = err
 		}
 		arrived <- spoke
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/beryllanding/beryllanding/pkg/duplex"
 )
 
 // ErrConnect reports that no connection was made. Nothing was sent.
@@ -44,6 +46,8 @@
 
 // Conn is a connection to a target.
 type Conn struct {
+	// Conn is a *duplex.Conn, so that a reset that a write has taken doesn't look like the end
+	// of a response.
 	net.Conn
 	// Reader buffers what is read from the connection. Read through Reader only.
 	Reader *bufio.Reader
@@ -162,7 +166,7 @@
 	if err != nil {
 		return nil, errors.Join(ErrConnect, err)
 	}
-	c := &Conn{Conn: nc, Reader: bufio.NewReaderSize(nc, readBufferSize), idleTimeout: DefaultIdleTimeout}
+	c := &Conn{idleTimeout: DefaultIdleTimeout}
 	if tc, ok := nc.(*net.TCPConn); ok {
 		if c.raw, err = tc.SyscallConn(); err != nil {
 			_ = nc.Close()
@@ -170,9 +174,10 @@
 		}
 	}
 	if p.Wrap != nil {
-		c.Conn = p.Wrap(nc)
-		c.Reader.Reset(c.Conn)
+		nc = p.Wrap(nc)
 	}
+	c.Conn = &duplex.Conn{Conn: nc}
+	c.Reader = bufio.NewReaderSize(c.Conn, readBufferSize)
 	return c, nil
 }
 
