--- a/internal/side/http.go
+++ b/internal/side/http.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/beryllanding/beryllanding/pkg/claim"
+	"github.com/beryllanding/beryllanding/pkg/duplex"
 )
 
 const (
@@ -48,7 +49,7 @@
 func newTransport(opts Options) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         duplex.Dialer(dialer),
 		MaxIdleConnsPerHost: opts.MaxRunning,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
