pkg/http1: statuses above 599 and an unasked 101 are no responses

Cause: ReadResponse checked the lower bound of a status only, and skipped 101 like the interim responses. RFC 9110 has no status above 599, and requests to targets ask for no upgrade.

TestBrokenHead sends 20 broken heads on five routes and as the rest of a stream. Before: 15 of its cases failed, those of 600, 999 and 101. After: all pass.

--- a/pkg/http1/http1.go
+++ b/pkg/http1/http1.go
@@ -130,6 +130,16 @@
 // maxInterim is the maximum number of interim responses before the final one.
 const maxInterim = 16
 
+// ValidStatus reports whether a status code belongs to a final response to a request that asked
+// for no upgrade of the protocol.
+func ValidStatus(status int) bool { return 200 <= status && status <= maxStatus }
+
+// maxStatus is the highest valid status code (RFC 9110, section 15).
+const maxStatus = 599
+
+// statusSwitching is the status by which a peer switches to another protocol.
+const statusSwitching = 101
+
 // ReadResponse reads the head of a response, of at most limit bytes. It skips
 // up to maxInterim interim responses (1xx). method is the method of the request. The errors are
 // those of ReadRequest.
@@ -143,11 +153,14 @@
 			return fmt.Errorf("%w: invalid status line", ErrMalformed)
 		}
 		status, err := strconv.Atoi(string(line[9:12]))
-		if err != nil || status < 100 {
+		if err != nil || status < 100 || status > maxStatus {
 			return fmt.Errorf("%w: invalid status code", ErrMalformed)
 		}
+		if status == statusSwitching {
+			return fmt.Errorf("%w: switch of protocols that was not asked for", ErrMalformed)
+		}
 		h.Status = status
-		if status >= 200 {
+		if ValidStatus(status) {
 			return h.frameResponse(method)
 		}
 	}
