pkg/strict, internal/side: responses with an invalid status or field name are refused

Cause: net/http checks neither; a name with a blank is a field of its own there. Orders and cancellations took such a status as their result, and a cancellation that an invalid response confirmed promised 'not run'.

Change: strict.Transport wraps the transports of the side process, so each reader has it: calls, model calls, status, orders, fencing, cancellations. It refuses a final status outside of 200 to 599 and a name that is no token, also in interim responses. The request counts as possibly run.

A folded line stays accepted, as RFC 9112 allows.

--- a/internal/side/http.go
+++ b/internal/side/http.go
@@ -13,6 +13,7 @@
 
 	"github.com/beryllanding/beryllanding/pkg/claim"
 	"github.com/beryllanding/beryllanding/pkg/duplex"
+	"github.com/beryllanding/beryllanding/pkg/strict"
 )
 
 const (
@@ -35,13 +36,17 @@
 // again on a new connection, so the second client reuses no connection.
 func newClients(opts Options) (client, noReuse *http.Client) {
 	if opts.Transport != nil {
-		client = &http.Client{Transport: opts.Transport, CheckRedirect: noRedirect}
+		client = newClient(opts.Transport)
 		return client, client
 	}
-	client = &http.Client{Transport: newTransport(opts), CheckRedirect: noRedirect}
 	fresh := newTransport(opts)
 	fresh.DisableKeepAlives = true
-	return client, &http.Client{Transport: fresh, CheckRedirect: noRedirect}
+	return newClient(newTransport(opts)), newClient(fresh)
+}
+
+// newClient returns a client that rejects invalid responses and returns a redirect as the response.
+func newClient(transport http.RoundTripper) *http.Client {
+	return &http.Client{Transport: &strict.Transport{Base: transport}, CheckRedirect: noRedirect}
 }
 
 // newTransport returns a transport that uses no proxy and does not decompress
--- a/pkg/http1/http1.go
+++ b/pkg/http1/http1.go
@@ -114,7 +114,7 @@
 		return err
 	}
 	parts := bytes.Split(line, []byte(" "))
-	if len(parts) != 3 || !isToken(parts[0]) || string(parts[2]) != "HTTP/1.1" {
+	if len(parts) != 3 || !ValidName(parts[0]) || string(parts[2]) != "HTTP/1.1" {
 		return fmt.Errorf("%w: invalid request line", ErrMalformed)
 	}
 	if len(parts[1]) == 0 || parts[1][0] != '/' || hasControl(parts[1]) {
@@ -215,7 +215,7 @@
 			continue
 		}
 		colon := bytes.IndexByte(line, ':')
-		if colon < 1 || !isToken(line[:colon]) {
+		if colon < 1 || !ValidName(line[:colon]) {
 			return nil, fmt.Errorf("%w: invalid header field", ErrMalformed)
 		}
 		h.Fields = append(h.Fields, Field{Name: line[:colon], Value: bytes.Trim(line[colon+1:], " \t")})
@@ -344,13 +344,14 @@
 	return false
 }
 
-func isToken(b []byte) bool {
-	for _, c := range b {
-		if !tokenChars[c] {
+// ValidName reports whether a header field may have the name: whether it is a token.
+func ValidName[T string | []byte](name T) bool {
+	for i := range len(name) {
+		if !tokenChars[name[i]] {
 			return false
 		}
 	}
-	return len(b) > 0
+	return len(name) > 0
 }
 
 // tokenChars are the characters allowed in a token (RFC 9110, section 5.6.2).
