internal/side, pkg/buffer: responses without end share a fixed amount of memory

Cause: each response had a bound, 10 MB of a head in net/http and 8 MB of a body or output, and 64 of them ran at a time.

Change: a head takes at most 64 KB and 16 interim responses. Beyond 64 KB, responses reserve memory before they use it, 32 MB for all; a known length at once, others as they grow. The counter is that of internal/edge, moved to pkg/buffer without a change there.

TestEndlessResponsesShareMemory, 15 forms to four kinds of requests, 64 at a time, at most 120 MB of heap.

--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -13,6 +13,7 @@
 
 	"github.com/beryllanding/beryllanding/internal/alloc"
 	"github.com/beryllanding/beryllanding/internal/meter"
+	"github.com/beryllanding/beryllanding/pkg/buffer"
 	"github.com/beryllanding/beryllanding/pkg/drain"
 	"github.com/beryllanding/beryllanding/pkg/http1"
 	"github.com/beryllanding/beryllanding/pkg/origin"
@@ -63,9 +64,9 @@
 	room       ownRoom
 	quarantine quarantine
 	origins    origins
-	buffers    buffers
+	buffers    buffer.Pool
 	// bodies counts the memory for large bodies of requests.
-	bodies buffers
+	bodies buffer.Pool
 	// loaded is closed once the configuration and the targets were read for the first
 	// time.
 	loaded chan struct{}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -287,7 +287,7 @@
 		err = req.readBody(c.r, limits.BodyBytes, &c.s.Engine.bodies)
 	}
 	if err != nil {
-		c.s.Engine.bodies.release(req.reserved)
+		c.s.Engine.bodies.Release(req.reserved)
 		c.reject(err, req)
 		return req, false
 	}
@@ -354,7 +354,7 @@
 		id := string(req.head.Get(c.s.Engine.Dialect.RequestID))
 		c.requestID.Store(&id)
 		c.s.Engine.Serve(ctx, req.head, req.body, w, req.arrived)
-		c.s.Engine.bodies.release(req.reserved)
+		c.s.Engine.bodies.Release(req.reserved)
 		keepOpen := w.err == nil && !w.close && !c.s.stopping.Load()
 		if keepOpen {
 			c.setDeadline(c.s.limits().IdleTimeout)
--- a/internal/side/call.go
+++ b/internal/side/call.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -30,12 +29,6 @@
 	claim *ownClaim
 }
 
-// response is a target's whole response to a call.
-type response struct {
-	head head
-	body []byte
-}
-
 // run carries out the call and ends the run.
 func (c *callRun) run(ctx context.Context) {
 	if _, err := c.url(); err != nil {
@@ -108,7 +101,7 @@
 		c.refuse(unknown(refuse.CodeInterrupted, 0, "the request ran, and its response was not kept"))
 		return
 	}
-	c.deliver(&response{head: *finishedHead(v), body: v.Body}, end{})
+	c.deliver(&response{head: *finishedHead(v), parts: split(v.Body)}, end{})
 }
 
 // refuse ends the run without a response and without a bill.
@@ -131,6 +124,9 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	a, err := c.exchange(ctx)
+	if a != nil {
+		defer func() { c.s.buffers.Release(a.reserved) }()
+	}
 	switch {
 	case err == nil:
 		c.finish(a)
@@ -144,7 +140,7 @@
 // finish ends the run with the target's response, whatever its status.
 func (c *callRun) finish(a *response) {
 	if c.claim != nil {
-		c.s.recordResponse(c.claim, &a.head, a.body)
+		c.s.recordResponse(c.claim, &a.head, a.recorded(claim.MaxBody))
 	}
 	c.deliver(a, c.bill())
 }
@@ -157,12 +153,16 @@
 
 // deliver adds the response to the run's output and ends the run.
 func (c *callRun) deliver(a *response, e end) {
-	c.sh.update(c.r, func(*table) {
+	c.sh.update(c.r, func(t *table) {
 		c.r.markSent()
 		c.r.head = &a.head
-		for _, part := range split(a.body) {
+		for _, part := range a.parts {
 			c.r.add(chunk{data: part})
 		}
+		if !c.r.ended() {
+			t.keepReserved(c.r, a.reserved)
+			a.reserved = 0
+		}
 	})
 	c.s.finish(c.sh, c.r, e)
 }
@@ -237,11 +237,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	a := &response{head: head{status: resp.StatusCode, headers: forwardedHeaders(resp.Header)}}
-	a.body, err = io.ReadAll(io.LimitReader(resp.Body, int64(c.s.opts.MaxResponse)+1))
-	if err == nil && len(a.body) > c.s.opts.MaxResponse {
-		err = errResponseTooLarge
-	}
-	return a, err
+	return a, c.s.readBody(ctx, resp, a)
 }
 
 // request returns the HTTP request to the target.
--- a/internal/side/engine.go
+++ b/internal/side/engine.go
@@ -10,8 +10,10 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/buffer"
 	"github.com/beryllanding/beryllanding/pkg/ledger"
 	"github.com/beryllanding/beryllanding/pkg/refuse"
 )
@@ -62,7 +64,12 @@
 	// share.
 	first   delta
 	content strings.Builder
-	reason  string
+	// size is the memory that the unstreamed response takes, with what of its events was
+	// dropped. reserved is what is reserved for it of the memory that all runs share. Both
+	// are in bytes.
+	size     int64
+	reserved int64
+	reason   string
 }
 
 // runModel carries out a model request and ends the run.
@@ -78,6 +85,7 @@
 	}
 	defer release()
 	m.model = model
+	defer func() { s.buffers.Release(m.reserved) }()
 	body, err := engineBody(work.GetBody(), model, m.meter.maxOutput)
 	if err != nil {
 		s.refuse(sh, r, notRun(refuse.CodeBadRequest, 0, err.Error()), end{})
@@ -102,7 +110,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp.StatusCode)
 	}
-	err = m.forwardEvents(newEvents(resp.Body), func() { watchdog.Reset(m.s.opts.BetweenTokens) })
+	err = m.forwardEvents(ctx, newEvents(resp.Body), func() { watchdog.Reset(m.s.opts.BetweenTokens) })
 	if cause := context.Cause(ctx); err != nil && cause != nil && !errors.Is(err, errOutputLimit) {
 		return cause
 	}
@@ -139,7 +147,7 @@
 
 // forwardEvents forwards the events up to the engine's last one, and calls progress
 // for each event.
-func (m *modelRun) forwardEvents(ev *events, progress func()) error {
+func (m *modelRun) forwardEvents(ctx context.Context, ev *events, progress func()) error {
 	for {
 		data, err := ev.next()
 		if errors.Is(err, io.EOF) {
@@ -152,7 +160,7 @@
 		if bytes.Equal(data, doneData) {
 			return nil
 		}
-		if err := m.handleEvent(data); err != nil {
+		if err := m.handleEvent(ctx, data); err != nil {
 			return err
 		}
 	}
@@ -160,7 +168,7 @@
 
 // handleEvent meters one event and forwards it, or collects its content if the
 // caller did not ask for a stream.
-func (m *modelRun) handleEvent(data []byte) error {
+func (m *modelRun) handleEvent(ctx context.Context, data []byte) error {
 	d, err := parseDelta(data)
 	if err != nil {
 		return err
@@ -183,29 +191,62 @@
 		return errOutputLimit
 	}
 	if !m.work.GetStream() {
-		return m.collect(text)
+		return m.collect(ctx, text)
 	}
-	return m.add(chunk{data: data, tokens: tokens})
+	return m.add(ctx, chunk{data: data, tokens: tokens})
 }
 
-// collect appends content to the unstreamed response.
-func (m *modelRun) collect(text string) error {
-	if m.content.Len()+len(text) > m.s.opts.MaxResponse {
+// encodedOverhead is the memory that an unstreamed response takes, as a multiple of its encoded
+// size: its content and its encoded form.
+const encodedOverhead = 2 * buffer.Overhead
+
+// collect appends content to the unstreamed response. An event without content counts too, so
+// that a response of such events ends.
+func (m *modelRun) collect(ctx context.Context, text string) error {
+	m.size += encodedSize(text) + chunkOverhead
+	if m.size > int64(m.s.opts.MaxResponse) {
 		return errResponseTooLarge
 	}
+	if text == "" {
+		return nil
+	}
+	if need := encodedOverhead * m.size; need > buffer.Free+m.reserved {
+		if err := m.s.reserve(ctx, &m.reserved, max(buffer.Free, need-m.reserved)); err != nil {
+			return err
+		}
+	}
 	m.content.WriteString(text)
 	return nil
 }
 
+// encodedSize returns the most bytes that encoding/json takes for the text.
+func encodedSize(text string) (n int64) {
+	for _, c := range text {
+		if c < ' ' || strings.ContainsRune("\"\\<>&\u2028\u2029\ufffd", c) {
+			n += int64(len(`\u0000`))
+			continue
+		}
+		n += int64(utf8.RuneLen(c))
+	}
+	return n
+}
+
 // add appends a chunk to the run's output.
-func (m *modelRun) add(c chunk) error {
+func (m *modelRun) add(ctx context.Context, c chunk) error {
 	m.sh.mu.Lock()
-	defer m.sh.mu.Unlock()
-	if m.r.bytes+len(c.data) > m.s.opts.MaxResponse {
+	size, reserved := m.r.bytes+c.size(), m.r.reserved
+	m.sh.mu.Unlock()
+	if size > m.s.opts.MaxResponse {
 		return errResponseTooLarge
 	}
-	m.r.add(c)
-	m.r.notify()
+	if need := int64(size - buffer.Free); need > reserved {
+		held := reserved
+		if err := m.s.reserve(ctx, &held, max(buffer.Free, need-reserved)); err != nil {
+			return err
+		}
+		m.sh.update(m.r, func(t *table) { t.keepReserved(m.r, held-reserved) })
+	}
+	m.sh.update(m.r, func(*table) { m.r.add(c) })
 	return nil
 }
 
@@ -219,7 +260,7 @@
 		m.cancelAtEngine()
 		m.reason = reasonLength
 		if m.work.GetStream() {
-			_ = m.add(chunk{data: truncatedEvent(m.first, &m.meter)}) // an error is ignored: the output is complete without this event
+			_ = m.add(m.s.base, chunk{data: truncatedEvent(m.first, &m.meter)}) // an error is ignored: the output is complete without this event
 		}
 		m.finish()
 	case errors.Is(err, errNotSent):
@@ -233,9 +274,13 @@
 func (m *modelRun) finish() {
 	if !m.work.GetStream() {
 		data := plainResponse(m.first, m.content.String(), m.reason, &m.meter)
-		for _, part := range split(data) {
-			m.sh.update(m.r, func(*table) { m.r.add(chunk{data: part}) })
-		}
+		m.sh.update(m.r, func(t *table) {
+			for _, part := range split(data) {
+				m.r.add(chunk{data: part})
+			}
+			t.keepReserved(m.r, m.reserved)
+			m.reserved = 0
+		})
 	}
 	m.s.finish(m.sh, m.r, m.end(m.meter.bill(), m.reason))
 }
--- a/internal/side/http.go
+++ b/internal/side/http.go
@@ -21,6 +21,8 @@
 	dialTimeout = 2 * time.Second
 	// idleTimeout is how long an idle connection is kept open.
 	idleTimeout = 30 * time.Second
+	// maxResponseHead bounds the head of a response, in bytes.
+	maxResponseHead = 64 << 10
 )
 
 // Headers of requests to a target.
@@ -58,6 +60,8 @@
 		MaxIdleConnsPerHost: opts.MaxRunning,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxResponseHead,
 	}
 }
 
--- a/internal/side/reset_test.go
+++ b/internal/side/reset_test.go
@@ -20,7 +20,8 @@
 // upload is a request of which an application has read only the head. The rest is read from r.
 type upload struct {
 	*net.TCPConn
-	r *bufio.Reader
+	path string
+	r    *bufio.Reader
 }
 
 // listenForUploads starts an application that reads the head of each request and then calls
@@ -41,8 +42,8 @@
 			go func() {
 				defer func() { _ = c.Close() }()
 				r := bufio.NewReader(c)
-				if _, err := http.ReadRequest(r); err == nil {
-					answer(upload{TCPConn: c.(*net.TCPConn), r: r})
+				if req, err := http.ReadRequest(r); err == nil {
+					answer(upload{TCPConn: c.(*net.TCPConn), path: req.URL.Path, r: r})
 				}
 			}()
 		}
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"github.com/beryllanding/beryllanding/internal/wire"
+	"github.com/beryllanding/beryllanding/pkg/buffer"
 	"github.com/beryllanding/beryllanding/pkg/claim"
 	"github.com/beryllanding/beryllanding/pkg/fleet"
 	"github.com/beryllanding/beryllanding/pkg/fold"
@@ -32,8 +33,11 @@
 	claimsWriter fold.Writer
 	own          claimSet
 
-	shards [tableShards]shard
-	queue  limiter
+	// buffers is the memory that the responses of all runs share, but for those that are kept
+	// for replay, which Options.MaxKept bounds.
+	buffers buffer.Pool
+	shards  [tableShards]shard
+	queue   limiter
 	// reconciler is nil if Options.FollowWeights is not set.
 	reconciler *reconciler
 
@@ -93,6 +97,7 @@
 			maxAttempts: opts.MaxAttempts / tableShards,
 			keep:        opts.Keep,
 			grace:       opts.Grace,
+			released:    s.buffers.Release,
 		}
 	}
 	s.initStreams()
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -41,12 +41,15 @@
 	// abandonedAt is when the last reader left; zero while there are readers.
 	abandonedAt time.Time
 
-	phase   phase
-	head    *head
-	chunks  []chunk
-	bytes   int
-	end     end
-	refusal *refuse.Refusal
+	phase  phase
+	head   *head
+	chunks []chunk
+	// bytes is the memory that the chunks take. reserved is what is reserved for them of
+	// the memory that all runs share.
+	bytes    int
+	reserved int64
+	end      end
+	refusal  *refuse.Refusal
 	// lateResponse reports that the response arrived after the run was refused.
 	lateResponse bool
 	settled      bool
@@ -71,6 +74,13 @@
 	tokens ledger.Tokens
 }
 
+// chunkOverhead is the memory that a chunk takes beside its data, in bytes, with what the list of
+// chunks grows beyond its length.
+const chunkOverhead = 96
+
+// size returns the memory that the chunk takes, in bytes.
+func (c *chunk) size() int { return len(c.data) + chunkOverhead }
+
 // end is the bill and the finish reason of a run that ended.
 type end struct {
 	billed       ledger.Tokens
@@ -95,7 +105,7 @@
 		return false
 	}
 	r.chunks = append(r.chunks, c)
-	r.bytes += len(c.data)
+	r.bytes += c.size()
 	return true
 }
 
--- a/internal/side/table.go
+++ b/internal/side/table.go
@@ -25,6 +25,10 @@
 	// continues without a reader.
 	keep, grace time.Duration
 
+	// released is called with memory that is no longer reserved for a run, in bytes; nil if none
+	// is ever reserved.
+	released func(bytes int64)
+
 	// runs holds, by request, the runs that a new attempt joins.
 	runs map[string]*run
 	// charged counts the outstanding runs charged to each holder.
@@ -175,6 +179,7 @@
 		return
 	}
 	r.finishedAt = now
+	t.releaseReserved(r)
 	t.kept = append(t.kept, r)
 	t.keptBytes += r.bytes
 	t.forgetResponses(now)
@@ -258,7 +263,23 @@
 // dropOutput drops the output of a run that has ended, has no reader and cannot be
 // joined. It leaves the output of other runs as it is.
 func (t *table) dropOutput(r *run) {
-	if r.ended() && r.readers == 0 && t.runs[r.request] != r {
-		r.chunks = nil
+	if !r.ended() || r.readers > 0 || t.runs[r.request] == r {
+		return
 	}
+	r.chunks = nil
+	t.releaseReserved(r)
+}
+
+// releaseReserved releases the memory that is reserved for the run's output.
+func (t *table) releaseReserved(r *run) {
+	if r.reserved > 0 {
+		t.released(r.reserved)
+		r.reserved = 0
+	}
+}
+
+// keepReserved makes the run hold reserved memory until its output is dropped, or kept for replay.
+func (t *table) keepReserved(r *run, bytes int64) {
+	r.reserved += bytes
+	t.dropOutput(r) // The run may have ended without a reader meanwhile.
 }
--- a/pkg/http1/http1.go
+++ b/pkg/http1/http1.go
@@ -127,8 +127,8 @@
 	return h.frameRequest()
 }
 
-// maxInterim is the maximum number of interim responses before the final one.
-const maxInterim = 16
+// MaxInterim is the maximum number of interim responses before the final one.
+const MaxInterim = 16
 
 // ValidStatus reports whether a status code belongs to a final response to a request that asked
 // for no upgrade of the protocol.
@@ -141,10 +141,10 @@
 const statusSwitching = 101
 
 // ReadResponse reads the head of a response, of at most limit bytes. It skips
-// up to maxInterim interim responses (1xx). method is the method of the request. The errors are
+// up to MaxInterim interim responses (1xx). method is the method of the request. The errors are
 // those of ReadRequest.
 func (h *Head) ReadResponse(r *bufio.Reader, limit int, method []byte) error {
-	for range maxInterim + 1 {
+	for range MaxInterim + 1 {
 		line, err := h.readLines(r, limit)
 		if err != nil {
 			return err
@@ -164,7 +164,7 @@
 			return h.frameResponse(method)
 		}
 	}
-	return fmt.Errorf("%w: more than %d interim responses", ErrMalformed, maxInterim)
+	return fmt.Errorf("%w: more than %d interim responses", ErrMalformed, MaxInterim)
 }
 
 // readLines reads the lines of a head up to the empty one. It returns the first
--- a/pkg/strict/strict.go
+++ b/pkg/strict/strict.go
@@ -19,8 +19,15 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	interim := 0
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
-		Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error { return checkNames(fields) },
+		// With this function, net/http bounds each interim response but not their number.
+		Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error {
+			if interim++; interim > http1.MaxInterim {
+				return fmt.Errorf("%w: more than %d interim responses", http1.ErrMalformed, http1.MaxInterim)
+			}
+			return checkNames(fields)
+		},
 	})
 	resp, err := t.Base.RoundTrip(req.WithContext(ctx))
 	if err != nil {
