pkg/logsvc, pkg/insts: the head of a response is bounded

A log service or an instance list that sends a head without end made each call keep up to 10 MB of it, several times that in memory. Cause: net/http's default bound.

Change: 64 KB, as at the other readers. TestEndlessHead failed before in both packages: the clients took 10480 and 10348 KB; at most 2048 after, with what the sockets hold. TestCutResponses and TestCutList, which cut sound responses at each byte, passed before and stay.

--- a/pkg/insts/client.go
+++ b/pkg/insts/client.go
@@ -23,6 +23,8 @@
 const (
 	// callTimeout bounds a call.
 	callTimeout = 3 * time.Second
+	// maxHead bounds the head of a response in bytes.
+	maxHead = 64 << 10
 	// maxResponse bounds a response body in bytes.
 	maxResponse = 4 << 20
 	// maxMessage bounds the part of a failed response's body that an error quotes,
@@ -31,7 +33,10 @@
 )
 
 // defaultHTTP is the HTTP client of each Client whose HTTP field is nil.
-var defaultHTTP = &http.Client{Transport: &http.Transport{IdleConnTimeout: 30 * time.Second}}
+var defaultHTTP = &http.Client{Transport: &http.Transport{
+	IdleConnTimeout:        30 * time.Second,
+	MaxResponseHeaderBytes: maxHead,
+}}
 
 // Client speaks the HTTP protocol of the instance list.
 type Client struct {
--- a/pkg/logsvc/client.go
+++ b/pkg/logsvc/client.go
@@ -18,6 +18,8 @@
 	// responseTimeout bounds a call whose context has no deadline, in addition to
 	// the time that a read waits for a record. It ends calls on dead connections.
 	responseTimeout = 5 * time.Second
+	// maxHead bounds the head of a response in bytes.
+	maxHead = 64 << 10
 	// maxResponse bounds a response body in bytes. It has room for the largest page
 	// in base64 and for the offsets of its records.
 	maxResponse = 4 * (MaxPage + MaxRecord)
@@ -32,6 +34,8 @@
 var defaultHTTP = &http.Client{Transport: &http.Transport{
 	MaxIdleConnsPerHost: idleConns,
 	IdleConnTimeout:     30 * time.Second,
+
+	MaxResponseHeaderBytes: maxHead,
 }}
 
 // Client speaks the HTTP protocol of the log service. It implements Service.
