internal/edge: a test of a reset while another target is asked

The reader that listens to a silent target beside a standby took EOF for the end of a response without a length too. TestResetWhileAnotherTargetIsAsked on: 5 of 10 streams ended as complete after two of four events, since the write of the upload had taken the reset. No change of the product.

--- a/internal/edge/reset_test.go
+++ b/internal/edge/reset_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -34,12 +35,12 @@
 	r  *bufio.Reader
 }
 
-// newUploadEnv starts an engine with a target that reads the head of each request and then calls
+// newUploadEnv starts an engine with targets that read the head of each request and then call
 // answer. Bodies of requests may have uploadSize bytes.
-func newUploadEnv(t *testing.T, answer func(u upload)) *testEnv {
+func newUploadEnv(t *testing.T, targets int, answer func(u upload)) *testEnv {
 	t.Helper()
 	w := newTestEnv(t)
-	address := w.listen(func(l net.Listener) {
+	serve := func(l net.Listener) {
 		for {
 			c, err := l.Accept()
 			if err != nil {
@@ -54,8 +55,12 @@
 				}
 			}()
 		}
-	})
-	w.engine.fleet.update([]roster.Target{{ID: "early", Service: "s", Address: address, DataCentre: "here"}})
+	}
+	var list []roster.Target
+	for i := range targets {
+		list = append(list, roster.Target{ID: fmt.Sprintf("early%d", i), Service: "s", Address: w.listen(serve), DataCentre: "here"})
+	}
+	w.engine.fleet.update(list)
 	tbl := *w.engine.view.Load()
 	tbl.Limits.BodyBytes = uploadSize
 	w.setTable(&tbl)
@@ -71,7 +76,7 @@
 	for path, part := range earlyAnswers {
 		for _, part := range []string{part, ""} {
 			t.Run(fmt.Sprintf("%s %d bytes", path, len(part)), func(t *testing.T) {
-				w := newUploadEnv(t, func(u upload) {
+				w := newUploadEnv(t, 1, func(u upload) {
 					write(u, "HTTP/1.1 200 OK\r\nRequest-Id: "+u.id+"\r\nSignature: s\r\n\r\n"+part)
 					time.Sleep(5 * time.Millisecond)
 					_ = u.SetLinger(0)
@@ -91,6 +96,32 @@
 	}
 }
 
+// TestResetWhileAnotherTargetIsAsked guards against a stream that ends as complete although its
+// silent target reset it during the upload, while the instance waited for another target that is
+// to take over. That one has the whole stream.
+func TestResetWhileAnotherTargetIsAsked(t *testing.T) {
+	for range 10 {
+		var requests atomic.Int64
+		w := newUploadEnv(t, 2, func(u upload) {
+			if requests.Add(1) == 1 {
+				write(u, "HTTP/1.1 200 OK\r\nRequest-Id: "+u.id+"\r\nSignature: s\r\n\r\n"+events(1, 2))
+				time.Sleep(2 * minSilence)
+				_ = u.SetLinger(0)
+				return
+			}
+			time.Sleep(2 * minSilence)
+			write(u, streamHead(u.id)+chunk(events(1, 4))+http1.LastChunk)
+			_, _ = io.CopyN(io.Discard, u.r, uploadSize)
+		})
+		if got := w.ask("/resume/", "Request-Id: r\nDeadline: 10000\nKey: k\n", strings.Repeat("u", uploadSize)); got.err != nil || got.body != events(1, 4) {
+			t.Errorf("got %q, error %v; want events 1 to 4", got.body, got.err)
+		}
+		if n := requests.Load(); n != 2 {
+			t.Errorf("%d targets had the request, want 2", n)
+		}
+	}
+}
+
 // TestEarlyAnswerClosedInOrder guards against the refusal of a sound answer that ends with its
 // connection and was sent before the request had been read.
 func TestEarlyAnswerClosedInOrder(t *testing.T) {
@@ -108,7 +139,7 @@
 	} {
 		for path, body := range earlyAnswers {
 			t.Run(path+" "+name, func(t *testing.T) {
-				w := newUploadEnv(t, func(u upload) {
+				w := newUploadEnv(t, 1, func(u upload) {
 					write(u, "HTTP/1.1 200 OK\r\nRequest-Id: "+u.id+"\r\nSignature: s\r\n\r\n"+body)
 					time.Sleep(5 * time.Millisecond)
 					end(u)
