internal/side: smaller heads, and a long stream of small events is not refused

The limit for one response counted 96 bytes for each event, which would have refused a sound stream of 25,000 events that passed before. A body of known length reserved a part more than its length, and failed if others held the rest.

Change: heads of 32 KB, as for callers' requests; 24 MB for all responses in progress (Options.MaxBuffers); the limit for one response counts its data again, and the memory for reservations and replay what it takes.

--- a/internal/side/buffer.go
+++ b/internal/side/buffer.go
@@ -42,7 +42,10 @@
 	}
 	for {
 		next := min(max(firstPart, a.size), maxChunk)
-		if need := int64(a.size + next - buffer.Free); need > a.reserved {
+		if resp.ContentLength > 0 { // The body ends with a read of a byte more.
+			next = min(next, max(0, int(resp.ContentLength)-a.size)+1)
+		}
+		if need := int64(a.size + next - buffer.Free - 1); need > a.reserved {
 			if err := s.reserve(ctx, &a.reserved, need-a.reserved); err != nil {
 				return err
 			}
--- a/internal/side/engine.go
+++ b/internal/side/engine.go
@@ -64,12 +64,12 @@
 	// share.
 	first   delta
 	content strings.Builder
-	// size is the memory that the unstreamed response takes, with what of its events was
-	// dropped. reserved is what is reserved for it of the memory that all runs share. Both
-	// are in bytes.
-	size     int64
-	reserved int64
-	reason   string
+	// encoded is the size of the content in JSON, and empty what events without content count.
+	// reserved is what is reserved for the content of the memory that all runs share. All are
+	// in bytes.
+	encoded, empty int64
+	reserved       int64
+	reason         string
 }
 
 // runModel carries out a model request and ends the run.
@@ -203,14 +203,14 @@
 // collect appends content to the unstreamed response. An event without content counts too, so
 // that a response of such events ends.
 func (m *modelRun) collect(ctx context.Context, text string) error {
-	m.size += encodedSize(text) + chunkOverhead
-	if m.size > int64(m.s.opts.MaxResponse) {
-		return errResponseTooLarge
-	}
 	if text == "" {
-		return nil
+		m.empty += chunkOverhead
+	}
+	if int64(m.content.Len()+len(text))+m.empty > int64(m.s.opts.MaxResponse) {
+		return errResponseTooLarge
 	}
-	if need := encodedOverhead * m.size; need > buffer.Free+m.reserved {
+	m.encoded += encodedSize(text)
+	if need := encodedOverhead * m.encoded; need > buffer.Free+m.reserved {
 		if err := m.s.reserve(ctx, &m.reserved, max(buffer.Free, need-m.reserved)); err != nil {
 			return err
 		}
@@ -234,12 +234,12 @@
 // add appends a chunk to the run's output.
 func (m *modelRun) add(ctx context.Context, c chunk) error {
 	m.sh.mu.Lock()
-	size, reserved := m.r.bytes+c.size(), m.r.reserved
+	size, memory, reserved := m.r.bytes+len(c.data), m.r.memory()+len(c.data)+chunkOverhead, m.r.reserved
 	m.sh.mu.Unlock()
 	if size > m.s.opts.MaxResponse {
 		return errResponseTooLarge
 	}
-	if need := int64(size - buffer.Free); need > reserved {
+	if need := int64(memory - buffer.Free); need > reserved {
 		held := reserved
 		if err := m.s.reserve(ctx, &held, max(buffer.Free, need-reserved)); err != nil {
 			return err
--- a/internal/side/http.go
+++ b/internal/side/http.go
@@ -21,8 +21,9 @@
 	dialTimeout = 2 * time.Second
 	// idleTimeout is how long an idle connection is kept open.
 	idleTimeout = 30 * time.Second
-	// maxResponseHead bounds the head of a response, in bytes.
-	maxResponseHead = 64 << 10
+	// maxResponseHead bounds the head of a response, in bytes, as that of a caller's request is
+	// bounded. Short fields take some thirty times their size.
+	maxResponseHead = 32 << 10
 )
 
 // Headers of requests to a target.
--- a/internal/side/options.go
+++ b/internal/side/options.go
@@ -20,12 +20,13 @@
 	"github.com/beryllanding/beryllanding/pkg/logsvc"
 )
 
-// Defaults of Options. MaxBody, MaxResponse and MaxKept are in bytes.
+// Defaults of Options. MaxBody, MaxResponse, MaxBuffers and MaxKept are in bytes.
 const (
 	defaultMaxRunning    = 64
 	defaultMaxQueue      = 256
 	defaultMaxBody       = 1 << 20
 	defaultMaxResponse   = 8 << 20
+	defaultMaxBuffers    = 24 << 20
 	defaultMaxKept       = 16 << 20
 	defaultMaxAttempts   = 1 << 16
 	defaultGrace         = 10 * time.Second
@@ -88,6 +89,9 @@
 	MaxBody int
 	// MaxResponse is the largest size of a response in bytes.
 	MaxResponse int
+	// MaxBuffers is the memory, in bytes, that all responses in progress share beyond 64 KB
+	// each.
+	MaxBuffers int
 	// MaxKept is the largest total size, in bytes, of the finished responses kept
 	// for replay.
 	MaxKept int
@@ -124,6 +128,7 @@
 	o.MaxQueue = cmp.Or(o.MaxQueue, defaultMaxQueue)
 	o.MaxBody = cmp.Or(o.MaxBody, defaultMaxBody)
 	o.MaxResponse = cmp.Or(o.MaxResponse, defaultMaxResponse)
+	o.MaxBuffers = cmp.Or(o.MaxBuffers, defaultMaxBuffers)
 	o.MaxKept = cmp.Or(o.MaxKept, defaultMaxKept)
 	o.MaxAttempts = cmp.Or(o.MaxAttempts, defaultMaxAttempts)
 	o.Grace = cmp.Or(o.Grace, defaultGrace)
--- a/internal/side/server.go
+++ b/internal/side/server.go
@@ -89,6 +89,7 @@
 	}
 	s.base, s.cancel = context.WithCancel(context.Background())
 	s.client, s.noReuseClient = newClients(opts)
+	s.buffers.Max = int64(opts.MaxBuffers)
 	s.queue = limiter{slots: opts.MaxRunning, maxWaiting: opts.MaxQueue}
 	for i := range s.shards {
 		s.shards[i].table = table{
--- a/internal/side/state.go
+++ b/internal/side/state.go
@@ -44,8 +44,8 @@
 	phase  phase
 	head   *head
 	chunks []chunk
-	// bytes is the memory that the chunks take. reserved is what is reserved for them of
-	// the memory that all runs share.
+	// bytes is the size of the chunks' data. reserved is what is reserved for the chunks of
+	// the memory that all runs share, in bytes.
 	bytes    int
 	reserved int64
 	end      end
@@ -78,8 +78,8 @@
 // chunks grows beyond its length.
 const chunkOverhead = 96
 
-// size returns the memory that the chunk takes, in bytes.
-func (c *chunk) size() int { return len(c.data) + chunkOverhead }
+// memory returns the memory that the output takes, in bytes.
+func (r *run) memory() int { return r.bytes + chunkOverhead*len(r.chunks) }
 
 // end is the bill and the finish reason of a run that ended.
 type end struct {
@@ -105,7 +105,7 @@
 		return false
 	}
 	r.chunks = append(r.chunks, c)
-	r.bytes += c.size()
+	r.bytes += len(c.data)
 	return true
 }
 
--- a/internal/side/table.go
+++ b/internal/side/table.go
@@ -173,7 +173,7 @@
 		return
 	}
 	r.phase = phaseFinished
-	if !r.keyed || r.bytes > t.maxKept || t.runs[r.request] != r {
+	if !r.keyed || r.memory() > t.maxKept || t.runs[r.request] != r {
 		t.removeRun(r)
 		t.dropOutput(r)
 		return
@@ -181,7 +181,7 @@
 	r.finishedAt = now
 	t.releaseReserved(r)
 	t.kept = append(t.kept, r)
-	t.keptBytes += r.bytes
+	t.keptBytes += r.memory()
 	t.forgetResponses(now)
 }
 
@@ -252,7 +252,7 @@
 		if t.keptBytes <= t.maxKept && now.Before(r.finishedAt.Add(t.keep)) {
 			return
 		}
-		t.keptBytes -= r.bytes
+		t.keptBytes -= r.memory()
 		t.kept[0] = nil
 		t.kept = t.kept[1:]
 		t.removeRun(r)
