--- a/internal/side/memory_test.go
+++ b/internal/side/memory_test.go
@@ -225,3 +225,23 @@
 		}
 	}
 }
+
+// TestLongStreamIsServed guards against the refusal of a sound stream of many small events, whose
+// parts take more memory than its data.
+func TestLongStreamIsServed(t *testing.T) {
+	const (
+		tokens = 60_000
+		event  = "data: {\"choices\":[{\"delta\":{\"content\":\"t\"}}]}\n\n"
+	)
+	for _, stream := range []bool{false, true} {
+		s := newTCPServer(t, listenForUploads(t, func(u upload) {
+			_, _ = io.WriteString(u, okHead+"\r\n"+strings.Repeat(event, tokens)+"data: [DONE]\n\n")
+		}))
+		req := modelRequest("o/1", "a1", stream, tokens)
+		events := runAttempt(t.Context(), s, req)
+		if f := last(events).GetFinish(); f.GetFinishReason() != reasonStop {
+			t.Errorf("stream %v: last event is %v, want the end of a whole response", stream, last(events))
+		}
+		wantReleased(t, s)
+	}
+}
