pkg/buffer, internal/side: a reservation that can never fit fails at once

Read again: a response larger than all memory for responses (other settings) would have waited until its request's time is over. And the event that ends a cut stream waited for memory without a bound, if it was the first beyond 64 KB while others took all. The first fails at once now; the second needs no reservation. TestReserve has the first.

--- a/internal/side/engine.go
+++ b/internal/side/engine.go
@@ -260,7 +260,7 @@
 		m.cancelAtEngine()
 		m.reason = reasonLength
 		if m.work.GetStream() {
-			_ = m.add(m.s.base, chunk{data: truncatedEvent(m.first, &m.meter)}) // an error is ignored: the output is complete without this event
+			m.sh.update(m.r, func(*table) { m.r.add(chunk{data: truncatedEvent(m.first, &m.meter)}) })
 		}
 		m.finish()
 	case errors.Is(err, errNotSent):
--- a/pkg/buffer/buffer.go
+++ b/pkg/buffer/buffer.go
@@ -2,6 +2,7 @@
 package buffer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync/atomic"
@@ -38,22 +39,21 @@
 
 // TryReserve reserves n bytes, and reports whether there was room for them.
 func (p *Pool) TryReserve(n int64) bool {
-	limit := p.Max
-	if limit == 0 {
-		limit = DefaultMax
-	}
-	if p.reserved.Add(n) <= limit {
+	if p.reserved.Add(n) <= p.limit() {
 		return true
 	}
 	p.reserved.Add(-n)
 	return false
 }
 
+func (p *Pool) limit() int64 { return cmp.Or(p.Max, DefaultMax) }
+
 // Reserve reserves n bytes for a request that holds a number of reserved bytes already. It waits
-// for room until the context ends. The error wraps ErrFull, and that of the context.
+// for room until the context ends, unless there can never be enough. The error wraps ErrFull, and
+// that of the context.
 func (p *Pool) Reserve(ctx context.Context, held, n int64) error {
 	for !p.TryReserve(n) {
-		if held >= waitBelow || !pause.For(ctx, poll) {
+		if held >= waitBelow || held+n > p.limit() || !pause.For(ctx, poll) {
 			return errors.Join(ErrFull, ctx.Err())
 		}
 	}
--- a/pkg/buffer/buffer_test.go
+++ b/pkg/buffer/buffer_test.go
@@ -22,6 +22,9 @@
 		if err := p.Reserve(t.Context(), 1<<20, 1); !errors.Is(err, buffer.ErrFull) || time.Since(began) > 0 {
 			t.Errorf("a request that holds 1 MB got error %v after %v, want %v at once", err, time.Since(began), buffer.ErrFull)
 		}
+		if err := p.Reserve(t.Context(), 0, 5<<20); !errors.Is(err, buffer.ErrFull) || time.Since(began) > 0 {
+			t.Errorf("more than the maximum: got error %v after %v, want %v at once", err, time.Since(began), buffer.ErrFull)
+		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		if err := p.Reserve(ctx, 0, 1); !errors.Is(err, buffer.ErrFull) || !errors.Is(err, context.DeadlineExceeded) {
