--- a/internal/side/http.go
+++ b/internal/side/http.go
@@ -22,7 +22,7 @@
 	// idleTimeout is how long an idle connection is kept open.
 	idleTimeout = 30 * time.Second
 	// maxResponseHead bounds the head of a response, in bytes, as that of a caller's request is
-	// bounded. Short fields take some thirty times their size.
+	// bounded. Short fields take many times their size.
 	maxResponseHead = 32 << 10
 )
 
